chore: scaffold the workspace with its checks

Cause: the repository was empty. Packages, formatter, linter, types and the cucumber runner are in place so that every later change lands under the same checks.

--- /dev/null
+++ b/admin/verify.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs every check in order: format, lint, types, tests. Ends with "N passed, N failed".
+set -euo pipefail
+cd "$(dirname "$0")/.."
+node admin/format.mjs --check
+npx --no-install tsc --build
+npx --no-install eslint . --max-warnings 0
+node admin/runTests.mjs "$@"
--- /dev/null
+++ b/packages/lovagepitch-utils/src/randomSource.ts
@@ -0,0 +1,38 @@
+/**
+ * Random numbers, seeded in tests.
+ */
+import { type RandomGenerator, unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+
+/** Largest integer that one draw yields. */
+const largestDraw = 0x7fff_ffff;
+
+/** A stream of random numbers. */
+export class RandomSource {
+    private readonly generator: RandomGenerator;
+
+    /**
+     * @param seed - the same seed gives the same stream
+     */
+    public constructor(seed: number) {
+        this.generator = xoroshiro128plus(seed);
+    }
+
+    /**
+     * Draws an integer.
+     *
+     * @param limit - number of possible values
+     * @returns an integer from 0 to limit - 1
+     */
+    public nextInteger(limit: number): number {
+        return unsafeUniformIntDistribution(0, limit - 1, this.generator);
+    }
+
+    /**
+     * Draws a fraction.
+     *
+     * @returns a number from 0 up to, but not including, 1
+     */
+    public nextFraction(): number {
+        return unsafeUniformIntDistribution(0, largestDraw, this.generator) / (largestDraw + 1);
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-utils/src/result.ts
@@ -0,0 +1,13 @@
+/**
+ * Results of operations that can fail, from `ts-results`, whose package is CommonJS and has no named exports.
+ */
+import tsResults, { type Result as TsResult } from "ts-results";
+
+/** Either `Ok` with a value or `Err` with a typed error. */
+export type Result<Value, Failure> = TsResult<Value, Failure>;
+
+/** Makes a success. */
+export const Ok = tsResults.Ok;
+
+/** Makes a failure. */
+export const Err = tsResults.Err;
--- /dev/null
+++ b/packages/lovagepitch-utils/src/submissionCodec.ts
@@ -0,0 +1,95 @@
+/**
+ * Text form of submission ids: fields and a keyed checksum, so that no caller can make one up.
+ */
+import type { SubmissionIdentity, SubmissionKey } from "@lovagepitch/types/identity";
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { Err, Ok, type Result } from "./result.js";
+
+/** Version of the text form. */
+const prefix = "s1";
+const checksumCharacters = 22;
+const decodedIdsKept = 20_000;
+const pattern = /^s1\.([0-9.]+)-(\d+)\.([0-9a-f]+)\.([0-9a-z]+)\.([0-9a-z]+)\.([0-9a-z]+)\.([\w-]{22})$/;
+
+/** An id that this deployment did not issue. */
+export class InvalidSubmissionError extends Error {
+    /** Makes the error. */
+    public constructor() {
+        super("The submission id was not issued here; get one from POST /v1/submissions");
+        this.name = "InvalidSubmissionError";
+    }
+}
+
+/** Encodes and decodes submission ids under one key. */
+export class SubmissionCodec {
+    private readonly decoded = new Map<SubmissionKey, SubmissionIdentity>();
+
+    /**
+     * @param key - the deployment's key from the settings
+     */
+    public constructor(private readonly key: string) {}
+
+    /**
+     * Makes the text form of an id.
+     *
+     * @param identity - what the id says
+     * @returns the id
+     */
+    public encode(identity: SubmissionIdentity): SubmissionKey {
+        const fields = [
+            prefix,
+            identity.keeper.address.replace(":", "-"),
+            identity.keeper.incarnation,
+            identity.sequence.toString(36),
+            identity.expiresAtMilliseconds.toString(36),
+            identity.registryVersion.toString(36),
+        ].join(".");
+        return `${fields}.${this.checksum(fields)}`;
+    }
+
+    /**
+     * Reads an id.
+     *
+     * @param submission - the id
+     * @returns what it says, or the error when its checksum does not fit
+     */
+    public decode(submission: SubmissionKey): Result<SubmissionIdentity, InvalidSubmissionError> {
+        const known = this.decoded.get(submission);
+        if (known !== undefined) {
+            return Ok(known);
+        }
+        const match = pattern.exec(submission);
+        if (match === null || !this.isAuthentic(submission)) {
+            return Err(new InvalidSubmissionError());
+        }
+        const [, address, port, incarnation, sequence, expiry, registryVersion] = match;
+        const identity = {
+            keeper: { address: `${address}:${port}`, incarnation: String(incarnation) },
+            sequence: Number.parseInt(String(sequence), 36),
+            expiresAtMilliseconds: Number.parseInt(String(expiry), 36),
+            registryVersion: Number.parseInt(String(registryVersion), 36),
+        };
+        this.remember(submission, identity);
+        return Ok(identity);
+    }
+
+    private isAuthentic(submission: SubmissionKey): boolean {
+        const fields = submission.slice(0, -checksumCharacters - 1);
+        const given = Buffer.from(submission.slice(-checksumCharacters));
+        return timingSafeEqual(given, Buffer.from(this.checksum(fields)));
+    }
+
+    private checksum(fields: string): string {
+        return createHmac("sha256", this.key).update(fields).digest("base64url").slice(0, checksumCharacters);
+    }
+
+    private remember(submission: SubmissionKey, identity: SubmissionIdentity): void {
+        if (this.decoded.size >= decodedIdsKept) {
+            // The checksum is costly next to a table look-up; the oldest half has most likely been answered.
+            for (const key of [...this.decoded.keys()].slice(0, decodedIdsKept / 2)) {
+                this.decoded.delete(key);
+            }
+        }
+        this.decoded.set(submission, identity);
+    }
+}
