--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/entryOutput.ts
@@ -0,0 +1,32 @@
+/**
+ * Outputs of an entry's core.
+ */
+import type { Decision } from "@lovagepitch/types/decision";
+import type { Incarnation, SubmissionKey } from "@lovagepitch/types/identity";
+import type { OutgoingMessage, SubmissionResult } from "@lovagepitch/types/peerMessage";
+import type { CallerKey, RequestNumber } from "./entryInput.js";
+
+/** What a caller's request is answered with. */
+export type EntryResponse =
+    | SubmissionResult
+    | { readonly kind: "issued"; readonly submissions: readonly SubmissionKey[] };
+
+/** Everything that an entry's core asks its process to do. */
+export type EntryOutput =
+    | ({ readonly type: "send" } & OutgoingMessage)
+    | { readonly type: "respond"; readonly request: RequestNumber; readonly response: EntryResponse }
+    /** Bind the key in the platform's table unless it is bound; answered by `claimResolved`. */
+    | {
+        readonly type: "claimKey";
+        readonly request: RequestNumber;
+        readonly key: CallerKey;
+        readonly jobDigest: string;
+        readonly submission: SubmissionKey;
+    }
+    /** Read the registry now; answered by `registryRead` or `registryUnavailable`. */
+    | { readonly type: "readRegistry" }
+    /** Read a stopped process's handover object; answered by `handoverRead`. */
+    | { readonly type: "readHandover"; readonly kind: "answers" | "ledger"; readonly incarnation: Incarnation }
+    /** Read the manifest from the platform's table now. */
+    | { readonly type: "readManifest" }
+    | { readonly type: "decision"; readonly decision: Decision };
--- /dev/null
+++ b/packages/lovagepitch-platform/src/platformError.ts
@@ -0,0 +1,26 @@
+/**
+ * Failures of the platform's table and object store.
+ */
+
+/** Kinds of failure. */
+export type PlatformErrorKind =
+    /** No answer, or an answer that says the service is down; a write may have taken effect. */
+    | "unavailable"
+    /** A condition did not hold; nothing was written. */
+    | "conflict"
+    /** This process's own rate or retry limit; nothing was sent. */
+    | "throttled"
+    /** The request or the stored row is malformed. */
+    | "invalid";
+
+/** A failure of the platform, with its remedy in the message. */
+export class PlatformError extends Error {
+    /**
+     * @param kind - kind of failure
+     * @param message - what failed and what to do
+     */
+    public constructor(public readonly kind: PlatformErrorKind, message: string) {
+        super(message);
+        this.name = "PlatformError";
+    }
+}
