feat(types): number starts and name the agent incarnation they are for

Cause: a start that was refused and then doubled by the network could run after its task had gone to another agent; a resent start could reach the next incarnation at the same address. Ruled out: tombstones for each refused start, which grow with the load. Change: StartTasks and RecallTasks carry startSequence (agents keep only the highest per keeper incarnation and refuse what is late and unrecorded as out-of-order); refusals echo it, and a keeper believes a refusal only for its latest start of the task; StartTasks names the agent incarnation. To be proved by the interleaving tests.

--- a/packages/lovagepitch-types/src/peerMessage.ts
+++ b/packages/lovagepitch-types/src/peerMessage.ts
@@ -18,6 +18,13 @@
 export interface StartTasks {
     readonly type: "startTasks";
     readonly submission: SubmissionKey;
+    /** The incarnation that is meant; another one at the same address ignores the message. */
+    readonly agent: Incarnation;
+    /**
+     * Position among the sender's starts and recalls to this agent incarnation, from 1. An agent that has seen a higher
+     * one refuses what it has not recorded, so that a doubled or late start cannot run after it was refused.
+     */
+    readonly startSequence: number;
     readonly team: string;
     readonly service: string;
     readonly kind: string;
@@ -30,6 +37,8 @@
 export interface RecallTasks {
     readonly type: "recallTasks";
     readonly submission: SubmissionKey;
+    /** Position among the sender's starts and recalls; earlier starts that arrive later are refused. */
+    readonly startSequence: number;
     readonly indexes: readonly number[];
 }
 
@@ -80,7 +89,9 @@
     | "backend-unavailable"
     | "recalled"
     | "deadline-passed"
-    | "not-registered";
+    | "not-registered"
+    /** A start or recall with a higher sequence came before it. */
+    | "out-of-order";
 
 /** What an agent knows of one task. */
 export type TaskReportState =
@@ -88,7 +99,8 @@
     | { readonly state: "running" }
     | { readonly state: "succeeded"; readonly output: JsonValue }
     | { readonly state: "failed"; readonly reason: string }
-    | { readonly state: "refused"; readonly refusal: TaskRefusal }
+    /** Not run: true once and for all of every start up to this sequence. */
+    | { readonly state: "refused"; readonly refusal: TaskRefusal; readonly startSequence: number }
     /** Never heard of: a start may be on its way. */
     | { readonly state: "unknown" }
     /** Its ledger record has been dropped: it may have run. */
