--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/entryCore.ts
@@ -0,0 +1,254 @@
+/**
+ * The decisions of an entry: who answers a submission, where its tasks start, and what its caller is told.
+ */
+import type { AnswerRecord, AnswersHandover } from "@lovagepitch/types/ledger";
+import type { ProblemKind } from "@lovagepitch/types/problem";
+import { Core } from "@lovagepitch/utils/core";
+import type { EntryInput, HandoverOutcome } from "./entryInput.js";
+import type { EntryOutput } from "./entryOutput.js";
+import { type EntryCoreParts, type EntryPolicies, EntryState, type TimerKey } from "./entryState.js";
+import { RandomBids } from "./policies/bidPolicy.js";
+import { MostFreeSlots } from "./policies/placementPolicy.js";
+import { OldestFirst, ShortestWorkWithAgeLimit } from "./policies/startOrderPolicy.js";
+import { checkAgent } from "./systems/agentLiveness.js";
+import { acceptRegistry } from "./systems/agentRegistry.js";
+import { declineOffers, placeBids } from "./systems/bidding.js";
+import { forgetCaller, issueSubmissions } from "./systems/callerRequests.js";
+import { claimKey, refuseBeforeClaim, resolveClaim } from "./systems/claims.js";
+import { acceptLedger, checkCollection, endCollection, resumeCollections } from "./systems/collecting.js";
+import { dropResult, failSubmission } from "./systems/finishing.js";
+import { checkForward } from "./systems/forwarding.js";
+import { acceptBatch } from "./systems/messages.js";
+import { placeTasks } from "./systems/placement.js";
+import { routeRequest } from "./systems/routing.js";
+import { acceptManifest, refreshCandidates } from "./systems/workClasses.js";
+
+/** What an entry tells of itself. */
+export interface EntryStatus {
+    readonly configurationVersion: number;
+    readonly registryVersion: number;
+    readonly agents: number;
+    readonly knownSlots: number;
+    readonly waitingTasks: number;
+    readonly runningTasks: number;
+    readonly starts: number;
+    readonly wastedMessages: number;
+    readonly refusals: ReadonlyMap<ProblemKind, number>;
+}
+
+/** The core of an entry process. */
+export class EntryCore extends Core<EntryInput, EntryOutput> {
+    private readonly state: EntryState;
+    private inputs: EntryInput[] = [];
+
+    /**
+     * @param parts - what the core is made of
+     */
+    public constructor(parts: EntryCoreParts) {
+        super();
+        this.state = new EntryState(parts, { ...createPolicies(parts), ...parts.policies });
+    }
+
+    /** {@inheritDoc Core.accept} */
+    public override accept(input: EntryInput): void {
+        this.inputs.push(input);
+    }
+
+    /** {@inheritDoc Core.tick} */
+    public override tick(): readonly EntryOutput[] {
+        const inputs = this.inputs;
+        this.inputs = [];
+        for (const input of inputs) {
+            this.handle(input);
+        }
+        this.runTimers();
+        refreshCandidates(this.state);
+        placeTasks(this.state);
+        placeBids(this.state);
+        declineOffers(this.state);
+        return this.state.takeOutputs();
+    }
+
+    /** {@inheritDoc Core.nextWakeMilliseconds} */
+    public override nextWakeMilliseconds(): number | undefined {
+        return this.state.timers.peekPriority();
+    }
+
+    /**
+     * Tells whether a planned stop may end the process.
+     *
+     * @returns true when no caller waits and no job is open
+     */
+    public isDrained(): boolean {
+        const hasLive = [...this.state.submissions.values()].some(row => row.state === "live");
+        const hasCallers = [...this.state.collections.values()].some(row => row.callers.length > 0);
+        return !hasLive && !hasCallers && this.state.forwards.size === 0 && this.state.claims.size === 0;
+    }
+
+    /**
+     * Gathers the finished answers for the entries that go on.
+     *
+     * @returns the object to leave behind
+     */
+    public answersHandover(): AnswersHandover {
+        const answers: AnswerRecord[] = [];
+        for (const row of this.state.submissions.values()) {
+            if (row.state === "finished" && row.result.kind === "answer") {
+                answers.push({ submission: row.submission, jobDigest: row.jobDigest, answer: row.result.answer });
+            }
+        }
+        return { incarnation: this.state.parts.identity.incarnation, answers };
+    }
+
+    /**
+     * Describes the entry for status and metrics.
+     *
+     * @returns counts of the present moment, and totals since the start
+     */
+    public status(): EntryStatus {
+        const agents = [...this.state.agents.values()].filter(agent => !agent.silent);
+        return {
+            configurationVersion: this.state.configurationVersion,
+            registryVersion: this.state.registryVersion,
+            agents: agents.length,
+            knownSlots: agents.reduce((sum, agent) => sum + agent.load.slots, 0),
+            waitingTasks: this.state.waitingTasks,
+            runningTasks: [...this.state.teamTasks.values()].reduce((sum, tasks) => sum + tasks, 0),
+            starts: this.state.counters.starts,
+            wastedMessages: this.state.counters.wastedMessages,
+            refusals: this.state.counters.refusals,
+        };
+    }
+
+    private handle(input: EntryInput): void {
+        const state = this.state;
+        switch (input.type) {
+            case "peerBatch":
+                acceptBatch(state, input.batch);
+                return;
+            case "issue":
+                issueSubmissions(state, input.request, input.count);
+                return;
+            case "submit":
+                routeRequest(state, { request: input.request, operation: "submit" }, input.submission, input.job);
+                return;
+            case "submitWithKey":
+                this.submitWithKey(input);
+                return;
+            case "claimResolved":
+                resolveClaim(state, input.request, input.outcome);
+                return;
+            case "query":
+                routeRequest(state, { request: input.request, operation: "query" }, input.submission, undefined);
+                return;
+            case "cancel":
+                routeRequest(state, { request: input.request, operation: "cancel" }, input.submission, undefined);
+                return;
+            case "requestClosed":
+                forgetCaller(state, input.request);
+                return;
+            default:
+                this.handlePlatform(input);
+        }
+    }
+
+    private handlePlatform(input: EntryInput): void {
+        const state = this.state;
+        switch (input.type) {
+            case "registryRead":
+                state.registryWasRead = true;
+                acceptRegistry(state, input.registry);
+                resumeCollections(state);
+                return;
+            case "manifestAccepted":
+                acceptManifest(state, input.manifest);
+                return;
+            case "handoverRead":
+                this.acceptHandover(input.incarnation, input.outcome);
+                return;
+            case "stop":
+                state.stopping = true;
+                return;
+            default:
+                // A peer or a store that cannot be reached: whoever waits for it has a timer.
+                return;
+        }
+    }
+
+    private submitWithKey(input: Extract<EntryInput, { readonly type: "submitWithKey" }>): void {
+        const problem = refuseBeforeClaim(this.state, input.job);
+        if (problem !== undefined) {
+            this.state.emit({ type: "respond", request: input.request, response: { kind: "problem", problem } });
+            return;
+        }
+        claimKey(this.state, input.request, input.key, input.job);
+    }
+
+    private acceptHandover(incarnation: string, outcome: HandoverOutcome): void {
+        const state = this.state;
+        if (outcome.kind === "answers") {
+            for (const record of outcome.handover.answers) {
+                if (state.collections.has(record.submission)) {
+                    const result = { kind: "answer" as const, answer: record.answer };
+                    endCollection(state, record.submission, record.jobDigest, result);
+                }
+            }
+        }
+        if (outcome.kind === "ledger") {
+            acceptLedger(state, incarnation, outcome.handover);
+        }
+        for (const row of [...state.collections.values()]) {
+            if (row.readingAnswers && row.identity.keeper.incarnation === incarnation) {
+                state.collections.update(row.submission, { readingAnswers: false });
+            }
+        }
+        if (outcome.kind === "absent") {
+            acceptLedger(state, incarnation, undefined);
+        }
+        resumeCollections(state);
+    }
+
+    private runTimers(): void {
+        const now = this.state.now;
+        while ((this.state.timers.peekPriority() ?? Number.POSITIVE_INFINITY) <= now) {
+            this.runTimer(this.state.timers.pop()!);
+        }
+    }
+
+    private runTimer({ purpose, key }: TimerKey): void {
+        const state = this.state;
+        switch (purpose) {
+            case "deadline": {
+                const row = state.submissions.get(key);
+                if (row?.state === "live") {
+                    failSubmission(state, row, "the deadline has passed");
+                }
+                return;
+            }
+            case "agent":
+                checkAgent(state, key);
+                return;
+            case "forward":
+                checkForward(state, key);
+                return;
+            case "collection":
+                checkCollection(state, key);
+                return;
+            case "retention":
+                dropResult(state, key);
+                return;
+            case "place":
+                // The tick itself places.
+                return;
+        }
+    }
+}
+
+function createPolicies(parts: EntryCoreParts): EntryPolicies {
+    const policy = parts.settings.policy;
+    return {
+        startOrder: policy.startOrder === "oldest-first" ? new OldestFirst() : new ShortestWorkWithAgeLimit(),
+        placement: new MostFreeSlots(parts.settings.availabilityZone),
+        bids: new RandomBids(policy.bids, parts.random),
+    };
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/systems/admission.ts
@@ -0,0 +1,229 @@
+/**
+ * Decides at once whether a job can be done; what is refused has not run and never will under its id.
+ */
+import type { SubmissionIdentity } from "@lovagepitch/types/identity";
+import type { JobRequest, TaskRequest } from "@lovagepitch/types/job";
+import type { Problem, ProblemKind } from "@lovagepitch/types/problem";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import type { EntryState } from "../entryState.js";
+import type { AgentRow } from "../tables/agentRow.js";
+import { type WorkClass, workClassKey } from "../tables/workClass.js";
+
+/** Most tasks of one job. */
+const maximumTasks = 820;
+/** Part of the deadline that the predicted finish may take; the rest covers stragglers. */
+const usableDeadlineShare = 0.8;
+/** When to come back after a refusal that passes by itself. */
+const shortRetryMilliseconds = 1_000;
+/** When to come back after a refusal that an operator has to mend. */
+const longRetryMilliseconds = 5_000;
+
+/** What a refusal consists of besides its kind. */
+interface RefusalDetails {
+    readonly status: number;
+    readonly detail: string;
+    readonly remedy: string;
+    readonly retryAfterMilliseconds?: number;
+}
+
+/**
+ * Checks a job.
+ *
+ * @param state - the entry's state
+ * @param job - the job; its form has been checked
+ * @param identity - its id, or undefined before it has one
+ * @returns its work class, or the refusal
+ */
+export function admit(
+    state: EntryState,
+    job: JobRequest,
+    identity: SubmissionIdentity | undefined,
+): Result<WorkClass, Problem> {
+    const found = findWorkClass(state, job);
+    if (found.err) {
+        return found;
+    }
+    const workClass = found.val;
+    const refusal = checkSizes(job, workClass)
+        ?? checkPlaces(state, job, workClass, identity)
+        ?? checkQueue(state, job)
+        ?? checkDeadline(job, workClass);
+    return refusal === undefined ? Ok(workClass) : Err(state.refuse(refusal));
+}
+
+function notRun(kind: ProblemKind, details: RefusalDetails): Problem {
+    return { kind, execution: "not-run", ...details };
+}
+
+function findWorkClass(state: EntryState, job: JobRequest): Result<WorkClass, Problem> {
+    const manifest = state.manifest?.manifest;
+    if (manifest === undefined || state.stopping) {
+        return Err(state.refuse(cannotServe(state)));
+    }
+    if (!manifest.teams.some(team => team.name === job.team)) {
+        return Err(state.refuse(unknown("unknown-team", `There is no team "${job.team}".`)));
+    }
+    if (!manifest.services.some(service => service.name === job.service)) {
+        return Err(state.refuse(unknown("unknown-service", `There is no service "${job.service}".`)));
+    }
+    const workClass = state.workClasses.get(workClassKey(job.service, job.kind));
+    const teams = workClass?.kind.teams;
+    if (workClass === undefined || (teams !== undefined && !teams.includes(job.team))) {
+        const detail = `Service "${job.service}" has no kind "${job.kind}" for team "${job.team}".`;
+        return Err(state.refuse(unknown("unknown-kind", detail)));
+    }
+    return Ok(workClass);
+}
+
+function cannotServe(state: EntryState): Problem {
+    if (state.stopping) {
+        return notRun("stopping", {
+            status: 503,
+            detail: "This entry is stopping.",
+            remedy: "Send the job again; the balancer picks another entry.",
+            retryAfterMilliseconds: shortRetryMilliseconds,
+        });
+    }
+    return notRun("no-configuration", {
+        status: 503,
+        detail: "This entry has no configuration yet.",
+        remedy: "Come back later; the operator may have to apply a manifest.",
+        retryAfterMilliseconds: longRetryMilliseconds,
+    });
+}
+
+function unknown(kind: ProblemKind, detail: string): Problem {
+    const remedy = "Correct the name, or have the operator add it to the manifest.";
+    return notRun(kind, { status: 422, detail, remedy });
+}
+
+function checkSizes(job: JobRequest, workClass: WorkClass): Problem | undefined {
+    if (job.tasks.length > maximumTasks) {
+        const detail = `The job has ${job.tasks.length} tasks.`;
+        return notRun("too-many-tasks", { status: 422, detail, remedy: `Send at most ${maximumTasks} tasks a job.` });
+    }
+    const kind = workClass.kind;
+    const large = job.tasks.findIndex(task =>
+        task.cores > kind.maximumCores || task.memoryMegabytes > kind.maximumMemoryMegabytes
+    );
+    if (large >= 0) {
+        return tooLarge(large, `kind "${kind.name}" allows`, kind.maximumCores, kind.maximumMemoryMegabytes);
+    }
+    if (job.deadlineMilliseconds > kind.maximumDeadlineMilliseconds) {
+        return notRun("deadline-unreachable", {
+            status: 422,
+            detail: `The deadline is longer than kind "${kind.name}" allows.`,
+            remedy: `Ask for at most ${kind.maximumDeadlineMilliseconds} ms.`,
+        });
+    }
+    return undefined;
+}
+
+function tooLarge(index: number, allower: string, cores: number, memoryMegabytes: number): Problem {
+    return notRun("task-too-large", {
+        status: 422,
+        detail: `Task ${index} is larger than ${allower}: ${cores} cores, ${memoryMegabytes} MB.`,
+        remedy: "Split the task, or have the operator raise the limit.",
+    });
+}
+
+function checkPlaces(
+    state: EntryState,
+    job: JobRequest,
+    workClass: WorkClass,
+    identity: SubmissionIdentity | undefined,
+): Problem | undefined {
+    const agents = workClass.candidates
+        .map(address => state.agents.get(address))
+        .filter(agent => agent !== undefined)
+        .filter(agent => !agent.load.leaving && !agent.silent);
+    if (agents.length === 0) {
+        return notRun("no-permitted-place", {
+            status: 503,
+            detail: `No backend server of service "${job.service}" is in a permitted availability zone now.`,
+            remedy: "Come back later; the operator's status command lists the workers.",
+            retryAfterMilliseconds: longRetryMilliseconds,
+        });
+    }
+    const registryVersion = identity?.registryVersion ?? state.registryVersion;
+    if (!agents.some(agent => agent.registrationNumber <= registryVersion)) {
+        return notRun("no-permitted-place", {
+            status: 503,
+            detail: "All permitted workers were registered after this submission id was issued.",
+            remedy: "Send the job again under the id in nextSubmission.",
+        });
+    }
+    const unfitting = job.tasks.findIndex(task => !agents.some(agent => fits(task, agent)));
+    if (unfitting >= 0) {
+        const cores = Math.max(...agents.map(agent => agent.cores));
+        const memoryMegabytes = Math.max(...agents.map(agent => agent.memoryMegabytes));
+        return tooLarge(unfitting, "every permitted worker", cores, memoryMegabytes);
+    }
+    return undefined;
+}
+
+/**
+ * Tells whether a worker is large enough for a task.
+ *
+ * @param task - the task
+ * @param agent - the worker's agent
+ * @returns true when the declared sizes fit
+ */
+export function fits(task: TaskRequest, agent: AgentRow): boolean {
+    return task.cores <= agent.cores && task.memoryMegabytes <= agent.memoryMegabytes;
+}
+
+function checkQueue(state: EntryState, job: JobRequest): Problem | undefined {
+    const limit = state.parts.settings.maximumWaitingTasks;
+    if (state.waitingTasks + job.tasks.length > limit) {
+        return notRun("overloaded", {
+            status: 503,
+            detail: `${state.waitingTasks} tasks wait at this entry; its limit is ${limit}.`,
+            remedy: "Come back after the time in Retry-After.",
+            retryAfterMilliseconds: shortRetryMilliseconds,
+        });
+    }
+    const team = state.manifest?.manifest.teams.find(candidate => candidate.name === job.team);
+    const share = Math.ceil((team?.quota.maximumWaitingTasks ?? 0) / countEntries(state));
+    const held = (state.teamTasks.get(job.team) ?? 0) + (state.teamWaiting.get(job.team) ?? 0);
+    if (held > 0 && held + job.tasks.length > share) {
+        return notRun("quota-exceeded", {
+            status: 429,
+            detail: `Team "${job.team}" has ${held} tasks at this entry; its share of the quota is ${share}.`,
+            remedy: "Come back when some have finished, or have the operator raise the quota.",
+            retryAfterMilliseconds: shortRetryMilliseconds,
+        });
+    }
+    return undefined;
+}
+
+/**
+ * Counts the entries that share the quotas.
+ *
+ * @param state - the entry's state
+ * @returns the number of serving entries that the registry names, at least 1
+ */
+export function countEntries(state: EntryState): number {
+    return Math.max(1, state.servingEntries);
+}
+
+function checkDeadline(job: JobRequest, workClass: WorkClass): Problem | undefined {
+    const rate = workClass.drainRate.startsPerMillisecond();
+    const waiting = workClass.queue.size;
+    if (rate === undefined || waiting === 0) {
+        return undefined;
+    }
+    const longest = Math.max(...job.tasks.map(task => workClass.runTime.estimate(task.expectedMilliseconds)));
+    const waitMilliseconds = (waiting + job.tasks.length) / Math.max(rate, Number.EPSILON);
+    const usableMilliseconds = job.deadlineMilliseconds * usableDeadlineShare;
+    if (waitMilliseconds + longest <= usableMilliseconds) {
+        return undefined;
+    }
+    const excess = waitMilliseconds + longest - usableMilliseconds;
+    return notRun("deadline-unreachable", {
+        status: 503,
+        detail: `${waiting} tasks wait, and the measured rate would finish this job too late.`,
+        remedy: "Come back after the time in Retry-After, or allow a longer deadline.",
+        retryAfterMilliseconds: Math.min(excess, job.deadlineMilliseconds),
+    });
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/systems/agentRegistry.ts
@@ -0,0 +1,149 @@
+/**
+ * Keeps the table of agents: announcements, loads, incarnations and health.
+ */
+import type { PeerIdentity } from "@lovagepitch/types/identity";
+import type { AgentLoad, AnnounceAgent } from "@lovagepitch/types/peerMessage";
+import type { Registry } from "@lovagepitch/types/registry";
+import type { EntryState } from "../entryState.js";
+import type { AgentRow } from "../tables/agentRow.js";
+import { giveUpAgent } from "./agentLiveness.js";
+
+/** Time between the tries of an agent that was taken out. */
+const probeMilliseconds = 1_000;
+
+/**
+ * Takes in an announcement.
+ *
+ * @param state - the entry's state
+ * @param sender - the agent
+ * @param announcement - what it says
+ */
+export function announceAgent(state: EntryState, sender: PeerIdentity, announcement: AnnounceAgent): void {
+    const known = state.agents.get(sender.address);
+    const row: AgentRow = {
+        unacknowledgedTasks: 0,
+        offeredSlots: 0,
+        awaitingSinceMilliseconds: undefined,
+        startSequence: 0,
+        blockedUntilMilliseconds: 0,
+        ejected: false,
+        probeAtMilliseconds: 0,
+        ...known,
+        address: sender.address,
+        incarnation: sender.incarnation,
+        worker: announcement.worker,
+        rack: announcement.rack,
+        availabilityZone: announcement.availabilityZone,
+        cores: announcement.cores,
+        memoryMegabytes: announcement.memoryMegabytes,
+        registrationNumber: announcement.registrationNumber,
+        services: announcement.services,
+        load: announcement.load,
+        lastHeardAtMilliseconds: state.now,
+        silent: false,
+    };
+    state.agents.set(sender.address, row);
+    state.registryVersion = Math.max(state.registryVersion, announcement.registrationNumber);
+    state.candidatesStale = true;
+    judgeHealth(state, row);
+}
+
+/**
+ * Notes a sign of life; another incarnation at the address means that the earlier one is gone.
+ *
+ * @param state - the entry's state
+ * @param sender - the agent
+ */
+export function hearAgent(state: EntryState, sender: PeerIdentity): void {
+    const agent = state.agents.get(sender.address);
+    if (agent === undefined) {
+        return;
+    }
+    if (agent.incarnation !== sender.incarnation) {
+        giveUpAgent(state, agent, "the agent was replaced");
+        state.agents.delete(sender.address);
+        state.candidatesStale = true;
+        // The new incarnation announces itself to whoever it hears from.
+        state.send(sender.address, { type: "ping" });
+        return;
+    }
+    state.agents.update(sender.address, {
+        lastHeardAtMilliseconds: state.now,
+        awaitingSinceMilliseconds: undefined,
+        silent: false,
+    });
+}
+
+/**
+ * Takes in how full an agent is.
+ *
+ * @param state - the entry's state
+ * @param sender - the agent
+ * @param load - its load
+ */
+export function updateLoad(state: EntryState, sender: PeerIdentity, load: AgentLoad): void {
+    const agent = state.agents.get(sender.address);
+    if (agent?.incarnation !== sender.incarnation || agent === undefined) {
+        return;
+    }
+    const row = { ...agent, load };
+    state.agents.set(sender.address, row);
+    if (agent.load.suspect !== load.suspect) {
+        judgeHealth(state, row);
+    }
+}
+
+/**
+ * Takes in a reading of the registry and greets agents that are not known yet.
+ *
+ * @param state - the entry's state
+ * @param registry - the reading
+ */
+export function acceptRegistry(state: EntryState, registry: Registry): void {
+    if (registry.version < state.registry.version) {
+        return;
+    }
+    state.registry = registry;
+    state.registryVersion = Math.max(state.registryVersion, registry.version);
+    state.servingEntries = registry.entries.filter(entry => entry.state === "serving").length;
+    for (const agent of registry.agents) {
+        const known = state.agents.get(agent.address);
+        if (agent.state === "serving" && known === undefined) {
+            state.send(agent.address, { type: "ping" });
+        }
+        if (agent.state === "left" && known?.incarnation === agent.incarnation) {
+            giveUpAgent(state, known, "the agent has left");
+            state.agents.delete(agent.address);
+            state.candidatesStale = true;
+        }
+    }
+}
+
+/** Takes a failing agent out, but never more than the settings' share of those that offer the same services. */
+function judgeHealth(state: EntryState, agent: AgentRow): void {
+    if (!agent.load.suspect) {
+        if (agent.ejected) {
+            state.agents.update(agent.address, { ejected: false });
+            state.decide("restored", "a task succeeded there", placeOf(agent));
+        }
+        return;
+    }
+    if (!agent.ejected && !mayEject(state, agent)) {
+        return;
+    }
+    state.agents.update(agent.address, { ejected: true, probeAtMilliseconds: state.now + probeMilliseconds });
+    state.wakeAt(state.now + probeMilliseconds, "place", "");
+    state.decide("ejected", "its backend server fails what it starts", placeOf(agent));
+}
+
+function mayEject(state: EntryState, agent: AgentRow): boolean {
+    const peers = [...state.agents.values()].filter(other =>
+        other.services.some(service => agent.services.includes(service))
+    );
+    const ejected = peers.filter(other => other.ejected).length;
+    return ejected + 1 <= Math.max(1, peers.length * state.parts.settings.policy.maximumEjectedShare);
+}
+
+function placeOf(agent: AgentRow): { worker: string; availabilityZone: string } {
+    return { worker: agent.worker, availabilityZone: agent.availabilityZone };
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
@@ -0,0 +1,228 @@
+/**
+ * Requests of callers, and of entries on their behalf, on submissions that this entry keeps.
+ */
+import type { SubmissionIdentity, SubmissionKey } from "@lovagepitch/types/identity";
+import type { JobRequest } from "@lovagepitch/types/job";
+import type { SubmissionResult } from "@lovagepitch/types/peerMessage";
+import type { Problem } from "@lovagepitch/types/problem";
+import { digestJson } from "@lovagepitch/utils/digest";
+import type { RequestNumber } from "../entryInput.js";
+import type { EntryState } from "../entryState.js";
+import type { LiveSubmission, Requester, SubmissionRow } from "../tables/submissionRow.js";
+import { newTask } from "../tables/taskRow.js";
+import type { WorkClass } from "../tables/workClass.js";
+import { admit } from "./admission.js";
+import { failSubmission, keepResult } from "./finishing.js";
+import { respond } from "./respond.js";
+
+/**
+ * Issues ids.
+ *
+ * @param state - the entry's state
+ * @param request - the caller's request
+ * @param count - number of ids
+ */
+export function issueSubmissions(state: EntryState, request: RequestNumber, count: number): void {
+    const submissions = Array.from({ length: count }, () => state.issue());
+    state.emit({ type: "respond", request, response: { kind: "issued", submissions } });
+}
+
+/**
+ * Submits or resubmits a job under an id of this entry.
+ *
+ * @param state - the entry's state
+ * @param requester - who waits for the result
+ * @param submission - the id
+ * @param identity - what it says
+ * @param job - the job
+ */
+export function submitKept(
+    state: EntryState,
+    requester: Requester,
+    submission: SubmissionKey,
+    identity: SubmissionIdentity,
+    job: JobRequest,
+): void {
+    const jobDigest = digestJson(job);
+    const row = state.submissions.get(submission);
+    if (row !== undefined) {
+        resubmit(state, requester, row, jobDigest);
+        return;
+    }
+    if (identity.expiresAtMilliseconds <= state.now) {
+        respond(state, requester, submission, { kind: "problem", problem: state.refuse(expired(state)) });
+        return;
+    }
+    const admitted = admit(state, job, identity);
+    if (admitted.err) {
+        const problem = { ...admitted.val, nextSubmission: state.issue() };
+        const result: SubmissionResult = { kind: "problem", problem };
+        // The refusal is true for good, so the id must never start anything later.
+        keepResult(state, submission, jobDigest, result);
+        state.decide("refused", problem.detail, { submission });
+        respond(state, requester, submission, result);
+        return;
+    }
+    accept(state, requester, submission, identity, job, jobDigest, admitted.val);
+}
+
+/**
+ * Tells a caller what is known of a submission of this entry.
+ *
+ * @param state - the entry's state
+ * @param requester - who asks
+ * @param submission - the submission
+ */
+export function queryKept(state: EntryState, requester: Requester, submission: SubmissionKey): void {
+    const row = state.submissions.get(submission);
+    if (row?.state === "finished") {
+        respond(state, requester, submission, row.result);
+        return;
+    }
+    const rows = state.tasks.get(submission) ?? [];
+    const begun = rows.some(task => task.state !== "waiting");
+    respond(state, requester, submission, {
+        kind: "progress",
+        progress: {
+            submission,
+            state: row === undefined ? "issued" : (begun ? "running" : "waiting"),
+            finishedTasks: row?.succeededTasks ?? 0,
+            tasks: rows.length,
+        },
+    });
+}
+
+/**
+ * Cancels a submission of this entry: what has not started never will.
+ *
+ * @param state - the entry's state
+ * @param requester - who asks; gets the final answer
+ * @param submission - the submission
+ */
+export function cancelKept(state: EntryState, requester: Requester, submission: SubmissionKey): void {
+    const row = state.submissions.get(submission);
+    if (row?.state === "finished") {
+        respond(state, requester, submission, row.result);
+        return;
+    }
+    state.decide("cancelled", "the caller asked", { submission });
+    if (row === undefined) {
+        const result: SubmissionResult = { kind: "problem", problem: cancelledBeforeUse(state) };
+        keepResult(state, submission, "", result);
+        respond(state, requester, submission, result);
+        return;
+    }
+    const withRequester = { ...row, requesters: [...row.requesters, requester] };
+    failSubmission(state, withRequester, "cancelled by the caller");
+}
+
+/**
+ * Forgets a caller that went away; its job goes on.
+ *
+ * @param state - the entry's state
+ * @param request - the caller's request
+ */
+export function forgetCaller(state: EntryState, request: RequestNumber): void {
+    const submission = state.callerSubmissions.get(request);
+    state.callerSubmissions.delete(request);
+    const row = submission === undefined ? undefined : state.submissions.get(submission);
+    if (row?.state === "live") {
+        const requesters = row.requesters.filter(one => one.kind !== "caller" || one.request !== request);
+        state.submissions.set(row.submission, { ...row, requesters });
+    }
+}
+
+function resubmit(state: EntryState, requester: Requester, row: SubmissionRow, jobDigest: string): void {
+    if (row.jobDigest !== "" && row.jobDigest !== jobDigest) {
+        respond(state, requester, row.submission, { kind: "problem", problem: state.refuse(createMismatch()) });
+        return;
+    }
+    if (row.state === "finished") {
+        respond(state, requester, row.submission, row.result);
+        return;
+    }
+    addRequester(state, row, requester);
+}
+
+function addRequester(state: EntryState, row: LiveSubmission, requester: Requester): void {
+    const known = requester.kind === "entry"
+        && row.requesters.some(one => one.kind === "entry" && one.address === requester.address);
+    if (!known) {
+        state.submissions.set(row.submission, { ...row, requesters: [...row.requesters, requester] });
+    }
+    if (requester.kind === "entry") {
+        state.send(requester.address, { type: "forwardAccepted", submission: row.submission });
+    }
+}
+
+function accept(
+    state: EntryState,
+    requester: Requester,
+    submission: SubmissionKey,
+    identity: SubmissionIdentity,
+    job: JobRequest,
+    jobDigest: string,
+    workClass: WorkClass,
+): void {
+    const now = state.now;
+    const work = job.tasks.reduce((sum, task) => sum + workClass.runTime.estimate(task.expectedMilliseconds), 0);
+    const live: LiveSubmission = {
+        state: "live",
+        submission,
+        identity,
+        job,
+        jobDigest,
+        workClass: workClass.key,
+        arrivedAtMilliseconds: now,
+        deadlineAtMilliseconds: now + job.deadlineMilliseconds,
+        configurationVersion: state.configurationVersion,
+        succeededTasks: 0,
+        priority: state.policies.startOrder.priority(now, work),
+        requesters: [],
+    };
+    state.submissions.set(submission, live);
+    state.tasks.set(submission, job.tasks.map(() => newTask));
+    state.countWaiting(job.team, job.tasks.length);
+    const indexes = job.tasks.map((_task, index) => index);
+    workClass.queue.add(submission, job.team, live.priority, now, indexes);
+    state.wakeAt(live.deadlineAtMilliseconds, "deadline", submission);
+    state.decide("admitted", `${job.tasks.length} tasks`, { submission });
+    addRequester(state, live, requester);
+}
+
+function expired(state: EntryState): Problem {
+    return {
+        kind: "expired-submission",
+        status: 410,
+        detail: "The submission id has expired; what was done under it is no longer known.",
+        remedy: "If nothing was ever sent under it, send the job under the id in nextSubmission.",
+        execution: "may-have-run",
+        nextSubmission: state.issue(),
+    };
+}
+
+/**
+ * Makes the refusal of a job under another job's id; what is true of the other job is not told.
+ *
+ * @returns the refusal
+ */
+export function createMismatch(): Problem {
+    return {
+        kind: "submission-mismatch",
+        status: 422,
+        detail: "Another job was submitted under this id.",
+        remedy: "Send each job under an id of its own.",
+        execution: "unknown-yet",
+    };
+}
+
+function cancelledBeforeUse(state: EntryState): Problem {
+    return {
+        kind: "unknown-submission",
+        status: 410,
+        detail: "The submission was cancelled before a job was sent under it.",
+        remedy: "Send the job under the id in nextSubmission.",
+        execution: "not-run",
+        nextSubmission: state.issue(),
+    };
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/systems/collecting.ts
@@ -0,0 +1,275 @@
+/**
+ * Answers submissions whose keeper is gone: seals them at every agent that may have started tasks of them, and
+ * collects what was started.
+ */
+import type { Incarnation, SubmissionIdentity, SubmissionKey } from "@lovagepitch/types/identity";
+import type { JobRequest } from "@lovagepitch/types/job";
+import type { LedgerHandover } from "@lovagepitch/types/ledger";
+import type { ReportSeal, SubmissionResult } from "@lovagepitch/types/peerMessage";
+import type { AgentRegistration, Registry } from "@lovagepitch/types/registry";
+import { digestJson } from "@lovagepitch/utils/digest";
+import type { EntryState } from "../entryState.js";
+import type { CollectionRow, SealedAgent } from "../tables/collectionRow.js";
+import type { ForwardedCaller } from "../tables/forwardRow.js";
+import { concludeCollection, giveUpCollection } from "./collectionOutcome.js";
+import { keepResult } from "./finishing.js";
+import { respond } from "./respond.js";
+
+/** Time between checks of a collection. */
+const checkMilliseconds = 200;
+/** Time that a waiting caller is kept before it is told that the outcome is not known yet. */
+const replyMilliseconds = 400;
+/** When callers come back to ask for an outcome that is not known yet. */
+const retryMilliseconds = 1_000;
+/** Time after which agents that stay unreachable are given up when the job, and so its deadline, is not known. */
+const unknownDeadlineMilliseconds = 60_000;
+
+/** What a collection starts from. */
+export interface CollectionRequest {
+    readonly submission: SubmissionKey;
+    readonly identity: SubmissionIdentity;
+    readonly job: JobRequest | undefined;
+    readonly callers: readonly ForwardedCaller[];
+}
+
+/**
+ * Starts collecting a submission, or joins the collection that runs.
+ *
+ * @param state - the entry's state
+ * @param request - the submission and who waits for it
+ * @param reason - why its keeper counts as gone
+ */
+export function collect(state: EntryState, request: CollectionRequest, reason: string): void {
+    const waiting = request.callers.filter(caller => !answerQuery(state, request, caller));
+    const earlier = state.collections.get(request.submission);
+    const replyByMilliseconds = earlier !== undefined && earlier.callers.length > 0
+        ? earlier.replyByMilliseconds
+        : state.now + replyMilliseconds;
+    const job = request.job ?? earlier?.job;
+    const startedAtMilliseconds = earlier?.startedAtMilliseconds ?? state.now;
+    const row: CollectionRow = {
+        submission: request.submission,
+        identity: request.identity,
+        job,
+        callers: [...earlier?.callers ?? [], ...waiting],
+        startedAtMilliseconds,
+        replyByMilliseconds,
+        giveUpAtMilliseconds: startedAtMilliseconds + (job?.deadlineMilliseconds ?? unknownDeadlineMilliseconds),
+        readingAnswers: earlier?.readingAnswers ?? false,
+        agents: earlier?.agents,
+    };
+    state.collections.set(row.submission, row);
+    if (earlier === undefined) {
+        begin(state, row, reason);
+    }
+    advance(state, row.submission);
+}
+
+/**
+ * Takes in an agent's seal.
+ *
+ * @param state - the entry's state
+ * @param incarnation - the agent's incarnation
+ * @param message - its report
+ */
+export function acceptSeal(state: EntryState, incarnation: Incarnation, message: ReportSeal): void {
+    const { submission, reports, incomplete } = message;
+    setAgent(state, submission, incarnation, { state: "sealed", reports, incomplete });
+}
+
+/**
+ * Takes in the ledger that an agent left behind, for every collection that needs it.
+ *
+ * @param state - the entry's state
+ * @param incarnation - the agent's incarnation
+ * @param handover - the ledger, or undefined when there is none
+ */
+export function acceptLedger(state: EntryState, incarnation: Incarnation, handover: LedgerHandover | undefined): void {
+    for (const row of [...state.collections.values()]) {
+        if (!row.agents?.has(incarnation)) {
+            continue;
+        }
+        const found = handover?.submissions.find(one => one.submission === row.submission);
+        const mark = handover?.lowWaterMarks[row.identity.keeper.incarnation] ?? 0;
+        setAgent(state, row.submission, incarnation, {
+            state: handover === undefined ? "lost" : "sealed",
+            reports: found?.reports ?? [],
+            incomplete: handover === undefined || row.identity.sequence <= mark,
+        });
+    }
+}
+
+/**
+ * Starts what waited for a newer registry.
+ *
+ * @param state - the entry's state
+ */
+export function resumeCollections(state: EntryState): void {
+    for (const row of [...state.collections.values()]) {
+        if (row.agents === undefined) {
+            sealAgents(state, row);
+            advance(state, row.submission);
+        }
+    }
+}
+
+/**
+ * Ends the collections of a keeper whose finished answers were found.
+ *
+ * @param state - the entry's state
+ * @param submission - the submission
+ * @param jobDigest - digest of its job
+ * @param result - its final result
+ */
+export function endCollection(
+    state: EntryState,
+    submission: SubmissionKey,
+    jobDigest: string,
+    result: SubmissionResult,
+): void {
+    const row = state.collections.get(submission);
+    state.collections.delete(submission);
+    keepResult(state, submission, jobDigest, result);
+    state.decide("answered", "collected from the agents", { submission });
+    for (const caller of row?.callers ?? []) {
+        respond(state, { kind: "caller", request: caller.request }, submission, result);
+    }
+}
+
+/**
+ * Checks a collection: asks again, tells callers, or gives up.
+ *
+ * @param state - the entry's state
+ * @param submission - the submission
+ */
+export function checkCollection(state: EntryState, submission: SubmissionKey): void {
+    const row = state.collections.get(submission);
+    if (row === undefined) {
+        return;
+    }
+    if (row.agents === undefined) {
+        state.emit({ type: "readRegistry" });
+    }
+    for (const agent of row.agents?.values() ?? []) {
+        if (needsAsking(agent)) {
+            ask(state, row, agent.registration);
+        }
+    }
+    if (state.now >= row.giveUpAtMilliseconds) {
+        giveUp(state, row);
+        return;
+    }
+    if (state.now >= row.replyByMilliseconds) {
+        tellCallers(state, row);
+    }
+    state.wakeAt(state.now + checkMilliseconds, "collection", submission);
+}
+
+function begin(state: EntryState, row: CollectionRow, reason: string): void {
+    state.decide("swept", reason, { submission: row.submission, peer: row.identity.keeper.address });
+    const keeper = state.registry.entries.find(entry => entry.incarnation === row.identity.keeper.incarnation);
+    if (keeper?.state !== "serving") {
+        state.collections.update(row.submission, { readingAnswers: true });
+        state.emit({ type: "readHandover", kind: "answers", incarnation: row.identity.keeper.incarnation });
+    }
+    if (state.registry.version >= row.identity.registryVersion && state.registryWasRead) {
+        sealAgents(state, row);
+    }
+    else {
+        state.emit({ type: "readRegistry" });
+    }
+    state.wakeAt(state.now + checkMilliseconds, "collection", row.submission);
+}
+
+function sealAgents(state: EntryState, row: CollectionRow): void {
+    if (state.registry.version < row.identity.registryVersion || !state.registryWasRead) {
+        return;
+    }
+    const agents = new Map<Incarnation, SealedAgent>();
+    for (const registration of eligibleAgents(state.registry, row.identity.registryVersion)) {
+        agents.set(registration.incarnation, { registration, state: "asking", reports: [], incomplete: false });
+        ask(state, row, registration);
+    }
+    state.collections.update(row.submission, { agents });
+}
+
+function eligibleAgents(registry: Registry, registryVersion: number): readonly AgentRegistration[] {
+    return registry.agents.filter(agent => agent.number <= registryVersion);
+}
+
+/** Agents that have left, or whose address has a new incarnation, are read from the ledger they left. */
+function ask(state: EntryState, row: CollectionRow, registration: AgentRegistration): void {
+    const known = state.agents.get(registration.address);
+    const isReplaced = known !== undefined && known.incarnation !== registration.incarnation;
+    if (registration.state === "left" || isReplaced) {
+        state.emit({ type: "readHandover", kind: "ledger", incarnation: registration.incarnation });
+        return;
+    }
+    state.send(registration.address, { type: "sealSubmissions", submissions: [row.submission] });
+}
+
+function needsAsking(agent: SealedAgent): boolean {
+    return agent.state === "asking"
+        || (agent.state === "sealed" && agent.reports.some(({ report }) => report.state === "running"));
+}
+
+function setAgent(
+    state: EntryState,
+    submission: SubmissionKey,
+    incarnation: Incarnation,
+    fields: Partial<SealedAgent>,
+): void {
+    const row = state.collections.get(submission);
+    const agent = row?.agents?.get(incarnation);
+    if (row?.agents === undefined || agent === undefined) {
+        return;
+    }
+    const agents = new Map(row.agents).set(incarnation, { ...agent, ...fields });
+    state.collections.update(submission, { agents });
+    advance(state, submission);
+}
+
+function advance(state: EntryState, submission: SubmissionKey): void {
+    const row = state.collections.get(submission);
+    const result = row === undefined ? undefined : concludeCollection(state, row);
+    if (row !== undefined && result !== undefined) {
+        endCollection(state, submission, row.job === undefined ? "" : digestJson(row.job), result);
+    }
+}
+
+function giveUp(state: EntryState, row: CollectionRow): void {
+    const result = giveUpCollection(state, row);
+    if (result !== undefined) {
+        endCollection(state, row.submission, row.job === undefined ? "" : digestJson(row.job), result);
+        return;
+    }
+    tellCallers(state, row);
+    state.collections.delete(row.submission);
+}
+
+function tellCallers(state: EntryState, row: CollectionRow): void {
+    for (const caller of row.callers) {
+        const problem = state.refuse({
+            kind: "outcome-unknown",
+            status: 503,
+            detail: "The entry that kept the submission is gone, and not all that it started is known yet.",
+            remedy: "Send the same submission again after the time in Retry-After.",
+            execution: "unknown-yet",
+            retryAfterMilliseconds: retryMilliseconds,
+        });
+        const requester = { kind: "caller" as const, request: caller.request };
+        respond(state, requester, row.submission, { kind: "problem", problem });
+    }
+    state.collections.update(row.submission, { callers: [] });
+}
+
+/** A query is answered at once. */
+function answerQuery(state: EntryState, request: CollectionRequest, caller: ForwardedCaller): boolean {
+    if (caller.operation !== "query") {
+        return false;
+    }
+    const progress = { submission: request.submission, state: "collecting" as const, finishedTasks: 0, tasks: 0 };
+    const requester = { kind: "caller" as const, request: caller.request };
+    respond(state, requester, request.submission, { kind: "progress", progress });
+    return true;
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/systems/recalling.ts
@@ -0,0 +1,47 @@
+/**
+ * Takes tasks back that have not started.
+ */
+import type { PeerAddress } from "@lovagepitch/types/identity";
+import type { EntryState } from "../entryState.js";
+import type { LiveSubmission } from "../tables/submissionRow.js";
+
+/**
+ * Recalls every task of a submission that an agent holds and may not have started.
+ *
+ * @param state - the entry's state
+ * @param live - the submission, which is about to end
+ */
+export function recallTasks(state: EntryState, live: LiveSubmission): void {
+    const indexesByAgent = new Map<PeerAddress, number[]>();
+    (state.tasks.get(live.submission) ?? []).forEach((row, index) => {
+        if (row.agent === undefined || (row.state !== "sent" && row.state !== "standing-by")) {
+            return;
+        }
+        const indexes = indexesByAgent.get(row.agent) ?? [];
+        indexes.push(index);
+        indexesByAgent.set(row.agent, indexes);
+    });
+    for (const [address, indexes] of indexesByAgent) {
+        recallFrom(state, address, live, indexes);
+    }
+}
+
+function recallFrom(
+    state: EntryState,
+    address: PeerAddress,
+    live: LiveSubmission,
+    indexes: readonly number[],
+): void {
+    const agent = state.agents.get(address);
+    if (agent === undefined) {
+        return;
+    }
+    const startSequence = agent.startSequence + 1;
+    state.agents.update(address, { startSequence });
+    state.send(address, { type: "recallTasks", submission: live.submission, startSequence, indexes });
+    state.decide("recalled", "the job has ended", {
+        submission: live.submission,
+        worker: agent.worker,
+        availabilityZone: agent.availabilityZone,
+    });
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/systems/taskReports.ts
@@ -0,0 +1,153 @@
+/**
+ * Takes in what agents report of tasks.
+ */
+import type { PeerIdentity } from "@lovagepitch/types/identity";
+import type { ReportTasks, TaskRefusal, TaskReport } from "@lovagepitch/types/peerMessage";
+import type { EntryState } from "../entryState.js";
+import type { LiveSubmission } from "../tables/submissionRow.js";
+import { type TaskEvent, taskLifecycle } from "../tables/taskLifecycle.js";
+import type { TaskRow } from "../tables/taskRow.js";
+import { completeSubmission, failSubmission, isUnfinished, loseTask } from "./finishing.js";
+import { start } from "./placement.js";
+
+/** How long an agent is left alone after a refusal that takes a while to pass. */
+const blockMilliseconds: Readonly<Partial<Record<TaskRefusal, number>>> = {
+    "configuration-behind": 50,
+    "not-permitted": 250,
+    "backend-unavailable": 500,
+    "not-registered": 250,
+    "leaving": 500,
+};
+
+/**
+ * Takes in the reports of one message.
+ *
+ * @param state - the entry's state
+ * @param sender - the agent
+ * @param message - the message
+ */
+export function acceptReports(state: EntryState, sender: PeerIdentity, message: ReportTasks): void {
+    for (const report of message.reports) {
+        if (report.report.state === "succeeded" || report.report.state === "failed") {
+            state.acknowledge(sender.address, message.submission, report.index);
+        }
+        const live = state.submissions.get(message.submission);
+        const row = state.tasks.get(message.submission)?.[report.index];
+        if (live?.state === "live" && row !== undefined && isHeldBy(row, sender)) {
+            acceptReport(state, sender, live, row, report);
+        }
+    }
+}
+
+function isHeldBy(row: TaskRow, sender: PeerIdentity): boolean {
+    return isUnfinished(row) && row.agent === sender.address && row.agentIncarnation === sender.incarnation;
+}
+
+function acceptReport(
+    state: EntryState,
+    sender: PeerIdentity,
+    live: LiveSubmission,
+    row: TaskRow,
+    { index, report }: TaskReport,
+): void {
+    switch (report.state) {
+        case "standing-by":
+            moveTask(state, sender, live, index, row, "standBy");
+            return;
+        case "running":
+            moveTask(state, sender, live, index, row, "run");
+            return;
+        case "succeeded":
+            moveTask(state, sender, live, index, { ...row, output: report.output }, "succeed");
+            acceptSuccess(state, live, row);
+            return;
+        case "failed":
+            moveTask(state, sender, live, index, row, "fail");
+            failSubmission(state, live, `task ${index} failed: ${report.reason}`);
+            return;
+        case "refused":
+            if (report.startSequence === row.startSequence) {
+                acceptRefusal(state, sender, live, index, row, report.refusal);
+            }
+            return;
+        case "unknown":
+            resendLost(state, sender, live, index, row);
+            return;
+        case "forgotten":
+            loseTask(state, { submission: live.submission, index }, "its agent dropped the record of a task");
+            return;
+    }
+}
+
+function moveTask(
+    state: EntryState,
+    sender: PeerIdentity,
+    live: LiveSubmission,
+    index: number,
+    row: TaskRow,
+    event: TaskEvent,
+): void {
+    const rows = state.tasks.get(live.submission)!;
+    if (!taskLifecycle.allows(row.state, event)) {
+        // A report that was overtaken by a later one.
+        return;
+    }
+    const next = { ...row, state: taskLifecycle.next(row.state, event) };
+    rows[index] = next;
+    if (row.state === "sent") {
+        const agent = state.agents.get(sender.address);
+        const unacknowledgedTasks = Math.max(0, (agent?.unacknowledgedTasks ?? 0) - 1);
+        state.agents.update(sender.address, { unacknowledgedTasks });
+    }
+    if (!isUnfinished(next)) {
+        state.outstanding.get(sender.address)?.delete(`${live.submission} ${index}`);
+        state.countStarted(live.job.team, -1);
+    }
+}
+
+function acceptSuccess(state: EntryState, live: LiveSubmission, row: TaskRow): void {
+    const updated = { ...live, succeededTasks: live.succeededTasks + 1 };
+    state.submissions.set(live.submission, updated);
+    state.workClasses.get(live.workClass)?.runTime.observe(state.now - row.sentAtMilliseconds);
+    if (updated.succeededTasks === live.job.tasks.length) {
+        completeSubmission(state, updated);
+    }
+}
+
+function acceptRefusal(
+    state: EntryState,
+    sender: PeerIdentity,
+    live: LiveSubmission,
+    index: number,
+    row: TaskRow,
+    refusal: TaskRefusal,
+): void {
+    moveTask(state, sender, live, index, row, "refuse");
+    state.counters.wastedMessages += 1;
+    state.decide("declined", refusal, { submission: live.submission, task: index, worker: row.worker });
+    if (refusal === "sealed") {
+        failSubmission(state, live, "another entry has sealed the submission, taking this one for lost");
+        return;
+    }
+    const block = blockMilliseconds[refusal];
+    if (block !== undefined) {
+        state.agents.update(sender.address, { blockedUntilMilliseconds: state.now + block });
+        state.wakeAt(state.now + block, "place", "");
+    }
+    requeue(state, live, index);
+}
+
+function requeue(state: EntryState, live: LiveSubmission, index: number): void {
+    const workClass = state.workClasses.get(live.workClass);
+    state.countWaiting(live.job.team, 1);
+    workClass?.queue.add(live.submission, live.job.team, live.priority, live.arrivedAtMilliseconds, [index]);
+}
+
+/** The start has not arrived; it goes to the same agent again, which alone may have it. */
+function resendLost(state: EntryState, sender: PeerIdentity, live: LiveSubmission, index: number, row: TaskRow): void {
+    const agent = state.agents.get(sender.address);
+    if (row.state === "sent" && agent !== undefined) {
+        state.counters.wastedMessages += 1;
+        start(state, live, index, agent, "the agent has not received it");
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/core/tables/waitingQueue.ts
@@ -0,0 +1,160 @@
+/**
+ * Jobs with tasks to place, by team and by start order.
+ */
+import type { SubmissionKey } from "@lovagepitch/types/identity";
+import { PriorityQueue } from "@lovagepitch/utils/priorityQueue";
+
+interface WaitingJob {
+    readonly submission: SubmissionKey;
+    readonly team: string;
+    readonly priority: number;
+    readonly arrivedAtMilliseconds: number;
+    /** Indexes of waiting tasks; the next one is last. */
+    readonly indexes: number[];
+    queued: boolean;
+}
+
+/** The task that a team would start next. */
+export interface WaitingHead {
+    readonly submission: SubmissionKey;
+    readonly team: string;
+    readonly index: number;
+    readonly priority: number;
+    readonly arrivedAtMilliseconds: number;
+}
+
+/** Waiting tasks of one work class. */
+export class WaitingQueue {
+    private readonly jobs = new Map<SubmissionKey, WaitingJob>();
+    private readonly teams = new Map<string, PriorityQueue<WaitingJob>>();
+    private waitingTasks = 0;
+
+    /** Number of waiting tasks. */
+    public get size(): number {
+        return this.waitingTasks;
+    }
+
+    /**
+     * Adds waiting tasks of a job.
+     *
+     * @param submission - the submission
+     * @param team - its team
+     * @param priority - start order; lower starts first
+     * @param arrivedAtMilliseconds - arrival of the job
+     * @param indexes - indexes of the tasks
+     */
+    public add(
+        submission: SubmissionKey,
+        team: string,
+        priority: number,
+        arrivedAtMilliseconds: number,
+        indexes: readonly number[],
+    ): void {
+        let job = this.jobs.get(submission);
+        if (job === undefined) {
+            job = { submission, team, priority, arrivedAtMilliseconds, indexes: [], queued: false };
+            this.jobs.set(submission, job);
+        }
+        for (let position = indexes.length - 1; position >= 0; position -= 1) {
+            job.indexes.push(indexes[position]!);
+        }
+        this.waitingTasks += indexes.length;
+        this.enqueue(job);
+    }
+
+    /**
+     * Drops all waiting tasks of a job.
+     *
+     * @param submission - the submission
+     */
+    public remove(submission: SubmissionKey): void {
+        const job = this.jobs.get(submission);
+        if (job !== undefined) {
+            this.waitingTasks -= job.indexes.length;
+            job.indexes.length = 0;
+            this.jobs.delete(submission);
+        }
+    }
+
+    /**
+     * Lists the next task of each team.
+     *
+     * @returns one head for each team with waiting tasks
+     */
+    public heads(): readonly WaitingHead[] {
+        const heads: WaitingHead[] = [];
+        for (const [team, queue] of this.teams) {
+            const job = this.firstWithTasks(queue);
+            if (job === undefined) {
+                this.teams.delete(team);
+                continue;
+            }
+            heads.push(this.headOf(job));
+        }
+        return heads;
+    }
+
+    /**
+     * Removes the task that a head names.
+     *
+     * @param head - a head of the present queue
+     */
+    public take(head: WaitingHead): void {
+        const job = this.jobs.get(head.submission);
+        if (job === undefined || job.indexes.at(-1) !== head.index) {
+            return;
+        }
+        job.indexes.pop();
+        this.waitingTasks -= 1;
+        if (job.indexes.length === 0) {
+            this.jobs.delete(head.submission);
+        }
+    }
+
+    /**
+     * Finds the arrival of the job that waits longest.
+     *
+     * @returns milliseconds since the epoch, or undefined when nothing waits
+     */
+    public oldestArrivalMilliseconds(): number | undefined {
+        let oldest: number | undefined;
+        for (const head of this.heads()) {
+            oldest = Math.min(oldest ?? head.arrivedAtMilliseconds, head.arrivedAtMilliseconds);
+        }
+        return oldest;
+    }
+
+    private enqueue(job: WaitingJob): void {
+        if (job.queued) {
+            return;
+        }
+        let queue = this.teams.get(job.team);
+        if (queue === undefined) {
+            queue = new PriorityQueue();
+            this.teams.set(job.team, queue);
+        }
+        job.queued = true;
+        queue.push(job.priority, job);
+    }
+
+    private firstWithTasks(queue: PriorityQueue<WaitingJob>): WaitingJob | undefined {
+        for (;;) {
+            const job = queue.peek();
+            if (job === undefined || job.indexes.length > 0) {
+                return job;
+            }
+            queue.pop();
+            job.queued = false;
+        }
+    }
+
+    private headOf(job: WaitingJob): WaitingHead {
+        return {
+            submission: job.submission,
+            team: job.team,
+            index: job.indexes.at(-1)!,
+            priority: job.priority,
+            arrivedAtMilliseconds: job.arrivedAtMilliseconds,
+        };
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-utils/src/priorityQueue.ts
@@ -0,0 +1,113 @@
+/**
+ * A queue ordered by a number.
+ */
+
+interface QueuedItem<Item> {
+    readonly priority: number;
+    /** Position of insertion, so that equal priorities leave in order. */
+    readonly order: number;
+    readonly item: Item;
+}
+
+/** Items by ascending priority; equal priorities leave in order of insertion. */
+export class PriorityQueue<Item> {
+    private readonly heap: QueuedItem<Item>[] = [];
+    private insertions = 0;
+
+    /** Number of items. */
+    public get size(): number {
+        return this.heap.length;
+    }
+
+    /**
+     * Inserts an item.
+     *
+     * @param priority - lower leaves first
+     * @param item - the item
+     */
+    public push(priority: number, item: Item): void {
+        this.insertions += 1;
+        this.heap.push({ priority, order: this.insertions, item });
+        this.siftUp(this.heap.length - 1);
+    }
+
+    /**
+     * Looks at the first item.
+     *
+     * @returns the item, or undefined when the queue is empty
+     */
+    public peek(): Item | undefined {
+        return this.heap[0]?.item;
+    }
+
+    /**
+     * Looks at the first item's priority.
+     *
+     * @returns the priority, or undefined when the queue is empty
+     */
+    public peekPriority(): number | undefined {
+        return this.heap[0]?.priority;
+    }
+
+    /**
+     * Removes the first item.
+     *
+     * @returns the item, or undefined when the queue is empty
+     */
+    public pop(): Item | undefined {
+        const first = this.heap[0];
+        const last = this.heap.pop();
+        if (first === undefined || last === undefined) {
+            return undefined;
+        }
+        if (this.heap.length > 0) {
+            this.heap[0] = last;
+            this.siftDown(0);
+        }
+        return first.item;
+    }
+
+    private siftUp(start: number): void {
+        let position = start;
+        while (position > 0) {
+            const parent = (position - 1) >> 1;
+            if (!this.isBefore(position, parent)) {
+                return;
+            }
+            this.swap(position, parent);
+            position = parent;
+        }
+    }
+
+    private siftDown(start: number): void {
+        let position = start;
+        for (;;) {
+            const left = 2 * position + 1;
+            const right = left + 1;
+            let first = position;
+            if (left < this.heap.length && this.isBefore(left, first)) {
+                first = left;
+            }
+            if (right < this.heap.length && this.isBefore(right, first)) {
+                first = right;
+            }
+            if (first === position) {
+                return;
+            }
+            this.swap(position, first);
+            position = first;
+        }
+    }
+
+    private isBefore(left: number, right: number): boolean {
+        const one = this.heap[left]!;
+        const other = this.heap[right]!;
+        return one.priority < other.priority || (one.priority === other.priority && one.order < other.order);
+    }
+
+    private swap(left: number, right: number): void {
+        const kept = this.heap[left]!;
+        this.heap[left] = this.heap[right]!;
+        this.heap[right] = kept;
+    }
+}
