feat(links): batches between processes over tRPC on WebSocket

Cause: processes exchange batches of messages and must notice connections that fell silent. Change: PeerLinks with its own terminating tRPC link, which sends at once and never reconnects or resends by itself; replies carry the next tick's messages; silence, refusal and loss of a connection are told apart and reported.

--- /dev/null
+++ b/packages/lovagepitch-links/src/countingCodec.ts
@@ -0,0 +1,35 @@
+/**
+ * Counts the frames that pass a codec.
+ */
+import { type EncodedFrame, FrameCodec } from "./frameCodec.js";
+import type { MutableLinkCounters } from "./linkCounters.js";
+
+/** A codec that adds up bytes, and counts frames that cannot be decoded. */
+export class CountingCodec extends FrameCodec {
+    /**
+     * @param codec - does the work
+     * @param counters - where to count
+     */
+    public constructor(private readonly codec: FrameCodec, private readonly counters: MutableLinkCounters) {
+        super();
+    }
+
+    /** {@inheritDoc FrameCodec.encode} */
+    public override encode = (envelope: unknown): EncodedFrame => {
+        const frame = this.codec.encode(envelope);
+        this.counters.bytesSent += Buffer.byteLength(frame);
+        return frame;
+    };
+
+    /** {@inheritDoc FrameCodec.decode} */
+    public override decode = (frame: string | ArrayBuffer | Uint8Array): unknown => {
+        this.counters.bytesReceived += Buffer.byteLength(frame);
+        try {
+            return this.codec.decode(frame);
+        }
+        catch (error) {
+            this.counters.batchesRefused += 1;
+            throw error;
+        }
+    };
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/frameCodec.ts
@@ -0,0 +1,59 @@
+/**
+ * Encoding of tRPC's envelopes on the wire.
+ */
+import { LinkError } from "./linkError.js";
+
+/** One frame as it travels. */
+export type EncodedFrame = string | Uint8Array<ArrayBuffer>;
+
+/** Encodes and decodes frames. */
+export abstract class FrameCodec {
+    /**
+     * Encodes an envelope.
+     *
+     * @param envelope - any value that JSON can carry
+     * @returns the frame
+     * @throws LinkError when the frame would be larger than allowed, or the library's error when it cannot be encoded
+     */
+    public abstract encode(envelope: unknown): EncodedFrame;
+
+    /**
+     * Decodes a frame.
+     *
+     * @param frame - the frame as it arrived
+     * @returns the envelope, unchecked
+     * @throws LinkError when the frame is not in this encoding
+     */
+    public abstract decode(frame: string | ArrayBuffer | Uint8Array): unknown;
+}
+
+/** JSON in text frames. */
+export class JsonFrameCodec extends FrameCodec {
+    /**
+     * @param maximumFrameBytes - largest frame, in bytes
+     */
+    public constructor(private readonly maximumFrameBytes: number) {
+        super();
+    }
+
+    /** {@inheritDoc FrameCodec.encode} */
+    public override encode(envelope: unknown): string {
+        const text = JSON.stringify(envelope);
+        // A character takes at least a byte, so only a long text needs its bytes counted.
+        if (text.length * 3 > this.maximumFrameBytes && Buffer.byteLength(text) > this.maximumFrameBytes) {
+            throw new LinkError(
+                "unsendable",
+                "the batch is larger than a frame may be; send fewer messages in a batch",
+            );
+        }
+        return text;
+    }
+
+    /** {@inheritDoc FrameCodec.decode} */
+    public override decode(frame: string | ArrayBuffer | Uint8Array): unknown {
+        if (typeof frame !== "string") {
+            throw new LinkError("malformed", "the frame is binary; both ends must use the same version of the links");
+        }
+        return JSON.parse(frame);
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/linkLimits.ts
@@ -0,0 +1,41 @@
+/**
+ * Bounds of the links between processes.
+ */
+
+/** Times and sizes that bound one process's links. */
+export interface LinkLimits {
+    /** Time without a reply after which a connection counts as silent. */
+    readonly acknowledgementTimeoutMilliseconds: number;
+    /** Time without traffic after which the side that opened a connection closes it. */
+    readonly idleMilliseconds: number;
+    /** Time without traffic after which the accepting side closes a connection; longer than the idle time. */
+    readonly inboundIdleMilliseconds: number;
+    /** Least time between two reports that the same address is unreachable. */
+    readonly unreachableRepeatMilliseconds: number;
+    /** Connections, counted for each direction on its own. */
+    readonly maximumConnections: number;
+    /** Messages that wait for one destination. */
+    readonly maximumQueuedMessages: number;
+    /** Batches to one destination that have no reply yet. */
+    readonly maximumBatchesInFlight: number;
+    /** Messages in one batch. */
+    readonly maximumBatchMessages: number;
+    /** Encoded size of one batch. */
+    readonly maximumFrameBytes: number;
+    /** Received batches of one sender that wait for the next tick's reply. */
+    readonly maximumPendingReplies: number;
+}
+
+/** Limits for the largest deployment that the design aims at. */
+export const defaultLinkLimits: LinkLimits = {
+    acknowledgementTimeoutMilliseconds: 250,
+    idleMilliseconds: 60_000,
+    inboundIdleMilliseconds: 150_000,
+    unreachableRepeatMilliseconds: 200,
+    maximumConnections: 4_096,
+    maximumQueuedMessages: 20_000,
+    maximumBatchesInFlight: 64,
+    maximumBatchMessages: 2_000,
+    maximumFrameBytes: 16 * 1024 * 1024,
+    maximumPendingReplies: 256,
+};
--- /dev/null
+++ b/packages/lovagepitch-links/src/peerBatchSchema.ts
@@ -0,0 +1,232 @@
+/**
+ * Schema of the batches that processes send each other. Unknown fields are dropped.
+ */
+import type { JobRequest, JsonValue } from "@lovagepitch/types/job";
+import type { VersionedManifest } from "@lovagepitch/types/manifest";
+import type { PeerBatch, PeerMessage } from "@lovagepitch/types/peerMessage";
+import { z } from "zod";
+
+/** Deepest nesting of a payload or an output. */
+const maximumDepth = 64;
+const longestName = 1_000;
+const longestText = 100_000;
+const mostTasks = 10_000;
+
+const name = z.string().max(longestName);
+const text = z.string().max(longestText);
+const count = z.number().int().min(0);
+const amount = z.number().min(0);
+const indexes = z.array(count).max(mostTasks);
+
+/** Tells whether a decoded value is nested no deeper than allowed, so that recursive code can walk it. */
+function isShallow(value: unknown, depth: number): boolean {
+    if (typeof value !== "object" || value === null) {
+        return true;
+    }
+    if (depth === 0) {
+        return false;
+    }
+    const items: unknown[] = Array.isArray(value) ? value : Object.values(value);
+    return items.every(item => isShallow(item, depth - 1));
+}
+
+const json = z.custom<JsonValue>(value => value !== undefined && isShallow(value, maximumDepth));
+
+const execution = z.enum(["succeeded", "failed", "not-run", "may-have-run"]);
+const refusal = z.enum([
+    "busy",
+    "not-eligible",
+    "not-permitted",
+    "sealed",
+    "leaving",
+    "configuration-behind",
+    "backend-unavailable",
+    "recalled",
+    "deadline-passed",
+    "not-registered",
+    "out-of-order",
+]);
+
+const reports = z.array(z.object({
+    index: count,
+    report: z.discriminatedUnion("state", [
+        z.object({ state: z.literal("standing-by") }),
+        z.object({ state: z.literal("running") }),
+        z.object({ state: z.literal("succeeded"), output: json }),
+        z.object({ state: z.literal("failed"), reason: text }),
+        z.object({ state: z.literal("refused"), refusal, startSequence: count }),
+        z.object({ state: z.literal("unknown") }),
+        z.object({ state: z.literal("forgotten") }),
+    ]),
+})).max(mostTasks);
+
+const load = z.object({
+    slots: count,
+    runningTasks: count,
+    standingByTasks: count,
+    standByLimit: count,
+    suspect: z.boolean(),
+    leaving: z.boolean(),
+});
+
+const job = z.object({
+    team: name,
+    service: name,
+    kind: name,
+    deadlineMilliseconds: amount,
+    idempotent: z.boolean(),
+    tasks: z.array(z.object({
+        payload: json,
+        cores: amount,
+        memoryMegabytes: amount,
+        expectedMilliseconds: amount,
+    })).max(mostTasks),
+}) satisfies z.ZodType<JobRequest>;
+
+const answer = z.object({
+    submission: name,
+    state: z.enum(["complete", "failed"]),
+    reason: text.optional(),
+    configurationVersion: count,
+    tasks: z.array(z.object({
+        index: count,
+        state: execution,
+        output: json.optional(),
+        worker: name.optional(),
+        availabilityZone: name.optional(),
+    })).max(mostTasks),
+    nextSubmission: name.optional(),
+});
+
+const problem = z.object({
+    kind: z.enum([
+        "malformed-request",
+        "body-too-large",
+        "invalid-submission",
+        "expired-submission",
+        "submission-mismatch",
+        "unknown-submission",
+        "unknown-service",
+        "unknown-kind",
+        "unknown-team",
+        "no-permitted-place",
+        "task-too-large",
+        "too-many-tasks",
+        "deadline-unreachable",
+        "quota-exceeded",
+        "overloaded",
+        "no-configuration",
+        "platform-unavailable",
+        "keeper-unreachable",
+        "outcome-unknown",
+        "stopping",
+    ]),
+    status: z.number().int().min(400).max(599),
+    detail: text,
+    remedy: text,
+    execution: z.enum(["not-run", "may-have-run", "unknown-yet"]),
+    retryAfterMilliseconds: amount.optional(),
+    nextSubmission: name.optional(),
+});
+
+const progress = z.object({
+    submission: name,
+    state: z.enum(["issued", "waiting", "running", "collecting", "cancelling"]),
+    finishedTasks: count,
+    tasks: count,
+});
+
+const manifest = z.object({
+    version: count,
+    digest: name,
+    appliedBy: text,
+    manifest: z.object({
+        availabilityZones: z.array(name),
+        teams: z.array(z.object({
+            name,
+            quota: z.object({ guaranteedSlots: count, maximumWaitingTasks: count }),
+        })),
+        services: z.array(z.object({
+            name,
+            kinds: z.array(z.object({
+                name,
+                availabilityZones: z.array(name),
+                teams: z.array(name).optional(),
+                maximumCores: amount,
+                maximumMemoryMegabytes: amount,
+                maximumDeadlineMilliseconds: amount,
+                taskTimeoutMilliseconds: amount,
+            })),
+        })),
+    }),
+}) satisfies z.ZodType<VersionedManifest>;
+
+const operation = z.enum(["submit", "query", "cancel"]);
+
+const message = z.discriminatedUnion("type", [
+    z.object({
+        type: z.literal("startTasks"),
+        submission: name,
+        agent: name,
+        startSequence: count,
+        team: name,
+        service: name,
+        kind: name,
+        deadlineAtMilliseconds: amount,
+        tasks: z.array(z.object({ index: count, payload: json, expectedMilliseconds: amount })).max(mostTasks),
+    }),
+    z.object({ type: z.literal("recallTasks"), submission: name, startSequence: count, indexes }),
+    z.object({ type: z.literal("queryTasks"), submission: name, indexes }),
+    z.object({ type: z.literal("sealSubmissions"), submissions: z.array(name) }),
+    z.object({ type: z.literal("acknowledgeOutcomes"), submission: name, indexes }),
+    z.object({ type: z.literal("placeBid"), service: name, oldestArrivalMilliseconds: amount, waitingTasks: count }),
+    z.object({ type: z.literal("declineOffer"), slots: count }),
+    z.object({ type: z.literal("reportTasks"), submission: name, reports, load, offeredSlots: count }),
+    z.object({ type: z.literal("reportSeal"), submission: name, reports, incomplete: z.boolean() }),
+    z.object({ type: z.literal("offerSlots"), slots: count, load }),
+    z.object({
+        type: z.literal("announceAgent"),
+        worker: name,
+        rack: name,
+        availabilityZone: name,
+        cores: amount,
+        memoryMegabytes: amount,
+        registrationNumber: count,
+        services: z.array(name),
+        load,
+    }),
+    z.object({ type: z.literal("ping") }),
+    z.object({ type: z.literal("pong") }),
+    z.object({
+        type: z.literal("forwardRequest"),
+        submission: name,
+        keeper: name,
+        request: z.discriminatedUnion("operation", [
+            z.object({ operation: z.literal("submit"), job }),
+            z.object({ operation: z.literal("query") }),
+            z.object({ operation: z.literal("cancel") }),
+        ]),
+    }),
+    z.object({ type: z.literal("forwardAccepted"), submission: name }),
+    z.object({ type: z.literal("forwardRefused"), submission: name }),
+    z.object({
+        type: z.literal("forwardResult"),
+        submission: name,
+        operation,
+        result: z.discriminatedUnion("kind", [
+            z.object({ kind: z.literal("answer"), answer }),
+            z.object({ kind: z.literal("problem"), problem }),
+            z.object({ kind: z.literal("progress"), progress }),
+        ]),
+    }),
+    z.object({ type: z.literal("requestManifest") }),
+    z.object({ type: z.literal("sendManifest"), manifest }),
+]) satisfies z.ZodType<PeerMessage>;
+
+/** Schema of a batch. */
+export const peerBatchSchema = z.object({
+    sender: z.object({ address: name, incarnation: name }),
+    role: z.enum(["entry", "agent"]),
+    configurationVersion: count,
+    messages: z.array(message),
+}) satisfies z.ZodType<PeerBatch>;
--- /dev/null
+++ b/packages/lovagepitch-links/src/peerConnection.ts
@@ -0,0 +1,230 @@
+/**
+ * One outgoing connection to a peer: its queue, its batches in flight, and its end.
+ */
+import type { PeerAddress } from "@lovagepitch/types/identity";
+import type { PeerBatch, PeerMessage } from "@lovagepitch/types/peerMessage";
+import { createTRPCClient, type TRPCClient, TRPCClientError } from "@trpc/client";
+import { WebSocket } from "ws";
+import type { FrameCodec } from "./frameCodec.js";
+import type { MutableLinkCounters } from "./linkCounters.js";
+import { LinkError } from "./linkError.js";
+import type { LinkLimits } from "./linkLimits.js";
+import { peerPath } from "./peerListener.js";
+import type { PeerRouter } from "./peerRouter.js";
+import { SocketLink } from "./socketLink.js";
+
+/** Why a connection ended. */
+export type ConnectionEnd =
+    /** Nothing was sent for the idle time, or the process closes its links. */
+    | "closed"
+    /** The destination refused it, or cut it before it was open. */
+    | "refused"
+    /** A batch, or the opening handshake, got no reply in time. */
+    | "silent"
+    /** It had been open, and the other end or the network cut it. */
+    | "lost";
+
+/** What a connection tells its owner. */
+export interface ConnectionListener {
+    /** Makes a batch of this process's messages. */
+    readonly createBatch: (messages: readonly PeerMessage[]) => PeerBatch;
+    /** A reply arrived; it is undefined when the peer had nothing to say. */
+    readonly replied: (connection: PeerConnection, reply: unknown) => void;
+    /** The connection ended; its messages without a reply are lost. */
+    readonly ended: (connection: PeerConnection, end: ConnectionEnd) => void;
+}
+
+/** An outgoing connection; it is used until it ends and never opened again. */
+export class PeerConnection {
+    /** Resolves when the connection has ended. */
+    public readonly whenEnded: Promise<void>;
+
+    private readonly socket: WebSocket;
+    private readonly client: TRPCClient<PeerRouter>;
+    private queue: PeerMessage[] = [];
+    /** Sending times of the batches without a reply, oldest first, on the monotonic clock. */
+    private readonly sentAt = new Map<number, number>();
+    private nextBatch = 1;
+    private acknowledged = false;
+    private hasEnded = false;
+    private closing = false;
+    private silenceTimer: NodeJS.Timeout | undefined;
+    private readonly idleTimer: NodeJS.Timeout;
+    private resolveEnded: () => void = () => undefined;
+
+    /**
+     * @param destination - where it goes
+     * @param codec - encodes the frames
+     * @param limits - bounds of queue, batches and times
+     * @param counters - counts what happens
+     * @param listener - is told of replies and of the end
+     */
+    public constructor(
+        public readonly destination: PeerAddress,
+        codec: FrameCodec,
+        private readonly limits: LinkLimits,
+        private readonly counters: MutableLinkCounters,
+        private readonly listener: ConnectionListener,
+    ) {
+        this.whenEnded = new Promise(resolve => {
+            this.resolveEnded = resolve;
+        });
+        this.socket = new WebSocket(`ws://${destination}${peerPath}`, {
+            handshakeTimeout: limits.acknowledgementTimeoutMilliseconds,
+            maxPayload: limits.maximumFrameBytes,
+            perMessageDeflate: false,
+            followRedirects: false,
+        });
+        const link = new SocketLink(this.socket, codec, () => {
+            counters.batchesRefused += 1;
+        });
+        this.client = createTRPCClient<PeerRouter>({ links: [link.createLink()] });
+        this.socket.on("open", () => this.pump());
+        this.socket.on("error", error => this.end(this.classify(error)));
+        this.socket.on("close", () => this.end(this.closing ? "closed" : "lost"));
+        this.idleTimer = setTimeout(() => this.closeWhenDrained(), limits.idleMilliseconds);
+    }
+
+    /** True when every message so far has been replied to. */
+    public get isDrained(): boolean {
+        return this.queue.length === 0 && this.sentAt.size === 0;
+    }
+
+    /** True when the peer has replied on this connection. */
+    public get wasAcknowledged(): boolean {
+        return this.acknowledged;
+    }
+
+    /**
+     * Queues messages and sends what may be sent.
+     *
+     * @param messages - the messages, in order
+     * @returns the number of messages that found no room
+     */
+    public send(messages: readonly PeerMessage[]): number {
+        const room = this.limits.maximumQueuedMessages - this.queue.length;
+        this.queue.push(...messages.slice(0, room));
+        this.idleTimer.refresh();
+        this.pump();
+        return Math.max(0, messages.length - room);
+    }
+
+    /** Closes the connection once every message has been replied to; silence ends the wait. */
+    public closeWhenDrained(): void {
+        this.closing = true;
+        if (!this.isDrained && !this.hasEnded) {
+            return;
+        }
+        this.end("closed");
+    }
+
+    private pump(): void {
+        while (
+            this.socket.readyState === WebSocket.OPEN
+            && this.queue.length > 0
+            && this.sentAt.size < this.limits.maximumBatchesInFlight
+        ) {
+            const messages = this.queue.slice(0, this.limits.maximumBatchMessages);
+            this.queue = this.queue.slice(messages.length);
+            this.deliver(messages);
+        }
+    }
+
+    private deliver(messages: readonly PeerMessage[]): void {
+        const batch = this.nextBatch;
+        this.nextBatch += 1;
+        this.sentAt.set(batch, performance.now());
+        this.watchSilence();
+        this.client.deliver.mutate(this.listener.createBatch(messages)).then(
+            reply => {
+                this.settle(batch);
+                this.countSent(messages.length);
+                this.listener.replied(this, reply);
+            },
+            (error: unknown) => {
+                this.settle(batch);
+                this.handleFailure(messages, error);
+            },
+        ).finally(() => this.continue());
+    }
+
+    private settle(batch: number): void {
+        this.sentAt.delete(batch);
+        this.idleTimer.refresh();
+    }
+
+    private continue(): void {
+        if (this.hasEnded) {
+            return;
+        }
+        this.pump();
+        if (this.closing && this.isDrained) {
+            this.end("closed");
+        }
+    }
+
+    private countSent(messages: number): void {
+        this.acknowledged = true;
+        this.counters.batchesSent += 1;
+        this.counters.messagesSent += messages;
+    }
+
+    private handleFailure(messages: readonly PeerMessage[], error: unknown): void {
+        const cause = error instanceof TRPCClientError ? error.cause : error;
+        const canSplit = cause instanceof LinkError && cause.kind === "unsendable" && messages.length > 1;
+        if (!canSplit || this.hasEnded) {
+            this.counters.messagesDropped += messages.length;
+            return;
+        }
+        // Halving finds the message that cannot be sent and keeps the others in order.
+        const middle = Math.ceil(messages.length / 2);
+        this.deliver(messages.slice(0, middle));
+        this.deliver(messages.slice(middle));
+    }
+
+    private watchSilence(): void {
+        if (this.silenceTimer !== undefined) {
+            return;
+        }
+        const [oldest = performance.now()] = this.sentAt.values();
+        const remaining = oldest + this.limits.acknowledgementTimeoutMilliseconds - performance.now();
+        this.silenceTimer = setTimeout(() => {
+            // After a pause of the process the replies may be here but unread: let them in first.
+            setImmediate(() => this.checkSilence());
+        }, Math.max(0, remaining));
+    }
+
+    private checkSilence(): void {
+        this.silenceTimer = undefined;
+        if (this.hasEnded || this.sentAt.size === 0) {
+            return;
+        }
+        const [oldest = performance.now()] = this.sentAt.values();
+        if (performance.now() - oldest >= this.limits.acknowledgementTimeoutMilliseconds) {
+            this.end("silent");
+            return;
+        }
+        this.watchSilence();
+    }
+
+    private classify(error: Error): ConnectionEnd {
+        if (this.socket.readyState === WebSocket.OPEN || this.acknowledged) {
+            return "lost";
+        }
+        return error.message.includes("handshake has timed out") ? "silent" : "refused";
+    }
+
+    private end(end: ConnectionEnd): void {
+        if (this.hasEnded) {
+            return;
+        }
+        this.hasEnded = true;
+        clearTimeout(this.silenceTimer);
+        clearTimeout(this.idleTimer);
+        this.counters.messagesDropped += this.queue.length;
+        this.queue = [];
+        this.socket.terminate();
+        this.listener.ended(this, end);
+        this.resolveEnded();
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/peerLinks.ts
@@ -0,0 +1,247 @@
+/**
+ * The links of one process: it sends and receives batches of messages, over tRPC on WebSocket.
+ */
+import type { PeerAddress, PeerIdentity } from "@lovagepitch/types/identity";
+import type { OutgoingMessage, PeerBatch, PeerMessage } from "@lovagepitch/types/peerMessage";
+import type { Clock } from "@lovagepitch/utils/clock";
+import type { Result } from "@lovagepitch/utils/result";
+import type { WebSocket } from "ws";
+import { CountingCodec } from "./countingCodec.js";
+import { JsonFrameCodec } from "./frameCodec.js";
+import { createLinkCounters, type LinkCounters } from "./linkCounters.js";
+import { LinkError } from "./linkError.js";
+import { defaultLinkLimits, type LinkLimits } from "./linkLimits.js";
+import { peerBatchSchema } from "./peerBatchSchema.js";
+import { type ConnectionEnd, type ConnectionListener, PeerConnection } from "./peerConnection.js";
+import { PeerListener } from "./peerListener.js";
+import { createPeerRouter } from "./peerRouter.js";
+import { PendingReplies } from "./pendingReplies.js";
+import { UnreachablePeers } from "./unreachablePeers.js";
+
+/** What links need of their process. */
+export interface PeerLinksOptions {
+    /** This process; when the address ends in port 0, the bound port takes its place. */
+    readonly identity: PeerIdentity;
+    readonly role: PeerBatch["role"];
+    /** IP number to listen on. */
+    readonly address: string;
+    /** Port to listen on; 0 for any free one. */
+    readonly port: number;
+    readonly clock: Clock;
+    /** Takes each batch that arrives, at once. */
+    readonly receive: (batch: PeerBatch) => void;
+    /** Learns that an address refused a connection, or that two in a row were silent. */
+    readonly unreachable: (address: PeerAddress) => void;
+    /** Newest configuration version in force. */
+    readonly configurationVersion: () => number;
+    readonly limits?: Partial<LinkLimits>;
+}
+
+/** Links of one process to its peers. */
+export class PeerLinks {
+    private readonly limits: LinkLimits;
+    private readonly counts = createLinkCounters();
+    private readonly codec: CountingCodec;
+    private readonly listener: PeerListener;
+    private readonly connections = new Map<PeerAddress, PeerConnection>();
+    private readonly pendingReplies = new PendingReplies();
+    private readonly unreachablePeers: UnreachablePeers;
+    private readonly connectionListener: ConnectionListener;
+    private currentIdentity: PeerIdentity;
+    private isClosed = false;
+
+    /**
+     * @param options - the process's identity, its callbacks and its limits
+     */
+    public constructor(private readonly options: PeerLinksOptions) {
+        this.limits = { ...defaultLinkLimits, ...options.limits };
+        this.currentIdentity = options.identity;
+        this.codec = new CountingCodec(new JsonFrameCodec(this.limits.maximumFrameBytes), this.counts);
+        const router = createPeerRouter(
+            value => this.parseBatch(value),
+            (batch, socket) => this.accept(batch, socket),
+        );
+        this.listener = new PeerListener(router, this.codec, this.limits);
+        this.unreachablePeers = new UnreachablePeers(
+            options.clock,
+            this.limits.unreachableRepeatMilliseconds,
+            options.unreachable,
+        );
+        this.connectionListener = {
+            createBatch: messages => this.createBatch(messages),
+            replied: (connection, reply) => this.handleReply(connection, reply),
+            ended: (connection, end) => this.handleEnd(connection, end),
+        };
+    }
+
+    /** What the links did so far. */
+    public get counters(): LinkCounters {
+        return this.counts;
+    }
+
+    /** This process; its address is complete once the links listen. */
+    public get identity(): PeerIdentity {
+        return this.currentIdentity;
+    }
+
+    /**
+     * Starts to accept connections.
+     *
+     * @returns the bound port, or why none could be bound
+     */
+    public async listen(): Promise<Result<number, LinkError>> {
+        const result = await this.listener.listen(this.options.address, this.options.port);
+        if (result.ok) {
+            this.completeIdentity(result.val);
+        }
+        return result;
+    }
+
+    /**
+     * Sends all messages of one tick, and answers the batches that arrived before it.
+     *
+     * @param outgoing - the messages, in order
+     */
+    public send(outgoing: readonly OutgoingMessage[]): void {
+        const byDestination = new Map<PeerAddress, PeerMessage[]>();
+        for (const { destination, message } of outgoing) {
+            const messages = byDestination.get(destination);
+            if (messages === undefined) {
+                byDestination.set(destination, [message]);
+            }
+            else {
+                messages.push(message);
+            }
+        }
+        this.pendingReplies.resolveAll(sender => this.takeForReply(byDestination, sender));
+        for (const [destination, messages] of byDestination) {
+            this.sendTo(destination, messages);
+        }
+    }
+
+    /**
+     * Waits for the replies to what was sent, as long as a reply may take, and closes every connection.
+     *
+     * @returns when everything is closed
+     */
+    public async close(): Promise<void> {
+        this.pendingReplies.resolveAll(() => undefined);
+        this.isClosed = true;
+        const ended = [...this.connections.values()].map(connection => connection.whenEnded);
+        for (const connection of [...this.connections.values()]) {
+            connection.closeWhenDrained();
+        }
+        await Promise.all(ended);
+        await this.listener.close();
+    }
+
+    private completeIdentity(port: number): void {
+        const { address, incarnation } = this.options.identity;
+        if (address.endsWith(":0")) {
+            this.currentIdentity = { address: `${address.slice(0, -2)}:${port}`, incarnation };
+        }
+    }
+
+    private createBatch(messages: readonly PeerMessage[]): PeerBatch {
+        return {
+            sender: this.currentIdentity,
+            role: this.options.role,
+            configurationVersion: this.options.configurationVersion(),
+            messages,
+        };
+    }
+
+    private parseBatch(value: unknown): PeerBatch {
+        const parsed = peerBatchSchema.safeParse(value);
+        if (!parsed.success) {
+            this.counts.batchesRefused += 1;
+            throw new LinkError("malformed", "the batch does not fit its schema; run the same version at both ends");
+        }
+        return parsed.data;
+    }
+
+    private accept(batch: PeerBatch, socket: WebSocket): Promise<PeerBatch | undefined> {
+        if (this.pendingReplies.count(batch.sender.address) >= this.limits.maximumPendingReplies) {
+            this.counts.batchesRefused += 1;
+            throw new LinkError("overloaded", "too many batches wait for a reply; send again later");
+        }
+        const reply = this.pendingReplies.add(batch.sender.address, socket);
+        this.handOver(batch);
+        return reply;
+    }
+
+    private handOver(batch: PeerBatch): void {
+        this.counts.batchesReceived += 1;
+        this.counts.messagesReceived += batch.messages.length;
+        this.options.receive(batch);
+    }
+
+    private takeForReply(byDestination: Map<PeerAddress, PeerMessage[]>, sender: PeerAddress): PeerBatch | undefined {
+        const messages = byDestination.get(sender);
+        const connection = this.connections.get(sender);
+        // A reply must not overtake what is still on its way on the other connection.
+        if (messages === undefined || connection?.isDrained === false) {
+            return undefined;
+        }
+        if (messages.length > this.limits.maximumBatchMessages) {
+            return undefined;
+        }
+        byDestination.delete(sender);
+        this.counts.messagesPiggybacked += messages.length;
+        this.counts.messagesSent += messages.length;
+        return this.createBatch(messages);
+    }
+
+    private sendTo(destination: PeerAddress, messages: readonly PeerMessage[]): void {
+        const connection = this.connections.get(destination)
+            ?? this.connect(destination, this.unreachablePeers.hasFailed(destination));
+        this.counts.messagesDropped += connection?.send(messages) ?? messages.length;
+    }
+
+    private connect(destination: PeerAddress, isReconnect: boolean): PeerConnection | undefined {
+        if (this.isClosed || this.connections.size >= this.limits.maximumConnections) {
+            return undefined;
+        }
+        const connection = new PeerConnection(
+            destination,
+            this.codec,
+            this.limits,
+            this.counts,
+            this.connectionListener,
+        );
+        this.connections.set(destination, connection);
+        this.counts.connectionsOpened += 1;
+        this.counts.reconnects += isReconnect ? 1 : 0;
+        return connection;
+    }
+
+    private handleReply(connection: PeerConnection, reply: unknown): void {
+        this.unreachablePeers.clear(connection.destination);
+        if (reply === undefined || reply === null) {
+            return;
+        }
+        const parsed = peerBatchSchema.safeParse(reply);
+        if (!parsed.success) {
+            this.counts.batchesRefused += 1;
+            return;
+        }
+        this.handOver(parsed.data);
+    }
+
+    private handleEnd(connection: PeerConnection, end: ConnectionEnd): void {
+        const { destination } = connection;
+        this.connections.delete(destination);
+        if (end === "silent") {
+            this.counts.connectionsSilent += 1;
+            this.unreachablePeers.recordSilence(destination);
+        }
+        if (end === "refused") {
+            this.counts.connectionsRefused += 1;
+            this.unreachablePeers.recordRefusal(destination);
+        }
+        if (end === "lost" && connection.wasAcknowledged && !this.isClosed) {
+            // A process that ended refuses the new connection, which tells its peers at once.
+            this.connect(destination, true);
+        }
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/peerListener.ts
@@ -0,0 +1,113 @@
+/**
+ * The accepting side of the links: a WebSocket server for the tRPC router.
+ */
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import { applyWSSHandler } from "@trpc/server/adapters/ws";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type WebSocket, WebSocketServer } from "ws";
+import type { FrameCodec } from "./frameCodec.js";
+import { LinkError } from "./linkError.js";
+import type { LinkLimits } from "./linkLimits.js";
+import type { PeerRouter } from "./peerRouter.js";
+
+/** Path of the WebSocket endpoint. */
+export const peerPath = "/peers";
+/** Time for the whole opening handshake. */
+const handshakeTimeoutMilliseconds = 2_000;
+/** Time for the closing handshake before the connection is cut. */
+const closeTimeoutMilliseconds = 250;
+/** How often handshakes are checked for their time. */
+const handshakeCheckMilliseconds = 500;
+
+/** Accepts connections of peers. */
+export class PeerListener {
+    private readonly server: Server;
+    private readonly socketServer: WebSocketServer;
+
+    /**
+     * @param router - answers the calls
+     * @param codec - encodes the frames
+     * @param limits - bounds of connections, frames and idle time
+     */
+    public constructor(router: PeerRouter, codec: FrameCodec, private readonly limits: LinkLimits) {
+        this.server = createServer({
+            headersTimeout: handshakeTimeoutMilliseconds,
+            requestTimeout: handshakeTimeoutMilliseconds,
+            connectionsCheckingInterval: handshakeCheckMilliseconds,
+            noDelay: true,
+        }, (_request, response) => {
+            response.writeHead(426, { "connection": "close" }).end();
+        });
+        this.server.maxConnections = limits.maximumConnections;
+        const socketOptions = {
+            server: this.server,
+            path: peerPath,
+            maxPayload: limits.maximumFrameBytes,
+            closeTimeout: closeTimeoutMilliseconds,
+            perMessageDeflate: false,
+        };
+        this.socketServer = new WebSocketServer(socketOptions);
+        this.socketServer.on("connection", (socket, request) => this.guard(socket, request));
+        this.socketServer.on("error", () => undefined);
+        applyWSSHandler({
+            wss: this.socketServer,
+            router,
+            createContext: options => ({ socket: options.res }),
+            experimental_encoder: codec,
+            maxBatchSize: 1,
+            onError: () => undefined,
+        });
+    }
+
+    /**
+     * Binds the port.
+     *
+     * @param address - IP number to listen on
+     * @param port - port, or 0 for any free one
+     * @returns the bound port, or why there is none
+     */
+    public listen(address: string, port: number): Promise<Result<number, LinkError>> {
+        return new Promise(resolve => {
+            const fail = (error: Error): void => {
+                const remedy = "choose a free port and an address of this machine in the settings";
+                resolve(
+                    Err(
+                        new LinkError(
+                            "listen-failed",
+                            `cannot listen on ${address}:${port}: ${error.message}; ${remedy}`,
+                        ),
+                    ),
+                );
+            };
+            this.server.once("error", fail);
+            this.server.listen(port, address, () => {
+                this.server.off("error", fail);
+                this.server.on("error", () => undefined);
+                resolve(Ok((this.server.address() as AddressInfo).port));
+            });
+        });
+    }
+
+    /**
+     * Closes all connections and stops listening.
+     *
+     * @returns when everything is closed
+     */
+    public async close(): Promise<void> {
+        for (const socket of this.socketServer.clients) {
+            socket.close();
+        }
+        this.socketServer.close();
+        await new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeIdleConnections();
+        });
+    }
+
+    /** Closes a connection that fails or on which nothing has come for long. */
+    private guard(socket: WebSocket, request: IncomingMessage): void {
+        request.socket.setTimeout(this.limits.inboundIdleMilliseconds, () => socket.terminate());
+        socket.on("error", () => socket.terminate());
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/pendingReplies.ts
@@ -0,0 +1,59 @@
+/**
+ * Replies that peers wait for until the next tick has run.
+ */
+import type { PeerAddress } from "@lovagepitch/types/identity";
+import type { PeerBatch } from "@lovagepitch/types/peerMessage";
+import { WebSocket } from "ws";
+
+/** A received batch whose sender waits for the reply. */
+interface PendingReply {
+    readonly socket: WebSocket;
+    readonly resolve: (batch: PeerBatch | undefined) => void;
+}
+
+/** Pending replies by sender, in order of arrival. */
+export class PendingReplies {
+    private readonly bySender = new Map<PeerAddress, PendingReply[]>();
+
+    /**
+     * Counts the replies that a sender waits for.
+     *
+     * @param sender - address of the sender
+     * @returns the number of pending replies
+     */
+    public count(sender: PeerAddress): number {
+        return this.bySender.get(sender)?.length ?? 0;
+    }
+
+    /**
+     * Adds a reply that a sender waits for.
+     *
+     * @param sender - address of the sender
+     * @param socket - connection that the reply goes back on
+     * @returns the reply, once the next tick has run
+     */
+    public add(sender: PeerAddress, socket: WebSocket): Promise<PeerBatch | undefined> {
+        return new Promise(resolve => {
+            const replies = this.bySender.get(sender) ?? [];
+            replies.push({ socket, resolve });
+            this.bySender.set(sender, replies);
+        });
+    }
+
+    /**
+     * Resolves every pending reply.
+     *
+     * @param createBatch - makes the batch that rides on a sender's reply, or undefined when there is none
+     */
+    public resolveAll(createBatch: (sender: PeerAddress) => PeerBatch | undefined): void {
+        const pending = [...this.bySender];
+        this.bySender.clear();
+        for (const [sender, replies] of pending) {
+            const carrier = replies.find(reply => reply.socket.readyState === WebSocket.OPEN);
+            const batch = carrier === undefined ? undefined : createBatch(sender);
+            for (const reply of replies) {
+                reply.resolve(reply === carrier ? batch : undefined);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/socketLink.ts
@@ -0,0 +1,107 @@
+/**
+ * A terminating tRPC link over one WebSocket. Unlike tRPC's own it sends at once, never reconnects and never sends
+ * a call again.
+ */
+import { TRPCClientError, type TRPCLink } from "@trpc/client";
+import { observable } from "@trpc/server/observable";
+import type { RawData, WebSocket } from "ws";
+import { z } from "zod";
+import type { FrameCodec } from "./frameCodec.js";
+import { LinkError } from "./linkError.js";
+import type { PeerRouter } from "./peerRouter.js";
+
+const responseSchema = z.union([
+    z.object({ id: z.number(), result: z.object({ type: z.literal("data"), data: z.unknown() }) }),
+    z.object({ id: z.number(), error: z.object({ message: z.string() }) }),
+]);
+
+type Response = z.infer<typeof responseSchema>;
+type ResponseListener = (response: Response | LinkError) => void;
+
+/** Calls over one open WebSocket. */
+export class SocketLink {
+    private readonly pending = new Map<number, ResponseListener>();
+
+    /**
+     * @param socket - the connection
+     * @param codec - encodes the frames
+     * @param malformed - told of each frame that is no response
+     */
+    public constructor(
+        private readonly socket: WebSocket,
+        private readonly codec: FrameCodec,
+        private readonly malformed: () => void,
+    ) {
+        socket.on("message", (data, isBinary) => this.accept(data, isBinary));
+        socket.on("close", () => this.failPending());
+    }
+
+    /**
+     * Makes the link for a tRPC client.
+     *
+     * @returns the link
+     */
+    public createLink(): TRPCLink<PeerRouter> {
+        return () => ({ op }) =>
+            observable(observer => {
+                const listener: ResponseListener = response => {
+                    if (response instanceof LinkError) {
+                        observer.error(TRPCClientError.from(response));
+                        return;
+                    }
+                    if ("error" in response) {
+                        const refusal = new LinkError("malformed", `the peer refused: ${response.error.message}`);
+                        observer.error(TRPCClientError.from(refusal));
+                        return;
+                    }
+                    observer.next({ result: response.result });
+                    observer.complete();
+                };
+                try {
+                    const frame = this.codec.encode({
+                        id: op.id,
+                        method: op.type,
+                        params: { path: op.path, input: op.input },
+                    });
+                    this.socket.send(frame, () => undefined);
+                    this.pending.set(op.id, listener);
+                }
+                catch (error) {
+                    const message = error instanceof Error ? error.message : String(error);
+                    observer.error(TRPCClientError.from(new LinkError("unsendable", message)));
+                }
+                return () => {
+                    this.pending.delete(op.id);
+                };
+            });
+    }
+
+    private accept(data: RawData, isBinary: boolean): void {
+        const response = this.parse(data, isBinary);
+        if (response === undefined) {
+            this.malformed();
+            return;
+        }
+        const listener = this.pending.get(response.id);
+        this.pending.delete(response.id);
+        listener?.(response);
+    }
+
+    private parse(data: RawData, isBinary: boolean): Response | undefined {
+        try {
+            const frame = data as Buffer;
+            return responseSchema.safeParse(this.codec.decode(isBinary ? frame : frame.toString())).data;
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    private failPending(): void {
+        const listeners = [...this.pending.values()];
+        this.pending.clear();
+        for (const listener of listeners) {
+            listener(new LinkError("connection-closed", "the connection ended before a reply came; send again"));
+        }
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/unreachablePeers.ts
@@ -0,0 +1,100 @@
+/**
+ * Counts failed connections by address and reports addresses that cannot be reached.
+ */
+import type { PeerAddress } from "@lovagepitch/types/identity";
+import type { Clock } from "@lovagepitch/utils/clock";
+
+/** Silent connections in a row after which an address is reported. */
+const silencesUntilReport = 2;
+/** Addresses remembered; the oldest is forgotten beyond. */
+const maximumAddresses = 10_000;
+
+/** Failures of one address since its last reply. */
+interface FailureRecord {
+    readonly silences: number;
+    readonly reportedAtMilliseconds: number | undefined;
+}
+
+/** Addresses whose connections failed. */
+export class UnreachablePeers {
+    private readonly records = new Map<PeerAddress, FailureRecord>();
+
+    /**
+     * @param clock - the time
+     * @param repeatMilliseconds - least time between two reports of one address
+     * @param report - called with each address that cannot be reached
+     */
+    public constructor(
+        private readonly clock: Clock,
+        private readonly repeatMilliseconds: number,
+        private readonly report: (address: PeerAddress) => void,
+    ) {}
+
+    /**
+     * Tells whether the last connection to an address failed.
+     *
+     * @param address - the address
+     * @returns true when no reply came since
+     */
+    public hasFailed(address: PeerAddress): boolean {
+        return this.records.has(address);
+    }
+
+    /**
+     * Forgets the failures of an address that replied.
+     *
+     * @param address - the address
+     */
+    public clear(address: PeerAddress): void {
+        this.records.delete(address);
+    }
+
+    /**
+     * Records a connection that fell silent.
+     *
+     * @param address - the address
+     */
+    public recordSilence(address: PeerAddress): void {
+        this.record(address, 1);
+    }
+
+    /**
+     * Records a refused connection, which is reported without waiting for a second.
+     *
+     * @param address - the address
+     */
+    public recordRefusal(address: PeerAddress): void {
+        this.record(address, silencesUntilReport);
+    }
+
+    private record(address: PeerAddress, weight: number): void {
+        const earlier = this.records.get(address);
+        const silences = (earlier?.silences ?? 0) + weight;
+        const now = this.clock.nowMilliseconds();
+        const isDue = silences >= silencesUntilReport && this.isRepeatAllowed(earlier?.reportedAtMilliseconds, now);
+        this.records.delete(address);
+        this.records.set(address, {
+            silences,
+            reportedAtMilliseconds: isDue ? now : earlier?.reportedAtMilliseconds,
+        });
+        this.forgetOldest();
+        if (isDue) {
+            this.report(address);
+        }
+    }
+
+    private isRepeatAllowed(reportedAtMilliseconds: number | undefined, now: number): boolean {
+        if (reportedAtMilliseconds === undefined) {
+            return true;
+        }
+        // The wall clock may have been set back.
+        return Math.abs(now - reportedAtMilliseconds) >= this.repeatMilliseconds;
+    }
+
+    private forgetOldest(): void {
+        const [oldest] = this.records.keys();
+        if (this.records.size > maximumAddresses && oldest !== undefined) {
+            this.records.delete(oldest);
+        }
+    }
+}
