feat(agent): decide starts, offers, outcomes and the ledger in a pure core

Cause: the agent is the only way to a backend server's slots and must start a task at most once under lost, doubled and reordered messages.

--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/agentStatus.ts
@@ -0,0 +1,52 @@
+/**
+ * What an agent tells of itself.
+ */
+import type { AgentTables } from "./entities/agentTables.js";
+import type { BackendServerRow } from "./entities/rows.js";
+import type { AgentState } from "./lifecycles/agentLifecycle.js";
+
+/** The state of an agent, for its operator. */
+export interface AgentStatus {
+    readonly state: AgentState;
+    readonly backendServer: BackendServerRow["state"] | "absent";
+    readonly slots: number;
+    readonly runningTasks: number;
+    readonly standingByTasks: number;
+    /** 0 before a manifest is in force. */
+    readonly configurationVersion: number;
+    /** 0 until the registration row is durable. */
+    readonly registrationNumber: number;
+    readonly suspect: boolean;
+    readonly ledgerSubmissions: number;
+    readonly ledgerBytes: number;
+    /** Submissions with outcomes that their receiver has not acknowledged. */
+    readonly undeliveredSubmissions: number;
+    readonly bids: number;
+    readonly entries: number;
+}
+
+/**
+ * Reads an agent's state off its tables.
+ *
+ * @param tables - the agent's tables
+ * @param slots - slots that can be used now
+ * @param suspect - the backend server failed several submissions in a row
+ * @returns the state
+ */
+export function describeStatus(tables: AgentTables, slots: number, suspect: boolean): AgentStatus {
+    return {
+        state: tables.agent,
+        backendServer: tables.backendServer?.state ?? "absent",
+        slots,
+        runningTasks: tables.runningTasks,
+        standingByTasks: tables.standingBy.size,
+        configurationVersion: tables.configurationVersion,
+        registrationNumber: tables.registration.number ?? 0,
+        suspect,
+        ledgerSubmissions: tables.submissions.size,
+        ledgerBytes: tables.ledgerBytes,
+        undeliveredSubmissions: tables.deliveries.size,
+        bids: tables.bids.size,
+        entries: tables.entries.size,
+    };
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/entities/agentTables.ts
@@ -0,0 +1,110 @@
+/**
+ * Everything that an agent's core remembers.
+ */
+import type { Incarnation, PeerAddress, SubmissionKey } from "@lovagepitch/types/identity";
+import type { VersionedManifest } from "@lovagepitch/types/manifest";
+import { Table } from "@lovagepitch/utils/table";
+import type { AgentState } from "../lifecycles/agentLifecycle.js";
+import type {
+    BackendServerRow,
+    BidRow,
+    DeliveryRow,
+    EntryRow,
+    OfferRow,
+    PairKey,
+    StandingByRow,
+    SubmissionRow,
+    TaskKey,
+    TaskRow,
+} from "./rows.js";
+import type { SubmissionQueue } from "./submissionQueue.js";
+
+/** Most entries that an agent remembers. */
+export const maximumEntries = 1_000;
+/** Most bids that an agent remembers. */
+export const maximumBids = 4_000;
+/** Most keeper incarnations whose low-water mark an agent remembers. */
+export const maximumLowWaterMarks = 10_000;
+
+/** Progress of the registration row. */
+export interface RegistrationProgress {
+    /** Undefined until the row is durable. */
+    readonly number: number | undefined;
+    readonly requested: boolean;
+    readonly failures: number;
+    /** Instant of the next attempt; undefined when none is due. */
+    readonly retryAtMilliseconds: number | undefined;
+}
+
+/** Progress of catching up with a newer configuration. */
+export interface ConfigurationProgress {
+    /** Newest version that any peer was seen to have. */
+    readonly newestSeen: number;
+    /** Instant of the last request to a peer. */
+    readonly requestedAtMilliseconds: number;
+    /** Instant at which the platform's table is read; undefined when no reading is due. */
+    readonly readAtMilliseconds: number | undefined;
+}
+
+/** The tables of an agent. */
+export class AgentTables {
+    /** State of the process. */
+    public agent: AgentState = "registering";
+    public registration: RegistrationProgress = {
+        number: undefined,
+        requested: false,
+        failures: 0,
+        retryAtMilliseconds: undefined,
+    };
+    public configuration: ConfigurationProgress = {
+        newestSeen: 0,
+        requestedAtMilliseconds: 0,
+        readAtMilliseconds: undefined,
+    };
+    public manifest: VersionedManifest | undefined;
+    public backendServer: BackendServerRow | undefined;
+    public readonly tasks = new Table<TaskKey, TaskRow>();
+    public readonly standingBy = new Table<TaskKey, StandingByRow>();
+    public readonly submissions = new Table<SubmissionKey, SubmissionRow>();
+    /** Submissions in the ledger by keeper; only keepers that have some. */
+    public readonly keepers = new Table<Incarnation, SubmissionQueue>();
+    /** Highest sequence number of each keeper whose records have left the ledger, in the order in which they rose. */
+    public readonly lowWaterMarks = new Table<Incarnation, number>();
+    public readonly entries = new Table<PeerAddress, EntryRow>();
+    public readonly bids = new Table<PairKey, BidRow>();
+    public readonly offers = new Table<PeerAddress, OfferRow>();
+    public readonly deliveries = new Table<PairKey, DeliveryRow>();
+    public runningTasks = 0;
+    public ledgerBytes = 0;
+
+    /**
+     * Version of the configuration in force here.
+     *
+     * @returns 0 before there is one
+     */
+    public get configurationVersion(): number {
+        return this.manifest?.version ?? 0;
+    }
+}
+
+/**
+ * Makes the key of a task.
+ *
+ * @param submission - the submission
+ * @param index - the task's index
+ * @returns the key
+ */
+export function taskKey(submission: SubmissionKey, index: number): TaskKey {
+    return `${submission}/${index}`;
+}
+
+/**
+ * Makes the key of something that belongs to a peer.
+ *
+ * @param address - the peer
+ * @param name - a service or a submission
+ * @returns the key
+ */
+export function pairKey(address: PeerAddress, name: string): PairKey {
+    return `${address} ${name}`;
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/entities/ledger.ts
@@ -0,0 +1,231 @@
+/**
+ * The ledger: every task that was received, with its outcome, by submission and keeper.
+ */
+import type { Incarnation, PeerIdentity, SubmissionIdentity, SubmissionKey } from "@lovagepitch/types/identity";
+import type { JsonValue } from "@lovagepitch/types/job";
+import type { TaskReport, TaskReportState } from "@lovagepitch/types/peerMessage";
+import { type TaskEvent, taskLifecycle, type TaskState } from "../lifecycles/taskLifecycle.js";
+import { type AgentTables, maximumLowWaterMarks, taskKey } from "./agentTables.js";
+import { estimateJsonBytes } from "./jsonSize.js";
+import type { SubmissionRow, TaskRow } from "./rows.js";
+import { SubmissionQueue } from "./submissionQueue.js";
+
+const submissionBytes = 600;
+const taskBytes = 300;
+/** Most entries that are told what still runs when they sealed a submission. */
+const maximumSealers = 8;
+
+/**
+ * Tells whether the records of a submission may have left the ledger.
+ *
+ * @param tables - the agent's tables
+ * @param identity - what the submission's id says
+ * @returns true at or under the keeper's low-water mark
+ */
+export function isForgotten(tables: AgentTables, identity: SubmissionIdentity): boolean {
+    return identity.sequence <= (tables.lowWaterMarks.get(identity.keeper.incarnation) ?? 0);
+}
+
+/**
+ * Finds a submission's records, or opens them.
+ *
+ * @param tables - the agent's tables
+ * @param submission - the submission
+ * @param identity - what its id says; above the low-water mark
+ * @param now - the current instant, in milliseconds
+ * @returns the records
+ */
+export function openSubmission(
+    tables: AgentTables,
+    submission: SubmissionKey,
+    identity: SubmissionIdentity,
+    now: number,
+): SubmissionRow {
+    const known = tables.submissions.get(submission);
+    if (known !== undefined) {
+        return known;
+    }
+    const row: SubmissionRow = {
+        submission,
+        keeper: identity.keeper,
+        sequence: identity.sequence,
+        sealed: false,
+        sealedBy: [],
+        indexes: [],
+        unfinished: 0,
+        touchedAtMilliseconds: now,
+        bytes: submissionBytes,
+    };
+    tables.submissions.set(submission, row);
+    tables.ledgerBytes += submissionBytes;
+    findQueue(tables, row.keeper).insert(row.sequence, submission);
+    return row;
+}
+
+function findQueue(tables: AgentTables, keeper: PeerIdentity): SubmissionQueue {
+    const known = tables.keepers.get(keeper.incarnation);
+    if (known !== undefined) {
+        return known;
+    }
+    const queue = new SubmissionQueue();
+    tables.keepers.set(keeper.incarnation, queue);
+    return queue;
+}
+
+/** Facts that come with a change of a task's state. */
+export type TaskFields = Partial<Pick<TaskRow, "attempt" | "refusal" | "closed" | "output" | "reason">>;
+
+/**
+ * Moves a task to its next state and keeps the ledger's sums.
+ *
+ * @param tables - the agent's tables; the submission is open
+ * @param submission - the submission
+ * @param index - the task's index
+ * @param event - what happened to the task
+ * @param fields - facts that come with it
+ * @param now - the current instant, in milliseconds
+ * @returns the task's new row
+ */
+export function moveTask(
+    tables: AgentTables,
+    submission: SubmissionKey,
+    index: number,
+    event: TaskEvent,
+    fields: TaskFields,
+    now: number,
+): TaskRow {
+    const key = taskKey(submission, index);
+    const before = tables.tasks.get(key);
+    const state = taskLifecycle.next(before?.state ?? "received", event);
+    const bytes = taskBytes + (fields.output === undefined ? 0 : estimateJsonBytes(fields.output));
+    const row: TaskRow = {
+        submission,
+        index,
+        attempt: before?.attempt ?? 0,
+        closed: before?.closed ?? false,
+        ...fields,
+        state,
+        bytes,
+    };
+    tables.tasks.set(key, row);
+    tables.runningTasks += (state === "running" ? 1 : 0) - (before?.state === "running" ? 1 : 0);
+    const opened = (isUnfinished(state) ? 1 : 0) - (isUnfinished(before?.state) ? 1 : 0);
+    const grown = bytes - (before?.bytes ?? 0);
+    tables.ledgerBytes += grown;
+    const records = tables.submissions.get(submission);
+    if (records !== undefined) {
+        tables.submissions.update(submission, {
+            indexes: before === undefined ? [...records.indexes, index] : records.indexes,
+            unfinished: records.unfinished + opened,
+            touchedAtMilliseconds: now,
+            bytes: records.bytes + grown,
+        });
+    }
+    return row;
+}
+
+function isUnfinished(state: TaskState | undefined): boolean {
+    return state === "standing-by" || state === "running";
+}
+
+/**
+ * Seals a submission and remembers who asked.
+ *
+ * @param tables - the agent's tables; the submission is open
+ * @param submission - the submission
+ * @param sealer - entry that asked
+ * @param now - the current instant, in milliseconds
+ */
+export function sealSubmission(tables: AgentTables, submission: SubmissionKey, sealer: string, now: number): void {
+    const row = tables.submissions.get(submission);
+    if (row === undefined) {
+        return;
+    }
+    const others = row.sealedBy.filter(address => address !== sealer).slice(-(maximumSealers - 1));
+    tables.submissions.set(submission, {
+        ...row,
+        sealed: true,
+        sealedBy: [...others, sealer],
+        touchedAtMilliseconds: now,
+    });
+}
+
+/**
+ * Removes a keeper's oldest submission from the ledger and raises the keeper's low-water mark.
+ *
+ * @param tables - the agent's tables
+ * @param keeper - the keeper
+ */
+export function forgetOldest(tables: AgentTables, keeper: Incarnation): void {
+    const queue = tables.keepers.get(keeper);
+    const submission = queue?.first();
+    const row = submission === undefined ? undefined : tables.submissions.get(submission);
+    if (queue === undefined || row === undefined) {
+        return;
+    }
+    for (const index of row.indexes) {
+        tables.tasks.delete(taskKey(row.submission, index));
+    }
+    tables.submissions.delete(row.submission);
+    tables.ledgerBytes -= row.bytes;
+    queue.removeFirst();
+    if (queue.size === 0) {
+        tables.keepers.delete(keeper);
+    }
+    raiseLowWaterMark(tables, keeper, row.sequence);
+}
+
+function raiseLowWaterMark(tables: AgentTables, keeper: Incarnation, sequence: number): void {
+    tables.lowWaterMarks.delete(keeper);
+    tables.lowWaterMarks.set(keeper, sequence);
+    if (tables.lowWaterMarks.size <= maximumLowWaterMarks) {
+        return;
+    }
+    const [oldest] = tables.lowWaterMarks.entries();
+    if (oldest !== undefined) {
+        tables.lowWaterMarks.delete(oldest[0]);
+    }
+}
+
+/**
+ * Describes a task as the ledger knows it.
+ *
+ * @param row - the task
+ * @returns its report
+ */
+export function describeTask(row: TaskRow): TaskReport {
+    return { index: row.index, report: describeState(row) };
+}
+
+function describeState(row: TaskRow): TaskReportState {
+    switch (row.state) {
+        case "received":
+            return { state: "unknown" };
+        case "standing-by":
+        case "running":
+            return { state: row.state };
+        case "succeeded":
+            return { state: "succeeded", output: row.output as JsonValue };
+        case "failed":
+            return { state: "failed", reason: row.reason ?? "failed" };
+        case "refused":
+            return { state: "refused", refusal: row.refusal ?? "busy" };
+    }
+}
+
+/**
+ * Lists the tasks of a submission that were handed to the backend server.
+ *
+ * @param tables - the agent's tables
+ * @param submission - the submission
+ * @returns their reports, in the order of their indexes
+ */
+export function describeStartedTasks(tables: AgentTables, submission: SubmissionKey): readonly TaskReport[] {
+    const indexes = tables.submissions.get(submission)?.indexes ?? [];
+    return [...indexes]
+        .sort((left, right) => left - right)
+        .map(index => tables.tasks.get(taskKey(submission, index)))
+        .filter(row => row !== undefined)
+        .filter(row => row.state === "running" || row.state === "succeeded" || row.state === "failed")
+        .map(describeTask);
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/entities/submissionQueue.ts
@@ -0,0 +1,58 @@
+/**
+ * Submissions of one keeper, ascending by sequence number.
+ */
+import type { SubmissionKey } from "@lovagepitch/types/identity";
+
+/** Removed places at the front after which the list is copied. */
+const compactAfter = 1_024;
+
+interface QueuedSubmission {
+    readonly sequence: number;
+    readonly submission: SubmissionKey;
+}
+
+/** A sorted queue whose insertions are mostly at its end. */
+export class SubmissionQueue {
+    private items: QueuedSubmission[] = [];
+    private head = 0;
+
+    /** Number of submissions. */
+    public get size(): number {
+        return this.items.length - this.head;
+    }
+
+    /**
+     * Inserts a submission.
+     *
+     * @param sequence - its sequence number
+     * @param submission - the submission
+     */
+    public insert(sequence: number, submission: SubmissionKey): void {
+        let position = this.items.length;
+        while (position > this.head && (this.items[position - 1]?.sequence ?? 0) > sequence) {
+            position -= 1;
+        }
+        this.items.splice(position, 0, { sequence, submission });
+    }
+
+    /**
+     * Finds the submission with the lowest sequence number.
+     *
+     * @returns the submission, or undefined when the queue is empty
+     */
+    public first(): SubmissionKey | undefined {
+        return this.items[this.head]?.submission;
+    }
+
+    /** Removes the submission with the lowest sequence number. */
+    public removeFirst(): void {
+        if (this.size === 0) {
+            return;
+        }
+        this.head += 1;
+        if (this.head >= compactAfter) {
+            this.items = this.items.slice(this.head);
+            this.head = 0;
+        }
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/systems/deliverOutcomes.ts
@@ -0,0 +1,106 @@
+/**
+ * Delivery of outcomes until they are acknowledged.
+ */
+import type { PeerAddress } from "@lovagepitch/types/identity";
+import type { AcknowledgeOutcomes } from "@lovagepitch/types/peerMessage";
+import { pairKey, taskKey } from "../entities/agentTables.js";
+import { describeTask } from "../entities/ledger.js";
+import type { DeliveryRow, SubmissionRow } from "../entities/rows.js";
+import type { TickContext } from "./tickContext.js";
+
+const firstPauseMilliseconds = 300;
+const longestPauseMilliseconds = 5_000;
+/** Pause between attempts while the receiver cannot be reached, in milliseconds. */
+const unreachablePauseMilliseconds = 10_000;
+/** Times that a refusal, or an outcome for an entry that only sealed, is sent at most. */
+const maximumAttempts = 5;
+/** Most outcomes that are sent again in one tick. */
+const maximumResendsPerTick = 500;
+
+/**
+ * Adds due outcomes to the tick's reports.
+ *
+ * @param context - the tick
+ */
+export function deliverOutcomes(context: TickContext): void {
+    let resends = 0;
+    for (const [key, delivery] of [...context.tables.deliveries.entries()]) {
+        const row = context.tables.submissions.get(delivery.submission);
+        if (row === undefined || isOver(context, delivery, row)) {
+            context.tables.deliveries.delete(key);
+            continue;
+        }
+        const isResend = delivery.attempts > 0;
+        const isDue = delivery.nextAtMilliseconds <= context.now;
+        if (!isDue || (isResend && resends >= maximumResendsPerTick)) {
+            context.wakeAt(Math.max(delivery.nextAtMilliseconds, context.now + 1));
+            continue;
+        }
+        resends += isResend ? delivery.indexes.length : 0;
+        send(context, delivery);
+        const nextAtMilliseconds = context.now + findPause(context, delivery);
+        context.tables.deliveries.set(key, { ...delivery, attempts: delivery.attempts + 1, nextAtMilliseconds });
+        context.wakeAt(nextAtMilliseconds);
+    }
+}
+
+function isOver(context: TickContext, delivery: DeliveryRow, row: SubmissionRow): boolean {
+    if (row.touchedAtMilliseconds + context.settings.resubmissionWindowMilliseconds <= context.now) {
+        return true;
+    }
+    if (delivery.attempts < maximumAttempts || delivery.nextAtMilliseconds > context.now) {
+        return false;
+    }
+    return delivery.receiver !== row.keeper.address || !holdsResult(context, delivery);
+}
+
+/**
+ * Tells whether a delivery holds the result of a task that ran.
+ *
+ * @param context - the tick
+ * @param delivery - the delivery
+ * @returns false when all of its outcomes are refusals
+ */
+export function holdsResult(context: TickContext, delivery: DeliveryRow): boolean {
+    return delivery.indexes.some(index => {
+        const state = context.tables.tasks.get(taskKey(delivery.submission, index))?.state;
+        return state === "succeeded" || state === "failed";
+    });
+}
+
+function send(context: TickContext, delivery: DeliveryRow): void {
+    for (const index of delivery.indexes) {
+        const task = context.tables.tasks.get(taskKey(delivery.submission, index));
+        if (task !== undefined) {
+            context.report(delivery.receiver, delivery.submission, describeTask(task));
+        }
+    }
+}
+
+function findPause(context: TickContext, delivery: DeliveryRow): number {
+    if (context.tables.entries.get(delivery.receiver)?.unreachable === true) {
+        return unreachablePauseMilliseconds;
+    }
+    return Math.min(longestPauseMilliseconds, firstPauseMilliseconds * 2 ** delivery.attempts);
+}
+
+/**
+ * Ends the delivery of outcomes that arrived.
+ *
+ * @param context - the tick
+ * @param sender - the entry that has them
+ * @param message - the outcomes
+ */
+export function acknowledgeOutcomes(context: TickContext, sender: PeerAddress, message: AcknowledgeOutcomes): void {
+    const key = pairKey(sender, message.submission);
+    const delivery = context.tables.deliveries.get(key);
+    if (delivery === undefined) {
+        return;
+    }
+    const indexes = delivery.indexes.filter(index => !message.indexes.includes(index));
+    if (indexes.length === 0) {
+        context.tables.deliveries.delete(key);
+        return;
+    }
+    context.tables.deliveries.set(key, { ...delivery, indexes });
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/systems/entries.ts
@@ -0,0 +1,125 @@
+/**
+ * Entries that the agent knows of, and their incarnations.
+ */
+import type { PeerAddress, PeerIdentity } from "@lovagepitch/types/identity";
+import type { EntryRegistration } from "@lovagepitch/types/registry";
+import { maximumEntries } from "../entities/agentTables.js";
+import type { EntryRow } from "../entities/rows.js";
+import { dropBids } from "./reservations.js";
+import type { TickContext } from "./tickContext.js";
+
+/** Earlier incarnations of an entry that are remembered. */
+const maximumReplaced = 8;
+
+/**
+ * Takes note of a batch's sender.
+ *
+ * @param context - the tick
+ * @param sender - the entry
+ * @returns false when the batch comes from an incarnation that another has replaced
+ */
+export function hearEntry(context: TickContext, sender: PeerIdentity): boolean {
+    const known = context.tables.entries.get(sender.address);
+    if (known === undefined) {
+        addEntry(context, sender);
+        return true;
+    }
+    if (known.replaced.includes(sender.incarnation)) {
+        return false;
+    }
+    const heard = { ...known, unreachable: false, heardAtMilliseconds: context.now };
+    if (known.incarnation === undefined || known.incarnation === sender.incarnation) {
+        context.tables.entries.set(sender.address, {
+            ...heard,
+            incarnation: sender.incarnation,
+            announceAtMilliseconds: known.announced === undefined ? known.announceAtMilliseconds : undefined,
+        });
+        hastenDeliveries(context, known);
+        return true;
+    }
+    context.tables.entries.set(sender.address, {
+        ...heard,
+        incarnation: sender.incarnation,
+        replaced: [...known.replaced, known.incarnation].slice(-maximumReplaced),
+        announced: undefined,
+        announceAtMilliseconds: undefined,
+    });
+    dropBids(context, sender.address);
+    dropDeliveries(context, sender.address);
+    return true;
+}
+
+function addEntry(context: TickContext, sender: PeerIdentity): void {
+    if (context.tables.entries.size >= maximumEntries) {
+        return;
+    }
+    context.tables.entries.set(sender.address, {
+        address: sender.address,
+        incarnation: sender.incarnation,
+        replaced: [],
+        unreachable: false,
+        heardAtMilliseconds: context.now,
+        announced: undefined,
+        announceAtMilliseconds: undefined,
+    });
+}
+
+function hastenDeliveries(context: TickContext, entry: EntryRow): void {
+    if (!entry.unreachable) {
+        return;
+    }
+    for (const [key, delivery] of [...context.tables.deliveries.entries()]) {
+        if (delivery.receiver === entry.address) {
+            context.tables.deliveries.set(key, { ...delivery, attempts: 0, nextAtMilliseconds: context.now });
+        }
+    }
+}
+
+function dropDeliveries(context: TickContext, address: PeerAddress): void {
+    for (const [key, delivery] of [...context.tables.deliveries.entries()]) {
+        if (delivery.receiver === address) {
+            context.tables.deliveries.delete(key);
+        }
+    }
+}
+
+/**
+ * Takes note that an entry cannot be reached.
+ *
+ * @param context - the tick
+ * @param address - the entry
+ */
+export function loseEntry(context: TickContext, address: PeerAddress): void {
+    context.tables.entries.update(address, { unreachable: true });
+    dropBids(context, address);
+}
+
+/**
+ * Adds the entries of a reading of the registry, and removes those that are gone.
+ *
+ * @param context - the tick
+ * @param entries - the registered entries
+ */
+export function readEntries(context: TickContext, entries: readonly EntryRegistration[]): void {
+    const serving = new Map(entries.filter(entry => entry.state === "serving").map(entry => [entry.address, entry]));
+    for (const known of [...context.tables.entries.values()]) {
+        const isSilent = known.unreachable || known.heardAtMilliseconds === 0;
+        if (isSilent && !serving.has(known.address)) {
+            context.tables.entries.delete(known.address);
+        }
+    }
+    for (const entry of serving.values()) {
+        if (!context.tables.entries.has(entry.address) && context.tables.entries.size < maximumEntries) {
+            context.tables.entries.set(entry.address, {
+                address: entry.address,
+                // The row may be older than what the entry itself will say.
+                incarnation: undefined,
+                replaced: [],
+                unreachable: false,
+                heardAtMilliseconds: 0,
+                announced: undefined,
+                announceAtMilliseconds: undefined,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/systems/handleInputs.ts
@@ -0,0 +1,136 @@
+/**
+ * Inputs of one tick, handed to the systems that they concern.
+ */
+import type { PeerBatch, PeerMessage, PlaceBid } from "@lovagepitch/types/peerMessage";
+import type { AgentInput } from "../agentInput.js";
+import { maximumBids, pairKey } from "../entities/agentTables.js";
+import { receiveAnnouncement, receiveLeaving } from "./backendServer.js";
+import { adoptManifest, noticeVersion } from "./configuration.js";
+import { acknowledgeOutcomes } from "./deliverOutcomes.js";
+import { hearEntry, loseEntry, readEntries } from "./entries.js";
+import { beginStop } from "./plannedStop.js";
+import { queryTasks, recallTasks } from "./recallTasks.js";
+import { receiveOutcome } from "./receiveOutcome.js";
+import { type MessageOrigin, receiveStarts } from "./receiveStarts.js";
+import { receiveRegistration, receiveRegistrationFailure } from "./registration.js";
+import { declineOffer } from "./reservations.js";
+import { sealSubmissions } from "./sealSubmissions.js";
+import type { TickContext } from "./tickContext.js";
+
+/**
+ * Handles the inputs of a tick. What the agent's own side says goes before messages, so that a start finds the slots
+ * that were freed, and the leaving that began, in the same tick.
+ *
+ * @param context - the tick
+ * @param inputs - the inputs in the order of their arrival
+ */
+export function handleInputs(context: TickContext, inputs: readonly AgentInput[]): void {
+    for (const input of inputs) {
+        if (input.type !== "peerBatch") {
+            handleOwnInput(context, input);
+        }
+    }
+    for (const input of inputs) {
+        if (input.type === "peerBatch") {
+            handleBatch(context, input.batch);
+        }
+    }
+}
+
+function handleOwnInput(context: TickContext, input: Exclude<AgentInput, { type: "peerBatch" }>): void {
+    switch (input.type) {
+        case "peerUnreachable":
+            return loseEntry(context, input.address);
+        case "backendAnnounced":
+            return receiveAnnouncement(context, input.offer);
+        case "backendLeaving":
+            return receiveLeaving(context);
+        case "taskEnded":
+            return receiveOutcome(context, input.submission, input.index, input.outcome);
+        case "registered":
+            return receiveRegistration(context, input.number);
+        case "registrationFailed":
+            return receiveRegistrationFailure(context);
+        case "entriesRead":
+            return readEntries(context, input.entries);
+        case "manifestAccepted":
+            return adoptManifest(context, input.manifest);
+        case "stop":
+            return beginStop(context);
+    }
+}
+
+function handleBatch(context: TickContext, batch: PeerBatch): void {
+    const isEntry = batch.role === "entry";
+    if (isEntry && !hearEntry(context, batch.sender)) {
+        return;
+    }
+    const origin = { sender: batch.sender.address, configurationVersion: batch.configurationVersion };
+    for (const message of batch.messages) {
+        handlePeerMessage(context, origin, message);
+        if (isEntry) {
+            handleEntryMessage(context, origin, message);
+        }
+    }
+    noticeVersion(context, origin.sender, batch.configurationVersion);
+}
+
+function handlePeerMessage(context: TickContext, origin: MessageOrigin, message: PeerMessage): void {
+    switch (message.type) {
+        case "ping":
+            context.send(origin.sender, { type: "pong" });
+            return;
+        case "requestManifest":
+            if (context.tables.manifest !== undefined) {
+                context.send(origin.sender, { type: "sendManifest", manifest: context.tables.manifest });
+            }
+            return;
+        case "sendManifest":
+            adoptManifest(context, message.manifest);
+            return;
+        default:
+            return;
+    }
+}
+
+function handleEntryMessage(context: TickContext, origin: MessageOrigin, message: PeerMessage): void {
+    switch (message.type) {
+        case "startTasks":
+            return receiveStarts(context, origin, message);
+        case "recallTasks":
+            return recallTasks(context, origin.sender, message);
+        case "queryTasks":
+            return queryTasks(context, origin.sender, message);
+        case "sealSubmissions":
+            return sealSubmissions(context, origin.sender, message);
+        case "acknowledgeOutcomes":
+            return acknowledgeOutcomes(context, origin.sender, message);
+        case "placeBid":
+            return placeBid(context, origin, message);
+        case "declineOffer":
+            return declineOffer(context, origin.sender, message.slots);
+        default:
+            return;
+    }
+}
+
+function placeBid(context: TickContext, origin: MessageOrigin, message: PlaceBid): void {
+    const { bids } = context.tables;
+    const key = pairKey(origin.sender, message.service);
+    if (message.waitingTasks <= 0) {
+        bids.delete(key);
+        return;
+    }
+    if (!bids.has(key) && bids.size >= maximumBids) {
+        return;
+    }
+    bids.set(key, {
+        address: origin.sender,
+        service: message.service,
+        oldestArrivalMilliseconds: message.oldestArrivalMilliseconds,
+        waitingTasks: message.waitingTasks,
+        placedAtMilliseconds: context.now,
+        unanswered: 0,
+        notBeforeMilliseconds: 0,
+    });
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/systems/receiveOutcome.ts
@@ -0,0 +1,62 @@
+/**
+ * Outcomes of dispatched tasks, and what they say of the backend server.
+ */
+import type { SubmissionKey } from "@lovagepitch/types/identity";
+import type { TaskOutcome } from "../agentInput.js";
+import { taskKey } from "../entities/agentTables.js";
+import { moveTask } from "../entities/ledger.js";
+import { queueOutcome } from "./queueOutcome.js";
+import type { TickContext } from "./tickContext.js";
+
+/** Failed submissions that are remembered to tell a bad job from a bad backend server. */
+const maximumFailedSubmissions = 8;
+
+/**
+ * Records how a task ended.
+ *
+ * @param context - the tick
+ * @param submission - the submission
+ * @param index - the task's index
+ * @param outcome - how it ended
+ */
+export function receiveOutcome(
+    context: TickContext,
+    submission: SubmissionKey,
+    index: number,
+    outcome: TaskOutcome,
+): void {
+    const { tables, now } = context;
+    if (tables.tasks.get(taskKey(submission, index))?.state !== "running") {
+        return;
+    }
+    switch (outcome.kind) {
+        case "succeeded":
+            moveTask(tables, submission, index, "succeed", { output: outcome.output }, now);
+            break;
+        case "failed":
+            moveTask(tables, submission, index, "fail", { reason: outcome.reason }, now);
+            break;
+        case "not-delivered":
+            // Closed, so that one pair is dispatched at most once in the life of the agent.
+            moveTask(tables, submission, index, "refuse", { refusal: "backend-unavailable", closed: true }, now);
+            break;
+    }
+    judgeBackendServer(context, submission, outcome);
+    queueOutcome(context, submission, index);
+    context.decide("finished", outcome.kind, { submission, task: index });
+}
+
+function judgeBackendServer(context: TickContext, submission: SubmissionKey, outcome: TaskOutcome): void {
+    const { backendServer } = context.tables;
+    if (backendServer === undefined) {
+        return;
+    }
+    if (outcome.kind === "succeeded") {
+        context.tables.backendServer = { ...backendServer, failedSubmissions: [] };
+        return;
+    }
+    // The failures of one job count once, for the job may be bad.
+    const others = backendServer.failedSubmissions.filter(failed => failed !== submission);
+    const failedSubmissions = [...others, submission].slice(-maximumFailedSubmissions);
+    context.tables.backendServer = { ...backendServer, failedSubmissions };
+}
