feat(agent): refuse starts that are late by their sequence

Cause: a start that was refused and then doubled could run after its task had gone to another agent. Change: the highest start or recall of each keeper incarnation is kept; a start that is not above it and is not on record is refused as out-of-order; refusals echo the sequence they hold for; a start for another incarnation is ignored, and one that does not come from the keeper is refused.

--- a/packages/lovagepitch-agent/src/core/entities/agentTables.ts
+++ b/packages/lovagepitch-agent/src/core/entities/agentTables.ts
@@ -23,8 +23,8 @@
 export const maximumEntries = 1_000;
 /** Most bids that an agent remembers. */
 export const maximumBids = 4_000;
-/** Most keeper incarnations whose low-water mark an agent remembers. */
-export const maximumLowWaterMarks = 10_000;
+/** Most keeper incarnations whose low-water mark or start sequence an agent remembers. */
+export const maximumKeeperIncarnations = 10_000;
 
 /** Progress of the registration row. */
 export interface RegistrationProgress {
@@ -74,6 +74,8 @@
     public readonly bids = new Table<PairKey, BidRow>();
     public readonly offers = new Table<PeerAddress, OfferRow>();
     public readonly deliveries = new Table<PairKey, DeliveryRow>();
+    /** Highest start or recall of each keeper that arrived, in the order in which they rose. */
+    public readonly startSequences = new Table<Incarnation, number>();
     public runningTasks = 0;
     public ledgerBytes = 0;
 
@@ -87,6 +89,29 @@
     }
 }
 
+/**
+ * Raises the number kept for a keeper; the keeper whose number has not risen for longest is dropped when there are too
+ * many.
+ *
+ * @param table - numbers by keeper
+ * @param keeper - the keeper
+ * @param value - the new number
+ */
+export function raiseForKeeper(table: Table<Incarnation, number>, keeper: Incarnation, value: number): void {
+    if (value <= (table.get(keeper) ?? 0)) {
+        return;
+    }
+    table.delete(keeper);
+    table.set(keeper, value);
+    if (table.size <= maximumKeeperIncarnations) {
+        return;
+    }
+    const [oldest] = table.entries();
+    if (oldest !== undefined) {
+        table.delete(oldest[0]);
+    }
+}
+
 /**
  * Makes the key of a task.
  *
--- a/packages/lovagepitch-agent/src/core/entities/ledger.ts
+++ b/packages/lovagepitch-agent/src/core/entities/ledger.ts
@@ -5,7 +5,7 @@
 import type { JsonValue } from "@lovagepitch/types/job";
 import type { TaskReport, TaskReportState } from "@lovagepitch/types/peerMessage";
 import { type TaskEvent, taskLifecycle, type TaskState } from "../lifecycles/taskLifecycle.js";
-import { type AgentTables, maximumLowWaterMarks, taskKey } from "./agentTables.js";
+import { type AgentTables, raiseForKeeper, taskKey } from "./agentTables.js";
 import { estimateJsonBytes } from "./jsonSize.js";
 import type { SubmissionRow, TaskRow } from "./rows.js";
 import { SubmissionQueue } from "./submissionQueue.js";
@@ -73,7 +73,7 @@
 }
 
 /** Facts that come with a change of a task's state. */
-export type TaskFields = Partial<Pick<TaskRow, "attempt" | "refusal" | "closed" | "output" | "reason">>;
+export type TaskFields = Partial<Pick<TaskRow, "refusal" | "startSequence" | "closed" | "output" | "reason">>;
 
 /**
  * Moves a task to its next state and keeps the ledger's sums.
@@ -101,7 +101,6 @@
     const row: TaskRow = {
         submission,
         index,
-        attempt: before?.attempt ?? 0,
         closed: before?.closed ?? false,
         ...fields,
         state,
@@ -172,19 +171,7 @@
     if (queue.size === 0) {
         tables.keepers.delete(keeper);
     }
-    raiseLowWaterMark(tables, keeper, row.sequence);
-}
-
-function raiseLowWaterMark(tables: AgentTables, keeper: Incarnation, sequence: number): void {
-    tables.lowWaterMarks.delete(keeper);
-    tables.lowWaterMarks.set(keeper, sequence);
-    if (tables.lowWaterMarks.size <= maximumLowWaterMarks) {
-        return;
-    }
-    const [oldest] = tables.lowWaterMarks.entries();
-    if (oldest !== undefined) {
-        tables.lowWaterMarks.delete(oldest[0]);
-    }
+    raiseForKeeper(tables.lowWaterMarks, keeper, row.sequence);
 }
 
 /**
@@ -209,7 +196,7 @@
         case "failed":
             return { state: "failed", reason: row.reason ?? "failed" };
         case "refused":
-            return { state: "refused", refusal: row.refusal ?? "busy" };
+            return { state: "refused", refusal: row.refusal ?? "busy", startSequence: row.startSequence ?? 0 };
     }
 }
 
--- a/packages/lovagepitch-agent/src/core/entities/rows.ts
+++ b/packages/lovagepitch-agent/src/core/entities/rows.ts
@@ -18,9 +18,9 @@
     readonly submission: SubmissionKey;
     readonly index: number;
     readonly state: TaskState;
-    /** Number of the keeper's start that the state answers; 0 when the keeper does not number its starts. */
-    readonly attempt: number;
     readonly refusal?: TaskRefusal;
+    /** Highest start of the keeper that a refusal holds for. */
+    readonly startSequence?: number;
     /** No later start can take the task. */
     readonly closed: boolean;
     readonly output?: JsonValue;
@@ -32,7 +32,7 @@
 export interface StandingByRow {
     readonly submission: SubmissionKey;
     readonly index: number;
-    readonly sender: PeerAddress;
+    readonly sender: PeerIdentity;
     readonly team: string;
     readonly service: string;
     readonly kind: string;
--- a/packages/lovagepitch-agent/src/core/systems/handleInputs.ts
+++ b/packages/lovagepitch-agent/src/core/systems/handleInputs.ts
@@ -65,24 +65,24 @@
     if (isEntry && !hearEntry(context, batch.sender)) {
         return;
     }
-    const origin = { sender: batch.sender.address, configurationVersion: batch.configurationVersion };
+    const origin = { sender: batch.sender, configurationVersion: batch.configurationVersion };
     for (const message of batch.messages) {
         handlePeerMessage(context, origin, message);
         if (isEntry) {
             handleEntryMessage(context, origin, message);
         }
     }
-    noticeVersion(context, origin.sender, batch.configurationVersion);
+    noticeVersion(context, origin.sender.address, batch.configurationVersion);
 }
 
 function handlePeerMessage(context: TickContext, origin: MessageOrigin, message: PeerMessage): void {
     switch (message.type) {
         case "ping":
-            context.send(origin.sender, { type: "pong" });
+            context.send(origin.sender.address, { type: "pong" });
             return;
         case "requestManifest":
             if (context.tables.manifest !== undefined) {
-                context.send(origin.sender, { type: "sendManifest", manifest: context.tables.manifest });
+                context.send(origin.sender.address, { type: "sendManifest", manifest: context.tables.manifest });
             }
             return;
         case "sendManifest":
@@ -100,15 +100,15 @@
         case "recallTasks":
             return recallTasks(context, origin.sender, message);
         case "queryTasks":
-            return queryTasks(context, origin.sender, message);
+            return queryTasks(context, origin.sender.address, message);
         case "sealSubmissions":
-            return sealSubmissions(context, origin.sender, message);
+            return sealSubmissions(context, origin.sender.address, message);
         case "acknowledgeOutcomes":
-            return acknowledgeOutcomes(context, origin.sender, message);
+            return acknowledgeOutcomes(context, origin.sender.address, message);
         case "placeBid":
             return placeBid(context, origin, message);
         case "declineOffer":
-            return declineOffer(context, origin.sender, message.slots);
+            return declineOffer(context, origin.sender.address, message.slots);
         default:
             return;
     }
@@ -116,7 +116,7 @@
 
 function placeBid(context: TickContext, origin: MessageOrigin, message: PlaceBid): void {
     const { bids } = context.tables;
-    const key = pairKey(origin.sender, message.service);
+    const key = pairKey(origin.sender.address, message.service);
     if (message.waitingTasks <= 0) {
         bids.delete(key);
         return;
@@ -125,7 +125,7 @@
         return;
     }
     bids.set(key, {
-        address: origin.sender,
+        address: origin.sender.address,
         service: message.service,
         oldestArrivalMilliseconds: message.oldestArrivalMilliseconds,
         waitingTasks: message.waitingTasks,
--- a/packages/lovagepitch-agent/src/core/systems/recallTasks.ts
+++ b/packages/lovagepitch-agent/src/core/systems/recallTasks.ts
@@ -1,31 +1,28 @@
 /**
  * Recalls and queries of tasks.
  */
-import type { PeerAddress, SubmissionIdentity } from "@lovagepitch/types/identity";
+import type { PeerAddress, PeerIdentity, SubmissionIdentity } from "@lovagepitch/types/identity";
 import type { QueryTasks, RecallTasks, TaskReport } from "@lovagepitch/types/peerMessage";
-import { taskKey } from "../entities/agentTables.js";
-import { describeTask, isForgotten, openSubmission } from "../entities/ledger.js";
-import { hasLedgerRoom } from "./evictLedger.js";
-import { refuseTask } from "./refuseTask.js";
+import { raiseForKeeper, taskKey } from "../entities/agentTables.js";
+import { describeTask, isForgotten } from "../entities/ledger.js";
+import { findStartSequence, refuseTask } from "./refuseTask.js";
 import type { TickContext } from "./tickContext.js";
 
 /**
- * Drops tasks that have not started; one that was never heard of is refused when its start arrives.
+ * Drops tasks that have not started; their earlier starts are refused when they arrive later.
  *
  * @param context - the tick
  * @param sender - the entry that asked
  * @param message - the recall
  */
-export function recallTasks(context: TickContext, sender: PeerAddress, message: RecallTasks): void {
+export function recallTasks(context: TickContext, sender: PeerIdentity, message: RecallTasks): void {
+    raiseForKeeper(context.tables.startSequences, sender.incarnation, message.startSequence);
     const decoded = context.parts.codec.decode(message.submission);
-    if (decoded.err) {
+    if (decoded.err || decoded.val.keeper.incarnation !== sender.incarnation) {
         return;
     }
     for (const index of message.indexes) {
-        const report = recallTask(context, decoded.val, message, index);
-        if (report !== undefined) {
-            context.report(sender, message.submission, report);
-        }
+        context.report(sender.address, message.submission, recallTask(context, decoded.val, message, index));
     }
 }
 
@@ -34,23 +31,19 @@
     identity: SubmissionIdentity,
     message: RecallTasks,
     index: number,
-): TaskReport | undefined {
-    const { tables } = context;
-    if (isForgotten(tables, identity)) {
-        return { index, report: { state: "forgotten" } };
+): TaskReport {
+    const row = context.tables.tasks.get(taskKey(message.submission, index));
+    if (row?.state === "standing-by") {
+        return describeTask(refuseTask(context, message.submission, index, "recalled"));
     }
-    const key = taskKey(message.submission, index);
-    const row = tables.tasks.get(key);
-    if (row !== undefined && (row.closed || (row.state !== "standing-by" && row.state !== "refused"))) {
+    if (row !== undefined && row.state !== "refused") {
         return describeTask(row);
     }
-    // Without room for its record the recall stays unanswered, and its sender repeats it.
-    if (row === undefined && !hasLedgerRoom(context)) {
-        return undefined;
+    if (isForgotten(context.tables, identity)) {
+        return { index, report: { state: "forgotten" } };
     }
-    tables.standingBy.delete(key);
-    openSubmission(tables, message.submission, identity, context.now);
-    return describeTask(refuseTask(context, message.submission, index, "recalled"));
+    const startSequence = findStartSequence(context, identity.keeper.incarnation);
+    return { index, report: { state: "refused", refusal: "recalled", startSequence } };
 }
 
 /**
@@ -84,5 +77,9 @@
         return { index, report: { state: "forgotten" } };
     }
     const isSealed = context.tables.submissions.get(message.submission)?.sealed === true;
-    return { index, report: isSealed ? { state: "refused", refusal: "sealed" } : { state: "unknown" } };
+    if (!isSealed) {
+        return { index, report: { state: "unknown" } };
+    }
+    const startSequence = findStartSequence(context, identity.keeper.incarnation);
+    return { index, report: { state: "refused", refusal: "sealed", startSequence } };
 }
--- a/packages/lovagepitch-agent/src/core/systems/receiveOutcome.ts
+++ b/packages/lovagepitch-agent/src/core/systems/receiveOutcome.ts
@@ -6,6 +6,7 @@
 import { taskKey } from "../entities/agentTables.js";
 import { moveTask } from "../entities/ledger.js";
 import { queueOutcome } from "./queueOutcome.js";
+import { refuseTask } from "./refuseTask.js";
 import type { TickContext } from "./tickContext.js";
 
 /** Failed submissions that are remembered to tell a bad job from a bad backend server. */
@@ -38,7 +39,8 @@
             break;
         case "not-delivered":
             // Closed, so that one pair is dispatched at most once in the life of the agent.
-            moveTask(tables, submission, index, "refuse", { refusal: "backend-unavailable", closed: true }, now);
+            refuseTask(context, submission, index, "backend-unavailable");
+            tables.tasks.update(taskKey(submission, index), { closed: true });
             break;
     }
     judgeBackendServer(context, submission, outcome);
--- a/packages/lovagepitch-agent/src/core/systems/receiveStarts.ts
+++ b/packages/lovagepitch-agent/src/core/systems/receiveStarts.ts
@@ -1,15 +1,14 @@
 /**
  * Starts: a task is taken, or answered from the ledger, or refused.
  */
-import type { PeerAddress, SubmissionIdentity, SubmissionKey } from "@lovagepitch/types/identity";
-import type { StartedTask, StartTasks, TaskRefusal, TaskReportState } from "@lovagepitch/types/peerMessage";
-import { taskKey } from "../entities/agentTables.js";
+import type { PeerIdentity, SubmissionIdentity } from "@lovagepitch/types/identity";
+import type { StartedTask, StartTasks, TaskRefusal } from "@lovagepitch/types/peerMessage";
+import { raiseForKeeper, taskKey } from "../entities/agentTables.js";
 import { describeTask, isForgotten, moveTask, openSubmission } from "../entities/ledger.js";
-import type { TaskRow } from "../entities/rows.js";
 import { countRoom } from "./agentLoad.js";
 import { hasLedgerRoom } from "./evictLedger.js";
 import { isPermitted, judgeStart } from "./judgeStart.js";
-import { refuseTask } from "./refuseTask.js";
+import { findStartSequence, refuseTask } from "./refuseTask.js";
 import type { TickContext } from "./tickContext.js";
 
 /** Longest time that a start waits for the configuration version that its sender has, in milliseconds. */
@@ -17,18 +16,17 @@
 
 /** Where a message came from. */
 export interface MessageOrigin {
-    readonly sender: PeerAddress;
+    readonly sender: PeerIdentity;
     /** Configuration version in force at the sender. */
     readonly configurationVersion: number;
 }
 
-/** A start whose keeper numbers its starts of each task, so that a late copy is told from a new start. */
-export type NumberedStart = StartTasks & { readonly attempt?: number };
-
 interface StartRequest {
     readonly origin: MessageOrigin;
     readonly identity: SubmissionIdentity;
-    readonly message: NumberedStart;
+    readonly message: StartTasks;
+    /** A start or recall of the same sender that is as high or higher came before. */
+    readonly isLate: boolean;
 }
 
 /**
@@ -38,64 +36,59 @@
  * @param origin - where the message came from
  * @param message - the start
  */
-export function receiveStarts(context: TickContext, origin: MessageOrigin, message: NumberedStart): void {
+export function receiveStarts(context: TickContext, origin: MessageOrigin, message: StartTasks): void {
+    if (message.agent !== context.parts.identity.incarnation) {
+        return;
+    }
+    const { sender } = origin;
+    const isLate = message.startSequence <= findStartSequence(context, sender.incarnation);
+    raiseForKeeper(context.tables.startSequences, sender.incarnation, message.startSequence);
     const decoded = context.parts.codec.decode(message.submission);
-    if (decoded.err) {
-        refuseUnrecorded(context, origin, message);
+    const isKept = decoded.ok && decoded.val.keeper.incarnation === sender.incarnation;
+    if (!isKept) {
+        for (const task of message.tasks) {
+            reportRefusal(context, origin, message, task, "not-eligible");
+        }
         return;
     }
-    const request = { origin, identity: decoded.val, message };
+    const request = { origin, identity: decoded.val, message, isLate };
     for (const task of message.tasks) {
         receiveStart(context, request, task);
     }
 }
 
-function refuseUnrecorded(context: TickContext, origin: MessageOrigin, message: NumberedStart): void {
-    for (const task of message.tasks) {
-        reply(context, origin, message.submission, task.index, { state: "refused", refusal: "not-eligible" });
-    }
-    context.decide("declined", "the submission id is not authentic", { peer: origin.sender });
-}
-
 function receiveStart(context: TickContext, request: StartRequest, task: StartedTask): void {
     const { origin, identity, message } = request;
+    const { address } = origin.sender;
     if (isForgotten(context.tables, identity)) {
-        reply(context, origin, message.submission, task.index, { state: "forgotten" });
+        context.report(address, message.submission, { index: task.index, report: { state: "forgotten" } });
         return;
     }
     const known = context.tables.tasks.get(taskKey(message.submission, task.index));
-    if (known !== undefined && !isNewStart(known, message)) {
-        context.report(origin.sender, message.submission, describeTask(known));
-        return;
-    }
-    // Without room for its record the start stays unanswered, and its sender repeats it.
-    if (!hasLedgerRoom(context)) {
-        context.decide("declined", "the ledger is full", { submission: message.submission, task: task.index });
+    if (known !== undefined && known.state !== "refused") {
+        context.report(address, message.submission, describeTask(known));
         return;
     }
-    openSubmission(context.tables, message.submission, identity, context.now);
-    const refusal = findRefusal(context, request);
-    if (refusal === undefined) {
-        standBy(context, request, task);
+    const refusal = findRefusal(context, request, known?.closed === true);
+    if (refusal !== undefined) {
+        if (known !== undefined) {
+            refuseTask(context, message.submission, task.index, refusal);
+        }
+        reportRefusal(context, origin, message, task, refusal);
         return;
     }
-    const row = refuseTask(context, message.submission, task.index, refusal, message.attempt);
-    context.report(origin.sender, message.submission, describeTask(row));
+    standBy(context, request, task);
 }
 
-function isNewStart(known: TaskRow, message: NumberedStart): boolean {
-    if (known.state !== "refused" || known.closed) {
-        return false;
-    }
-    return message.attempt === undefined || message.attempt > known.attempt;
-}
-
-function findRefusal(context: TickContext, request: StartRequest): TaskRefusal | undefined {
-    const { origin, identity, message } = request;
+function findRefusal(context: TickContext, request: StartRequest, isClosed: boolean): TaskRefusal | undefined {
+    const { origin, identity, message, isLate } = request;
     if (context.tables.submissions.get(message.submission)?.sealed === true) {
         return "sealed";
     }
-    const refusal = judgeStart(context, identity, message);
+    if (isLate) {
+        return "out-of-order";
+    }
+    const refusal = isClosed ? "backend-unavailable" : judgeStart(context, identity, message);
     if (refusal !== undefined) {
         return refusal;
     }
@@ -107,14 +100,16 @@
     if (isCurrent && !isPermitted(context, message.service, message.kind)) {
         return "not-permitted";
     }
-    return countRoom(context, origin.sender) > 0 ? undefined : "busy";
+    const hasRoom = countRoom(context, origin.sender.address) > 0 && hasLedgerRoom(context);
+    // Making room may have raised the mark over this very submission.
+    return hasRoom && !isForgotten(context.tables, identity) ? undefined : "busy";
 }
 
 function standBy(context: TickContext, request: StartRequest, task: StartedTask): void {
-    const { origin, message } = request;
+    const { origin, identity, message } = request;
     const { submission, team, service, kind, deadlineAtMilliseconds } = message;
-    const fields = message.attempt === undefined ? {} : { attempt: message.attempt };
-    moveTask(context.tables, submission, task.index, "standBy", fields, context.now);
+    openSubmission(context.tables, submission, identity, context.now);
+    moveTask(context.tables, submission, task.index, "standBy", {}, context.now);
     context.tables.standingBy.set(taskKey(submission, task.index), {
         submission,
         index: task.index,
@@ -130,12 +125,17 @@
     });
 }
 
-function reply(
+function reportRefusal(
     context: TickContext,
     origin: MessageOrigin,
-    submission: SubmissionKey,
-    index: number,
-    report: TaskReportState,
+    message: StartTasks,
+    task: StartedTask,
+    refusal: TaskRefusal,
 ): void {
-    context.report(origin.sender, submission, { index, report });
+    const { address, incarnation } = origin.sender;
+    context.report(address, message.submission, {
+        index: task.index,
+        report: { state: "refused", refusal, startSequence: findStartSequence(context, incarnation) },
+    });
+    context.decide("declined", refusal, { submission: message.submission, task: task.index, peer: address });
 }
--- a/packages/lovagepitch-agent/src/core/systems/refuseTask.ts
+++ b/packages/lovagepitch-agent/src/core/systems/refuseTask.ts
@@ -1,7 +1,7 @@
 /**
- * Refusal of tasks that were not started.
+ * Refusal of tasks that were taken and have not started.
  */
-import type { SubmissionKey } from "@lovagepitch/types/identity";
+import type { Incarnation, SubmissionKey } from "@lovagepitch/types/identity";
 import type { TaskRefusal } from "@lovagepitch/types/peerMessage";
 import { taskKey } from "../entities/agentTables.js";
 import { describeTask, moveTask } from "../entities/ledger.js";
@@ -9,17 +9,24 @@
 import { queueOutcome } from "./queueOutcome.js";
 import type { TickContext } from "./tickContext.js";
 
-/** Refusals that hold for every later start as well. */
-const closingRefusals: readonly TaskRefusal[] = ["recalled", "sealed"];
+/**
+ * Finds the highest start or recall of a keeper that arrived; earlier ones that arrive later are refused.
+ *
+ * @param context - the tick
+ * @param keeper - incarnation of the keeper
+ * @returns its sequence; 0 before there is one
+ */
+export function findStartSequence(context: TickContext, keeper: Incarnation): number {
+    return context.tables.startSequences.get(keeper) ?? 0;
+}
 
 /**
- * Records a refusal.
+ * Records the refusal of a task that is in the ledger.
  *
  * @param context - the tick
- * @param submission - the submission, whose records are open
+ * @param submission - the submission
  * @param index - the task's index
  * @param refusal - why it is refused
- * @param attempt - number of the start that is refused; the recorded one when absent
  * @returns the task's row
  */
 export function refuseTask(
@@ -27,13 +34,13 @@
     submission: SubmissionKey,
     index: number,
     refusal: TaskRefusal,
-    attempt?: number,
 ): TaskRow {
-    const closed = closingRefusals.includes(refusal);
-    const fields = attempt === undefined ? { refusal, closed } : { refusal, closed, attempt };
-    const row = moveTask(context.tables, submission, index, "refuse", fields, context.now);
+    const { tables, now } = context;
+    const keeper = tables.submissions.get(submission)?.keeper.incarnation ?? "";
+    const startSequence = findStartSequence(context, keeper);
+    tables.standingBy.delete(taskKey(submission, index));
     context.decide("declined", refusal, { submission, task: index });
-    return row;
+    return moveTask(tables, submission, index, "refuse", { refusal, startSequence }, now);
 }
 
 /**
@@ -44,11 +51,10 @@
  * @param refusal - why it is refused
  */
 export function dropStandingBy(context: TickContext, waiting: StandingByRow, refusal: TaskRefusal): void {
-    context.tables.standingBy.delete(taskKey(waiting.submission, waiting.index));
     const row = refuseTask(context, waiting.submission, waiting.index, refusal);
     if (!waiting.reported) {
         // The sender repeats a start that it has no reply to.
-        context.report(waiting.sender, waiting.submission, describeTask(row));
+        context.report(waiting.sender.address, waiting.submission, describeTask(row));
         return;
     }
     queueOutcome(context, waiting.submission, waiting.index);
--- a/packages/lovagepitch-agent/src/core/systems/startStandingBy.ts
+++ b/packages/lovagepitch-agent/src/core/systems/startStandingBy.ts
@@ -24,7 +24,7 @@
             continue;
         }
         const isHeld = waiting.requiredVersion > context.tables.configurationVersion;
-        if (!isHeld && countFreeSlots(context, waiting.sender) > 0) {
+        if (!isHeld && countFreeSlots(context, waiting.sender.address) > 0) {
             dispatch(context, waiting);
             continue;
         }
@@ -56,7 +56,7 @@
     }
     tables.standingBy.delete(taskKey(submission, index));
     const row = moveTask(tables, submission, index, "start", {}, context.now);
-    useReservation(context, waiting.sender, service, "slots");
+    useReservation(context, waiting.sender.address, service, "slots");
     context.outputs.push({
         type: "dispatch",
         task: {
@@ -70,9 +70,9 @@
             timeoutMilliseconds: kindManifest.taskTimeoutMilliseconds,
         },
     });
-    context.decide("started", `${service}/${kind}`, { submission, task: index, peer: waiting.sender });
+    context.decide("started", `${service}/${kind}`, { submission, task: index, peer: waiting.sender.address });
     if (!waiting.reported) {
-        context.report(waiting.sender, submission, describeTask(row));
+        context.report(waiting.sender.address, submission, describeTask(row));
     }
 }
 
@@ -85,7 +85,8 @@
     if (waiting.reported) {
         return;
     }
-    const { submission, index, sender } = waiting;
+    const { submission, index } = waiting;
+    const sender = waiting.sender.address;
     context.tables.standingBy.update(taskKey(submission, index), { reported: true });
     useReservation(context, sender, waiting.service, "standByPlaces");
     context.report(sender, submission, { index, report: { state: "standing-by" } });
