--- /dev/null
+++ b/packages/lovagepitch-configuration/src/describeSchemaIssues.ts
@@ -0,0 +1,83 @@
+/**
+ * Issues that a schema finds, with a remedy for each.
+ */
+import type { z } from "zod";
+import type { DocumentPath } from "./documentPath.js";
+
+/** Something wrong at a path of a document. */
+export interface SchemaIssue {
+    readonly path: DocumentPath;
+    readonly problem: string;
+    readonly remedy: string;
+}
+
+/**
+ * Turns the issues of zod into issues with remedies.
+ *
+ * @param error - what zod found
+ * @param document - the document that was checked
+ * @returns the issues, in the order of the document's schema
+ */
+export function describeSchemaIssues(error: z.ZodError, document: unknown): readonly SchemaIssue[] {
+    return error.issues.flatMap(issue => describe(issue, document));
+}
+
+function describe(issue: z.core.$ZodIssue, document: unknown): readonly SchemaIssue[] {
+    const path = issue.path.map(step => typeof step === "number" ? step : String(step));
+    switch (issue.code) {
+        case "unrecognized_keys":
+            return issue.keys.map(key => ({
+                path: [...path, key],
+                problem: "unknown key",
+                remedy: "remove it or correct its spelling",
+            }));
+        case "invalid_type":
+            return [describeType(issue.expected, path, document)];
+        case "invalid_value":
+            return [{ path, problem: "not one of the allowed values", remedy: `use ${issue.values.join(" or ")}` }];
+        case "too_small":
+            return [{
+                path,
+                problem: "too small",
+                remedy: describeBound(issue, issue.minimum, "at least", "more than"),
+            }];
+        case "too_big":
+            return [{
+                path,
+                problem: "too large",
+                remedy: describeBound(issue, issue.maximum, "at most", "less than"),
+            }];
+        default:
+            return [{ path, problem: "invalid value", remedy: issue.message }];
+    }
+}
+
+function describeType(expected: string, path: DocumentPath, document: unknown): SchemaIssue {
+    const article = /^[aeiou]/.test(expected) ? "an" : "a";
+    const wanted = expected === "int" ? "a whole number" : `${article} ${expected}`;
+    if (valueAt(document, path) === undefined) {
+        return { path, problem: "missing", remedy: `add ${wanted}` };
+    }
+    return { path, problem: "wrong type", remedy: `use ${wanted}` };
+}
+
+function describeBound(
+    issue: { readonly origin: string; readonly inclusive?: boolean | undefined },
+    bound: number | bigint,
+    inclusive: string,
+    exclusive: string,
+): string {
+    const unit = issue.origin === "array" ? " items" : issue.origin === "string" ? " characters" : "";
+    return `use ${issue.inclusive === false ? exclusive : inclusive} ${bound}${unit}`;
+}
+
+function valueAt(document: unknown, path: DocumentPath): unknown {
+    let value = document;
+    for (const step of path) {
+        if (typeof value !== "object" || value === null) {
+            return undefined;
+        }
+        value = (value as Readonly<Record<string | number, unknown>>)[step];
+    }
+    return value;
+}
--- /dev/null
+++ b/packages/lovagepitch-configuration/src/parseDocument.ts
@@ -0,0 +1,141 @@
+/**
+ * Parsing of JSON with comments, with positions for error messages.
+ */
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import {
+    createScanner,
+    findNodeAtLocation,
+    getNodeValue,
+    type Node,
+    type ParseError,
+    parseTree,
+    printParseErrorCode,
+} from "jsonc-parser";
+import { ConfigurationError, type ConfigurationErrorKind, type TextPosition } from "./configurationError.js";
+import { type DocumentPath, formatDocumentPath } from "./documentPath.js";
+
+/** Longest text that is parsed, in characters. */
+const maximumTextLength = 1024 * 1024;
+
+/** Deepest nesting of objects and arrays that is parsed; the parser recurses once a level. */
+const maximumDepth = 64;
+
+/** A document and where its parts stand. */
+export interface ParsedDocument {
+    readonly value: unknown;
+    /** Finds a path, or the nearest part of the document above it. */
+    readonly locate: (path: DocumentPath) => TextPosition | undefined;
+}
+
+/**
+ * Parses JSON with comments and trailing commas; a repeated key is an error, for readers would overlook it.
+ *
+ * @param text - the text
+ * @param fileName - its file, for error messages
+ * @returns the document, or an error that names file, line, column and remedy
+ */
+export function parseDocument(text: string, fileName: string): Result<ParsedDocument, ConfigurationError> {
+    if (text.length > maximumTextLength) {
+        return fail("too-large", fileName, "", "the file is too large", `use at most ${maximumTextLength} characters`);
+    }
+    const tooDeepAt = findExcessiveNesting(text);
+    if (tooDeepAt !== undefined) {
+        const position = positionAt(text, tooDeepAt);
+        return fail("too-large", fileName, "", "nested too deep", `use at most ${maximumDepth} levels`, position);
+    }
+    const errors: ParseError[] = [];
+    const root = parseTree(text, errors, { allowTrailingComma: true });
+    const error = errors[0];
+    if (error !== undefined || root === undefined) {
+        const problem = error === undefined ? "the file is empty" : describeSyntax(error);
+        const position = positionAt(text, error?.offset ?? 0);
+        return fail("syntax", fileName, "", problem, "write JSON; comments and trailing commas are allowed", position);
+    }
+    const repeated = findRepeatedKey(root, []);
+    if (repeated !== undefined) {
+        const path = formatDocumentPath(repeated.path);
+        return fail("syntax", fileName, path, "repeated key", "keep one of them", positionAt(text, repeated.offset));
+    }
+    return Ok({ value: getNodeValue(root) as unknown, locate: path => locate(text, root, path) });
+}
+
+function fail(
+    kind: ConfigurationErrorKind,
+    fileName: string,
+    path: string,
+    problem: string,
+    remedy: string,
+    position?: TextPosition,
+): Err {
+    const issue = { path, problem, remedy, ...(position === undefined ? {} : { position }) };
+    return Err(new ConfigurationError(kind, [issue], fileName));
+}
+
+type Err = Result<never, ConfigurationError>;
+
+function describeSyntax(error: ParseError): string {
+    const words = printParseErrorCode(error.error).replace(/([a-z])([A-Z])/g, "$1 $2").toLowerCase();
+    return `syntax error (${words})`;
+}
+
+function findExcessiveNesting(text: string): number | undefined {
+    const scanner = createScanner(text, true);
+    let depth = 0;
+    scanner.scan();
+    // Only the end of the text is a token without length.
+    while (scanner.getTokenLength() > 0) {
+        const firstCharacter = text[scanner.getTokenOffset()];
+        if (firstCharacter === "{" || firstCharacter === "[") {
+            depth += 1;
+        }
+        else if (firstCharacter === "}" || firstCharacter === "]") {
+            // The parser skips a closing token that matches nothing.
+            depth = Math.max(0, depth - 1);
+        }
+        if (depth > maximumDepth) {
+            return scanner.getTokenOffset();
+        }
+        scanner.scan();
+    }
+    return undefined;
+}
+
+interface RepeatedKey {
+    readonly path: DocumentPath;
+    readonly offset: number;
+}
+
+function findRepeatedKey(node: Node, path: DocumentPath): RepeatedKey | undefined {
+    const names = new Set<string>();
+    for (const [index, child] of (node.children ?? []).entries()) {
+        const [nameNode, valueNode] = child.type === "property" ? child.children ?? [] : [undefined, child];
+        const step = nameNode === undefined ? index : String(nameNode.value);
+        if (typeof step === "string" && names.has(step)) {
+            return { path: [...path, step], offset: child.offset };
+        }
+        names.add(String(step));
+        const found = valueNode === undefined ? undefined : findRepeatedKey(valueNode, [...path, step]);
+        if (found !== undefined) {
+            return found;
+        }
+    }
+    return undefined;
+}
+
+function locate(text: string, root: Node, path: DocumentPath): TextPosition {
+    for (let length = path.length; length > 0; length -= 1) {
+        const node = findNodeAtLocation(root, path.slice(0, length));
+        if (node !== undefined) {
+            // Editors show a property at its name.
+            const start = node.parent?.type === "property" ? node.parent : node;
+            return positionAt(text, start.offset);
+        }
+    }
+    return positionAt(text, root.offset);
+}
+
+function positionAt(text: string, offset: number): TextPosition {
+    const before = text.slice(0, offset);
+    const lines = before.split(/\r\n|\r|\n/);
+    return { line: lines.length, column: (lines.at(-1) ?? "").length + 1 };
+}
