feat(testing): stand-ins of the platform's table and object store in memory

Cause: repositories and both programs need a platform in tests. Change: MemoryTable and MemoryObjectStore with faults that are switched on (down, silent, slow, answer lost, request lost, write held and applied late); a conflict names its rows.

--- a/packages/lovagepitch-platform/src/platformError.ts
+++ b/packages/lovagepitch-platform/src/platformError.ts
@@ -18,8 +18,13 @@
     /**
      * @param kind - kind of failure
      * @param message - what failed and what to do
+     * @param conflictingKeys - keys of the rows whose conditions did not hold; empty when the service did not say
      */
-    public constructor(public readonly kind: PlatformErrorKind, message: string) {
+    public constructor(
+        public readonly kind: PlatformErrorKind,
+        message: string,
+        public readonly conflictingKeys: readonly string[] = [],
+    ) {
         super(message);
         this.name = "PlatformError";
     }
--- /dev/null
+++ b/packages/lovagepitch-testing/src/standIns/memoryPlatform.ts
@@ -0,0 +1,161 @@
+/**
+ * Stand-ins of the platform's table and object store, in memory and deterministic.
+ */
+import { ObjectStore } from "@lovagepitch/platform/objectStore";
+import { PlatformError } from "@lovagepitch/platform/platformError";
+import { type ConditionalWrite, type TableRow, TableService } from "@lovagepitch/platform/tableService";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import { PlatformFaults } from "./platformFaults.js";
+
+interface StoredRow {
+    /** JSON text, so that no reader can change what is stored. */
+    readonly text: string;
+    readonly etag: string;
+}
+
+function lostWrite(): PlatformError {
+    return new PlatformError("unavailable", "The answer to a write was lost; read the rows back");
+}
+
+/** Rows in memory; each operation takes effect at one instant. */
+export class MemoryTable extends TableService {
+    private readonly rows = new Map<string, StoredRow>();
+    private lastEtag = 0;
+    private writeCount = 0;
+
+    /**
+     * @param faults - faults in force
+     */
+    public constructor(public readonly faults: PlatformFaults = new PlatformFaults()) {
+        super();
+    }
+
+    /** Transactions that were received, applied or not. */
+    public get writes(): number {
+        return this.writeCount;
+    }
+
+    /** {@inheritDoc TableService.read} */
+    public override async read(key: string): Promise<Result<TableRow | undefined, PlatformError>> {
+        const failure = await this.faults.admit();
+        return failure === undefined ? Ok(this.find(key)) : Err(failure);
+    }
+
+    /** {@inheritDoc TableService.list} */
+    public override async list(prefix: string): Promise<Result<readonly TableRow[], PlatformError>> {
+        const failure = await this.faults.admit();
+        if (failure !== undefined) {
+            return Err(failure);
+        }
+        const keys = [...this.rows.keys()].filter(key => key.startsWith(prefix)).sort();
+        return Ok(keys.map(key => this.find(key)).filter(row => row !== undefined));
+    }
+
+    /** {@inheritDoc TableService.write} */
+    public override async write(
+        writes: readonly ConditionalWrite[],
+    ): Promise<Result<readonly string[], PlatformError>> {
+        const failure = await this.faults.admit();
+        if (failure !== undefined) {
+            return Err(failure);
+        }
+        this.writeCount += 1;
+        switch (this.faults.nextWriteFate()) {
+            case "answered":
+                return this.apply(writes);
+            case "answer-lost":
+                this.apply(writes);
+                return Err(lostWrite());
+            case "request-lost":
+                return Err(lostWrite());
+            case "held":
+                this.faults.hold(() => this.apply(writes));
+                return Err(lostWrite());
+        }
+    }
+
+    private find(key: string): TableRow | undefined {
+        const row = this.rows.get(key);
+        return row === undefined ? undefined : { key, value: JSON.parse(row.text), etag: row.etag };
+    }
+
+    private apply(writes: readonly ConditionalWrite[]): Result<readonly string[], PlatformError> {
+        const keys = new Set(writes.map(write => write.key));
+        if (keys.size !== writes.length) {
+            return Err(new PlatformError("invalid", "A transaction names a row twice; join the writes"));
+        }
+        const conflictingKeys = writes.filter(write => !this.holds(write)).map(write => write.key);
+        if (conflictingKeys.length > 0) {
+            const message = `The rows ${conflictingKeys.join(", ")} have changed; read them and try again`;
+            return Err(new PlatformError("conflict", message, conflictingKeys));
+        }
+        return Ok(writes.map(write => this.store(write)));
+    }
+
+    private holds(write: ConditionalWrite): boolean {
+        const row = this.rows.get(write.key);
+        switch (write.condition.kind) {
+            case "always":
+                return true;
+            case "absent":
+                return row === undefined;
+            case "etag":
+                return row?.etag === write.condition.etag;
+        }
+    }
+
+    private store(write: ConditionalWrite): string {
+        if (write.value === undefined) {
+            this.rows.delete(write.key);
+            return "";
+        }
+        this.lastEtag += 1;
+        const etag = String(this.lastEtag);
+        this.rows.set(write.key, { text: JSON.stringify(write.value), etag });
+        return etag;
+    }
+}
+
+/** Objects in memory. */
+export class MemoryObjectStore extends ObjectStore {
+    private readonly objects = new Map<string, Uint8Array>();
+
+    /**
+     * @param faults - faults in force
+     */
+    public constructor(public readonly faults: PlatformFaults = new PlatformFaults()) {
+        super();
+    }
+
+    /** {@inheritDoc ObjectStore.put} */
+    public override async put(name: string, body: Uint8Array): Promise<Result<void, PlatformError>> {
+        const failure = await this.faults.admit();
+        if (failure !== undefined) {
+            return Err(failure);
+        }
+        const copy = Uint8Array.from(body);
+        switch (this.faults.nextWriteFate()) {
+            case "answered":
+                this.objects.set(name, copy);
+                return Ok(undefined);
+            case "answer-lost":
+                this.objects.set(name, copy);
+                return Err(lostWrite());
+            case "request-lost":
+                return Err(lostWrite());
+            case "held":
+                this.faults.hold(() => this.objects.set(name, copy));
+                return Err(lostWrite());
+        }
+    }
+
+    /** {@inheritDoc ObjectStore.get} */
+    public override async get(name: string): Promise<Result<Uint8Array | undefined, PlatformError>> {
+        const failure = await this.faults.admit();
+        if (failure !== undefined) {
+            return Err(failure);
+        }
+        const stored = this.objects.get(name);
+        return Ok(stored === undefined ? undefined : Uint8Array.from(stored));
+    }
+}
