--- /dev/null
+++ b/packages/lovagepitch-testing/src/checker/checker.ts
@@ -0,0 +1,45 @@
+/**
+ * The one checker of every failure test, in one process or many: it judges what was seen from outside by seven rules.
+ */
+import type { AnswerRecord } from "./answerRecord.js";
+import { checkAnsweredInTime, checkNotRunIsTrue, checkOwnCompleteAnswer } from "./answerRules.js";
+import { checkConfigurationInForce, checkPlannedStopsCutNothing } from "./configurationRules.js";
+import type { DeploymentRecord } from "./deploymentRecord.js";
+import {
+    checkKeysBindOnce,
+    checkNoStartAfterLeaving,
+    checkPermittedPlace,
+    checkStartsOnce,
+} from "./executionRules.js";
+import type { StartRecord } from "./startRecord.js";
+import type { CheckerLimits, Violation } from "./violation.js";
+
+/** The records of one run. */
+export interface RunRecord {
+    readonly starts: StartRecord;
+    readonly answers: AnswerRecord;
+    readonly deployment: DeploymentRecord;
+    /** End of the run, in milliseconds since the epoch. */
+    readonly endedAtMilliseconds: number;
+}
+
+/**
+ * Judges a run.
+ *
+ * @param run - its records
+ * @param limits - the stated times
+ * @returns every violation, in the order of the rules
+ */
+export function checkRun(run: RunRecord, limits: CheckerLimits): readonly Violation[] {
+    return [
+        ...checkStartsOnce(run.starts),
+        ...checkKeysBindOnce(run.answers),
+        ...checkPermittedPlace(run.starts, run.deployment, limits),
+        ...checkOwnCompleteAnswer(run.starts, run.answers),
+        ...checkNotRunIsTrue(run.starts, run.answers),
+        ...checkAnsweredInTime(run.starts, run.answers, limits, run.endedAtMilliseconds),
+        ...checkNoStartAfterLeaving(run.starts, run.deployment, limits),
+        ...checkPlannedStopsCutNothing(run.answers, run.deployment),
+        ...checkConfigurationInForce(run.deployment, limits, run.endedAtMilliseconds),
+    ];
+}
--- /dev/null
+++ b/packages/lovagepitch-testing/src/checker/configurationRules.ts
@@ -0,0 +1,85 @@
+/**
+ * Rules over processes: configurations spread in time and never fall back; planned stops cut off nothing.
+ */
+import type { AnswerRecord } from "./answerRecord.js";
+import type { AcceptedManifest, DeploymentRecord, ProcessLife } from "./deploymentRecord.js";
+import type { CheckerLimits, Violation } from "./violation.js";
+
+/**
+ * Judges that an accepted configuration is in force in every live process in the stated time, and that no process goes
+ * back to an older one.
+ *
+ * @param deployment - accepted configurations, lives of processes, observed versions
+ * @param limits - the stated times
+ * @param nowMilliseconds - end of the run, in milliseconds since the epoch
+ * @returns the violations
+ */
+export function checkConfigurationInForce(
+    deployment: DeploymentRecord,
+    limits: CheckerLimits,
+    nowMilliseconds: number,
+): readonly Violation[] {
+    const violations: Violation[] = [];
+    const newest = new Map<string, number>();
+    for (const observed of deployment.observedVersions) {
+        const earlier = newest.get(observed.process) ?? 0;
+        if (observed.version < earlier) {
+            const message = `${observed.process} went back from version ${earlier} to ${observed.version}`;
+            violations.push({ rule: "configurationInForce", message });
+        }
+        newest.set(observed.process, Math.max(earlier, observed.version));
+    }
+    for (const accepted of deployment.acceptedManifests) {
+        for (const life of deployment.lives) {
+            const message = describeMissing(accepted, life, deployment, limits, nowMilliseconds);
+            if (message !== undefined) {
+                violations.push({ rule: "configurationInForce", message });
+            }
+        }
+    }
+    return violations;
+}
+
+function describeMissing(
+    accepted: AcceptedManifest,
+    life: ProcessLife,
+    deployment: DeploymentRecord,
+    limits: CheckerLimits,
+    nowMilliseconds: number,
+): string | undefined {
+    const { version } = accepted.manifest;
+    const dueAt = Math.max(accepted.acceptedAtMilliseconds, life.fromMilliseconds) + limits.configurationMilliseconds;
+    if (dueAt > Math.min(life.untilMilliseconds ?? nowMilliseconds, nowMilliseconds)) {
+        return undefined;
+    }
+    const isInForce = deployment.observedVersions.some(observed =>
+        observed.process === life.process && observed.version >= version && observed.atMilliseconds <= dueAt
+    );
+    return isInForce ? undefined : `version ${version} was not in force in ${life.process} by ${dueAt} ms`;
+}
+
+/**
+ * Judges that no planned stop of an entry broke a caller's connection.
+ *
+ * @param answers - requests and answers as callers saw them
+ * @param deployment - planned stops
+ * @returns the violations
+ */
+export function checkPlannedStopsCutNothing(
+    answers: AnswerRecord,
+    deployment: DeploymentRecord,
+): readonly Violation[] {
+    const violations: Violation[] = [];
+    for (const stop of deployment.plannedStops) {
+        for (const request of answers.requests) {
+            const wasBroken = request.entry === stop.process && request.end?.kind === "connection-lost";
+            const stoppedAt = stop.untilMilliseconds ?? Number.POSITIVE_INFINITY;
+            if (wasBroken && request.sentAtMilliseconds < stoppedAt) {
+                const name = request.submission ?? request.key ?? "a request without an id";
+                const message = `the planned stop of ${stop.process} cut off ${request.operation} of ${name}`;
+                violations.push({ rule: "gracefulLeaving", message });
+            }
+        }
+    }
+    return violations;
+}
--- /dev/null
+++ b/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
@@ -0,0 +1,58 @@
+/**
+ * What happened to the deployment itself: accepted configurations, lives of processes, and announced departures.
+ */
+import type { VersionedManifest } from "@lovagepitch/types/manifest";
+
+/** A manifest that the platform's table accepted. */
+export interface AcceptedManifest {
+    readonly manifest: VersionedManifest;
+    readonly acceptedAtMilliseconds: number;
+}
+
+/** A process put a configuration version in force, or was seen with it. */
+export interface ObservedVersion {
+    /** Address and incarnation of the process. */
+    readonly process: string;
+    readonly version: number;
+    readonly atMilliseconds: number;
+}
+
+/** A stretch of time in which a process ran and could be reached by at least one holder of the newest version. */
+export interface ProcessLife {
+    readonly process: string;
+    readonly fromMilliseconds: number;
+    /** Undefined while it lasts. */
+    readonly untilMilliseconds: number | undefined;
+}
+
+/** A backend server that said it was leaving. */
+export interface Departure {
+    readonly worker: string;
+    readonly leftAtMilliseconds: number;
+    /** When it announced itself again; undefined when it did not. */
+    readonly returnedAtMilliseconds: number | undefined;
+}
+
+/** A planned stop of a process. */
+export interface PlannedStop {
+    readonly process: string;
+    /** Set when the process is an agent. */
+    readonly worker: string | undefined;
+    readonly fromMilliseconds: number;
+    /** When the process had ended by itself; undefined while it drains. */
+    readonly untilMilliseconds: number | undefined;
+}
+
+/** The facts of a run that the checker needs beside starts and answers. */
+export class DeploymentRecord {
+    /** Accepted manifests in order of acceptance. */
+    public readonly acceptedManifests: AcceptedManifest[] = [];
+    /** Observed versions in order of observation. */
+    public readonly observedVersions: ObservedVersion[] = [];
+    /** Lives of processes. */
+    public readonly lives: ProcessLife[] = [];
+    /** Announced departures. */
+    public readonly departures: Departure[] = [];
+    /** Planned stops. */
+    public readonly plannedStops: PlannedStop[] = [];
+}
--- /dev/null
+++ b/packages/lovagepitch-testing/src/harness/deploymentSettings.ts
@@ -0,0 +1,127 @@
+/**
+ * Sizes, places and times of a deployment in one process.
+ */
+import type { PolicySettings } from "@lovagepitch/types/settings";
+
+/** Where an entry runs. */
+export interface EntryPlacement {
+    readonly availabilityZone: string;
+}
+
+/** Where an agent and its backend server run, and what they offer. */
+export interface AgentPlacement {
+    readonly worker: string;
+    readonly rack: string;
+    readonly availabilityZone: string;
+    readonly cores: number;
+    readonly memoryMegabytes: number;
+    readonly slots: number;
+    readonly connections: number;
+    readonly services: readonly string[];
+}
+
+/** One-way times and durations of answers, in milliseconds. */
+export interface Latencies {
+    readonly withinZone: number;
+    readonly betweenZones: number;
+    readonly caller: number;
+    readonly backendServer: number;
+    readonly platformRead: number;
+    readonly platformWrite: number;
+    /** Time after which a request to the platform counts as unanswered. */
+    readonly platformTimeout: number;
+    /** Time after which a silent connection counts as broken. */
+    readonly silence: number;
+}
+
+/** Intervals at which the processes do things by themselves, in milliseconds. */
+export interface Intervals {
+    readonly manifestPoll: number;
+    readonly registryPoll: number;
+    readonly registrationRenew: number;
+    readonly backendServerAnnouncement: number;
+}
+
+/** Everything that a deployment in one process is made from. */
+export interface DeploymentSettings {
+    /** The same seed gives the same run. */
+    readonly seed: number;
+    readonly startMilliseconds: number;
+    readonly entries: readonly EntryPlacement[];
+    readonly agents: readonly AgentPlacement[];
+    readonly latencies: Latencies;
+    readonly intervals: Intervals;
+    readonly submissionKey: string;
+    readonly resubmissionWindowMilliseconds: number;
+    readonly maximumWaitingTasks: number;
+    readonly maximumAnswerBytes: number;
+    readonly maximumLedgerBytes: number;
+    readonly backendServerTimeoutMilliseconds: number;
+    readonly standByLimit: number;
+    readonly policy: PolicySettings;
+}
+
+const megabyte = 1_048_576;
+const tenMinutes = 600_000;
+
+/** Times of the co-operative's platform; the clearing association's differ in two of them. */
+export const cooperativeLatencies: Latencies = {
+    withinZone: 0.2,
+    betweenZones: 1.5,
+    caller: 3,
+    backendServer: 0.1,
+    platformRead: 2,
+    platformWrite: 6,
+    platformTimeout: 1000,
+    silence: 400,
+};
+
+/** Times of the clearing association's platform. */
+export const associationLatencies: Latencies = { ...cooperativeLatencies, betweenZones: 1, caller: 1 };
+
+/** Settings that a scenario starts from; it replaces what it needs. */
+export const defaultDeployment: DeploymentSettings = {
+    seed: 1,
+    startMilliseconds: 1_800_000_000_000,
+    entries: [{ availabilityZone: "kolonnawa" }, { availabilityZone: "dehiwala" }],
+    agents: [
+        createAgentPlacement("worker-1", "rack-1", "kolonnawa"),
+        createAgentPlacement("worker-2", "rack-2", "dehiwala"),
+    ],
+    latencies: cooperativeLatencies,
+    intervals: {
+        manifestPoll: 2000,
+        registryPoll: 5000,
+        registrationRenew: 20_000,
+        backendServerAnnouncement: 1000,
+    },
+    submissionKey: "a key for tests of at least thirty-two characters",
+    resubmissionWindowMilliseconds: tenMinutes,
+    maximumWaitingTasks: 100_000,
+    maximumAnswerBytes: 64 * megabyte,
+    maximumLedgerBytes: 16 * megabyte,
+    backendServerTimeoutMilliseconds: 4000,
+    standByLimit: 2,
+    policy: { startOrder: "oldest-first", bids: 4, maximumEjectedShare: 0.5 },
+};
+
+/**
+ * Places an agent of the brief's size.
+ *
+ * @param worker - name of the machine
+ * @param rack - name of its rack
+ * @param availabilityZone - its zone
+ * @returns the placement
+ */
+export function createAgentPlacement(worker: string, rack: string, availabilityZone: string): AgentPlacement {
+    return {
+        worker,
+        rack,
+        availabilityZone,
+        cores: 16,
+        memoryMegabytes: 32_768,
+        slots: 8,
+        connections: 64,
+        services: ["alerts"],
+    };
+}
--- /dev/null
+++ b/packages/lovagepitch-testing/src/harness/hostContext.ts
@@ -0,0 +1,91 @@
+/**
+ * What all processes of a deployment in one process share.
+ */
+import type { DeploymentRecord } from "../checker/deploymentRecord.js";
+import type { Incarnation } from "@lovagepitch/types/identity";
+import type { Clock } from "@lovagepitch/utils/clock";
+import type { RandomSource } from "@lovagepitch/utils/randomSource";
+import type { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
+import type { DeploymentObserver } from "./deploymentObserver.js";
+import type { DeploymentSettings } from "./deploymentSettings.js";
+import type { EventQueue } from "./eventQueue.js";
+import type { FakePlatform } from "./fakePlatform.js";
+import type { Network } from "./network.js";
+
+const incarnationDigits = 16;
+const hexadecimalDigits = 16;
+
+/** Shared parts and records. */
+export class HostContext {
+    /**
+     * @param settings - sizes, places and times
+     * @param queue - events
+     * @param clock - the clock of the deployment
+     * @param coreClock - the clock that cores read
+     * @param random - source of everything random
+     * @param codec - codec of submission ids
+     * @param network - links between processes
+     * @param platform - the platform's fake
+     * @param observer - watches the deployment
+     * @param record - keeps what the checker needs
+     */
+    public constructor(
+        public readonly settings: DeploymentSettings,
+        public readonly queue: EventQueue,
+        public readonly clock: Clock,
+        public readonly coreClock: Clock,
+        public readonly random: RandomSource,
+        public readonly codec: SubmissionCodec,
+        public readonly network: Network,
+        public readonly platform: FakePlatform,
+        public readonly observer: DeploymentObserver,
+        public readonly record: DeploymentRecord,
+    ) {}
+
+    /**
+     * Draws the incarnation of a new life.
+     *
+     * @returns lower-case hexadecimal digits
+     */
+    public createIncarnation(): Incarnation {
+        let digits = "";
+        for (let position = 0; position < incarnationDigits; position += 1) {
+            digits += this.random.nextInteger(hexadecimalDigits).toString(hexadecimalDigits);
+        }
+        return digits;
+    }
+
+    /**
+     * Records that a process began or went on.
+     *
+     * @param process - its address and incarnation
+     */
+    public recordLifeStart(process: string): void {
+        const fromMilliseconds = this.clock.nowMilliseconds();
+        this.record.lives.push({ process, fromMilliseconds, untilMilliseconds: undefined });
+    }
+
+    /**
+     * Records that a process ended or was paused.
+     *
+     * @param process - its address and incarnation
+     */
+    public recordLifeEnd(process: string): void {
+        const untilMilliseconds = this.clock.nowMilliseconds();
+        for (const [position, life] of this.record.lives.entries()) {
+            if (life.process === process && life.untilMilliseconds === undefined) {
+                this.record.lives[position] = { ...life, untilMilliseconds };
+            }
+        }
+    }
+
+    /**
+     * Records that a process put a configuration in force.
+     *
+     * @param process - its address and incarnation
+     * @param version - the version
+     */
+    public recordVersion(process: string, version: number): void {
+        this.record.observedVersions.push({ process, version, atMilliseconds: this.clock.nowMilliseconds() });
+    }
+}
