--- a/packages/lovagepitch-testing/src/checker/checker.ts
+++ b/packages/lovagepitch-testing/src/checker/checker.ts
@@ -5,12 +5,7 @@
 import { checkAnsweredInTime, checkNotRunIsTrue, checkOwnCompleteAnswer } from "./answerRules.js";
 import { checkConfigurationInForce, checkPlannedStopsCutNothing } from "./configurationRules.js";
 import type { DeploymentRecord } from "./deploymentRecord.js";
-import {
-    checkKeysBindOnce,
-    checkNoStartAfterLeaving,
-    checkPermittedPlace,
-    checkStartsOnce,
-} from "./executionRules.js";
+import { checkKeysBindOnce, checkNoStartAfterLeaving, checkPermittedPlace, checkStartsOnce } from "./executionRules.js";
 import type { StartRecord } from "./startRecord.js";
 import type { CheckerLimits, Violation } from "./violation.js";
 
--- /dev/null
+++ b/packages/lovagepitch-testing/src/harness/entryHost.ts
@@ -0,0 +1,283 @@
+/**
+ * An entry of a deployment in one process.
+ */
+import type { EntryCore } from "@lovagepitch/entry/core/entryCore";
+import type { CallerKey, EntryInput, HandoverOutcome, RequestNumber } from "@lovagepitch/entry/core/entryInput";
+import type { EntryOutput, EntryResponse } from "@lovagepitch/entry/core/entryOutput";
+import type { Incarnation, PeerAddress, SubmissionKey } from "@lovagepitch/types/identity";
+import type { PeerBatch } from "@lovagepitch/types/peerMessage";
+import type { EntryRegistration } from "@lovagepitch/types/registry";
+import { createEntryCore } from "./cores.js";
+import type { EntryPlacement } from "./deploymentSettings.js";
+import type { HostContext } from "./hostContext.js";
+import { ProcessHost } from "./processHost.js";
+
+/** Time between two attempts to write what must last, in milliseconds. */
+const retryMilliseconds = 500;
+
+/** What an entry tells its callers. */
+export abstract class ResponseSink {
+    /**
+     * An entry answered.
+     *
+     * @param request - number of the request
+     * @param response - the answer
+     */
+    public abstract respond(request: RequestNumber, response: EntryResponse): void;
+
+    /**
+     * An entry is gone, and every connection to it with it.
+     *
+     * @param entry - the entry
+     */
+    public abstract connectionsLost(entry: EntryHost): void;
+}
+
+type ClaimOutput = Extract<EntryOutput, { readonly type: "claimKey" }>;
+
+/** Runs an entry's core. */
+export class EntryHost extends ProcessHost<EntryInput, EntryOutput, EntryCore> {
+    private isStopping = false;
+    private isHandingOver = false;
+
+    /**
+     * @param context - what all processes share
+     * @param address - the entry's address
+     * @param placement - where it runs
+     * @param responses - gets the answers
+     */
+    public constructor(
+        context: HostContext,
+        address: PeerAddress,
+        private readonly placement: EntryPlacement,
+        private readonly responses: ResponseSink,
+    ) {
+        super(context, address, placement.availabilityZone, "entry");
+    }
+
+    /** Begins a planned stop. */
+    public stop(): void {
+        this.isStopping = true;
+        this.context.record.plannedStops.push({
+            process: this.name,
+            worker: undefined,
+            fromMilliseconds: this.context.clock.nowMilliseconds(),
+            untilMilliseconds: undefined,
+        });
+        this.accept({ type: "stop" });
+    }
+
+    /** {@inheritDoc ProcessHost.acceptBatch} */
+    public override acceptBatch(batch: PeerBatch): void {
+        this.accept({ type: "peerBatch", batch });
+    }
+
+    /** {@inheritDoc ProcessHost.acceptUnreachable} */
+    public override acceptUnreachable(address: PeerAddress): void {
+        this.accept({ type: "peerUnreachable", address });
+    }
+
+    /** {@inheritDoc ProcessHost.createCore} */
+    protected override createCore(): EntryCore {
+        return createEntryCore(this.context, this.identity, this.placement);
+    }
+
+    /** {@inheritDoc ProcessHost.started} */
+    protected override started(): void {
+        this.isStopping = false;
+        this.isHandingOver = false;
+        this.register();
+        this.pollManifest();
+        this.pollRegistry();
+    }
+
+    /** {@inheritDoc ProcessHost.ended} */
+    protected override ended(): void {
+        this.responses.connectionsLost(this);
+    }
+
+    /** {@inheritDoc ProcessHost.perform} */
+    protected override perform(output: EntryOutput): void {
+        switch (output.type) {
+            case "send":
+                this.send(output);
+                break;
+            case "respond":
+                this.responses.respond(output.request, output.response);
+                break;
+            case "claimKey":
+                this.claim(output, true);
+                break;
+            case "readRegistry":
+                this.readRegistry();
+                break;
+            case "readHandover":
+                this.readHandover(output.kind, output.incarnation);
+                break;
+            case "readManifest":
+                this.readManifest();
+                break;
+            case "decision":
+                this.note(output.decision);
+                break;
+        }
+    }
+
+    /** {@inheritDoc ProcessHost.finishStop} */
+    protected override finishStop(): void {
+        const { core } = this;
+        if (!this.isStopping || this.isHandingOver || core === undefined || !core.isDrained()) {
+            return;
+        }
+        this.isHandingOver = true;
+        this.handOver();
+    }
+
+    private handOver(): void {
+        const handover = this.core?.answersHandover();
+        if (handover === undefined) {
+            return;
+        }
+        const name = `answers/${this.identity.incarnation}`;
+        this.context.platform.putHandover(
+            name,
+            handover,
+            this.ofThisLife(reply => {
+                if (reply === undefined) {
+                    this.runLater(retryMilliseconds, () => this.handOver());
+                }
+                else {
+                    this.leave();
+                }
+            }),
+        );
+    }
+
+    private leave(): void {
+        this.context.platform.registerEntry(
+            this.row("left"),
+            this.ofThisLife(() => {
+                const { plannedStops } = this.context.record;
+                const position = plannedStops.findIndex(stop => stop.process === this.name);
+                const stop = plannedStops[position];
+                if (stop !== undefined) {
+                    plannedStops[position] = { ...stop, untilMilliseconds: this.context.clock.nowMilliseconds() };
+                }
+                this.crash();
+            }),
+        );
+    }
+
+    private row(state: EntryRegistration["state"]): EntryRegistration {
+        return {
+            ...this.identity,
+            availabilityZone: this.availabilityZone,
+            state,
+            renewedAtMilliseconds: this.context.coreClock.nowMilliseconds(),
+        };
+    }
+
+    private register(): void {
+        this.context.platform.registerEntry(
+            this.row("serving"),
+            this.ofThisLife(reply => {
+                const { registrationRenew } = this.context.settings.intervals;
+                this.runLater(reply === undefined ? retryMilliseconds : registrationRenew, () => {
+                    if (!this.isHandingOver) {
+                        this.register();
+                    }
+                });
+            }),
+        );
+    }
+
+    private pollManifest(): void {
+        this.readManifest();
+        this.runLater(this.context.settings.intervals.manifestPoll, () => this.pollManifest());
+    }
+
+    private pollRegistry(): void {
+        this.readRegistry();
+        this.runLater(this.context.settings.intervals.registryPoll, () => this.pollRegistry());
+    }
+
+    private readManifest(): void {
+        this.context.platform.readManifest(this.ofThisLife(reply => {
+            if (reply?.value !== undefined) {
+                this.accept({ type: "manifestAccepted", manifest: reply.value });
+            }
+        }));
+    }
+
+    private readRegistry(): void {
+        this.context.platform.readRegistry(this.ofThisLife(reply => {
+            this.accept(
+                reply === undefined
+                    ? { type: "registryUnavailable" }
+                    : { type: "registryRead", registry: reply.value },
+            );
+        }));
+    }
+
+    private readHandover(kind: "answers" | "ledger", incarnation: Incarnation): void {
+        this.context.platform.readHandover(
+            `${kind}/${incarnation}`,
+            this.ofThisLife(reply => {
+                const handover = reply?.value;
+                let outcome: HandoverOutcome = { kind: reply === undefined ? "unavailable" : "absent" };
+                if (handover !== undefined) {
+                    outcome = "answers" in handover
+                        ? { kind: "answers", handover }
+                        : { kind: "ledger", handover };
+                }
+                this.accept({ type: "handoverRead", incarnation, outcome });
+            }),
+        );
+    }
+
+    private claim(output: ClaimOutput, mayRetry: boolean): void {
+        const scope = describeKey(output.key);
+        const { submission, jobDigest } = output;
+        this.context.platform.claimKey(
+            scope,
+            { submission, jobDigest },
+            this.ofThisLife(reply => {
+                if (reply === undefined) {
+                    this.resolveLostClaim(output, mayRetry);
+                }
+                else {
+                    this.acceptClaim(output.request, reply.value);
+                }
+            }),
+        );
+    }
+
+    /** The write may have taken effect, so only the row can tell. */
+    private resolveLostClaim(output: ClaimOutput, mayRetry: boolean): void {
+        this.context.platform.readClaim(
+            describeKey(output.key),
+            this.ofThisLife(reply => {
+                if (reply?.value !== undefined) {
+                    this.acceptClaim(output.request, reply.value);
+                }
+                else if (reply !== undefined && mayRetry) {
+                    this.claim(output, false);
+                }
+                else {
+                    this.accept({ type: "claimResolved", request: output.request, outcome: { kind: "unavailable" } });
+                }
+            }),
+        );
+    }
+
+    private acceptClaim(
+        request: RequestNumber,
+        claim: { readonly submission: SubmissionKey; readonly jobDigest: string },
+    ): void {
+        this.accept({ type: "claimResolved", request, outcome: { kind: "bound", ...claim } });
+    }
+}
+
+function describeKey(key: CallerKey): string {
+    return JSON.stringify([key.team, key.service, key.key]);
+}
--- a/packages/lovagepitch-testing/src/harness/hostContext.ts
+++ b/packages/lovagepitch-testing/src/harness/hostContext.ts
@@ -1,11 +1,11 @@
 /**
  * What all processes of a deployment in one process share.
  */
-import type { DeploymentRecord } from "../checker/deploymentRecord.js";
 import type { Incarnation } from "@lovagepitch/types/identity";
 import type { Clock } from "@lovagepitch/utils/clock";
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import type { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
+import type { DeploymentRecord } from "../checker/deploymentRecord.js";
 import type { DeploymentObserver } from "./deploymentObserver.js";
 import type { DeploymentSettings } from "./deploymentSettings.js";
 import type { EventQueue } from "./eventQueue.js";
--- a/packages/lovagepitch-testing/src/harness/network.ts
+++ b/packages/lovagepitch-testing/src/harness/network.ts
@@ -122,7 +122,7 @@
      */
     public send(sender: NetworkEndpoint, destination: PeerAddress, batch: PeerBatch): void {
         this.counts.countBatch(batch);
-        this.observer.batchSent(destination, batch);
+        this.observer.batchSent?.(destination, batch);
         const endpoint = this.endpoints.get(destination);
         if (endpoint === undefined) {
             this.scheduleUnreachable(sender, destination, 2 * this.latencies.betweenZones);
@@ -168,7 +168,7 @@
         if (endpoint.state === "frozen") {
             this.scheduleUnreachable(sender, endpoint.address, this.latencies.silence);
         }
-        this.observer.batchArrived(endpoint.address, batch);
+        this.observer.batchArrived?.(endpoint.address, batch);
         endpoint.acceptBatch(batch);
     };
 
--- a/packages/lovagepitch-testing/src/harness/pendingRequest.ts
+++ b/packages/lovagepitch-testing/src/harness/pendingRequest.ts
@@ -1,9 +1,9 @@
 /**
  * A caller's request in a deployment in one process.
  */
-import type { CallerOperation, CallerRequest, RequestEnd } from "../checker/answerRecord.js";
 import type { SubmissionKey } from "@lovagepitch/types/identity";
 import type { JobRequest } from "@lovagepitch/types/job";
+import type { CallerOperation, CallerRequest, RequestEnd } from "../checker/answerRecord.js";
 
 /** A request that fills in its own end. */
 export class PendingRequest implements CallerRequest {
--- a/packages/lovagepitch-testing/src/harness/processHost.ts
+++ b/packages/lovagepitch-testing/src/harness/processHost.ts
@@ -165,6 +165,21 @@
         }, core);
     }
 
+    /**
+     * Binds a handler to this life of the process; what comes to a later one is dropped.
+     *
+     * @param handle - handles a reply
+     * @returns the handler to pass on
+     */
+    protected ofThisLife<Value>(handle: (value: Value) => void): (value: Value) => void {
+        const { core } = this;
+        return value => {
+            if (core === this.core && core !== undefined) {
+                handle(value);
+            }
+        };
+    }
+
     /**
      * Collects a message of the present tick.
      *
@@ -186,7 +201,7 @@
      * @param decision - the decision
      */
     protected note(decision: Decision): void {
-        this.context.observer.decided(this.name, decision);
+        this.context.observer.decided?.(this.name, decision);
         if (decision.decision === "configured") {
             this.configurationVersion = decision.configurationVersion;
             this.context.recordVersion(this.name, decision.configurationVersion);
