fix(entry): give each response a next submission id of its own

Ruled out: leaving it to clients to throw doubled ids away, since two clients cannot know of each other. Change: ids are issued when a result is sent.

--- a/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
+++ b/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
@@ -55,7 +55,7 @@
     }
     const admitted = admit(state, job, identity);
     if (admitted.err) {
-        const problem = { ...admitted.val, nextSubmission: state.issue() };
+        const problem = admitted.val;
         const result: SubmissionResult = { kind: "problem", problem };
         // The refusal is true for good, so the id must never start anything later.
         keepResult(state, submission, jobDigest, result);
@@ -107,7 +107,7 @@
     }
     state.decide("cancelled", "the caller asked", { submission });
     if (row === undefined) {
-        const result: SubmissionResult = { kind: "problem", problem: cancelledBeforeUse(state) };
+        const result: SubmissionResult = { kind: "problem", problem: cancelledBeforeUse() };
         keepResult(state, submission, "", result);
         respond(state, requester, submission, result);
         return;
@@ -216,13 +216,12 @@
     };
 }
 
-function cancelledBeforeUse(state: EntryState): Problem {
+function cancelledBeforeUse(): Problem {
     return {
         kind: "unknown-submission",
         status: 410,
         detail: "The submission was cancelled before a job was sent under it.",
         remedy: "Send the job under the id in nextSubmission.",
         execution: "not-run",
-        nextSubmission: state.issue(),
     };
 }
--- a/packages/lovagepitch-entry/src/core/systems/collectionOutcome.ts
+++ b/packages/lovagepitch-entry/src/core/systems/collectionOutcome.ts
@@ -89,7 +89,6 @@
         ...(complete ? {} : { reason: "the entry that kept the submission was lost before all tasks had finished" }),
         configurationVersion: state.configurationVersion,
         tasks,
-        nextSubmission: state.issue(),
     };
     return { kind: "answer", answer: result };
 }
@@ -115,7 +114,6 @@
             detail: "The entry that kept the submission is gone; nothing of the job was started, and nothing will be.",
             remedy: "Send the job again under the id in nextSubmission.",
             execution: "not-run",
-            nextSubmission: state.issue(),
-        }),
+            }),
     };
 }
--- a/packages/lovagepitch-entry/src/core/systems/finishing.ts
+++ b/packages/lovagepitch-entry/src/core/systems/finishing.ts
@@ -37,7 +37,6 @@
         state: "complete",
         configurationVersion: live.configurationVersion,
         tasks: rows.map((row, index) => ({ ...describeTask(row, index), output: row.output! })),
-        nextSubmission: state.issue(),
     };
     finishLive(state, live, { kind: "answer", answer }, "all tasks succeeded");
 }
@@ -57,7 +56,6 @@
         reason,
         configurationVersion: live.configurationVersion,
         tasks: rows.map(describeTask),
-        nextSubmission: state.issue(),
     };
     recallTasks(state, live);
     finishLive(state, live, { kind: "answer", answer }, reason);
--- a/packages/lovagepitch-entry/src/core/systems/respond.ts
+++ b/packages/lovagepitch-entry/src/core/systems/respond.ts
@@ -20,9 +20,23 @@
     submission: SubmissionKey,
     result: SubmissionResult,
 ): void {
+    const response = withNextSubmission(state, result);
     if (requester.kind === "caller") {
-        state.emit({ type: "respond", request: requester.request, response: result });
+        state.callerSubmissions.delete(requester.request);
+        state.emit({ type: "respond", request: requester.request, response });
         return;
     }
-    state.send(requester.address, { type: "forwardResult", submission, operation: requester.operation, result });
+    const { address, operation } = requester;
+    state.send(address, { type: "forwardResult", submission, operation, result: response });
+}
+
+/** Each response brings an id of its own, since two callers of one submission must not share the next one. */
+function withNextSubmission(state: EntryState, result: SubmissionResult): SubmissionResult {
+    if (result.kind === "answer") {
+        return { kind: "answer", answer: { ...result.answer, nextSubmission: state.issue() } };
+    }
+    if (result.kind === "problem" && result.problem.execution === "not-run") {
+        return { kind: "problem", problem: { ...result.problem, nextSubmission: state.issue() } };
+    }
+    return result;
 }
--- a/packages/lovagepitch-entry/src/core/systems/taskReports.ts
+++ b/packages/lovagepitch-entry/src/core/systems/taskReports.ts
@@ -66,7 +66,7 @@
             failSubmission(state, live, `task ${index} failed: ${report.reason}`);
             return;
         case "refused":
-            if (report.startSequence === row.startSequence) {
+            if (report.startSequence >= row.startSequence) {
                 acceptRefusal(state, sender, live, index, row, report.refusal);
             }
             return;
