--- /dev/null
+++ b/packages/lovagepitch-bench/src/policy/deployments.ts
@@ -0,0 +1,76 @@
+/**
+ * The two deployments of the brief.
+ */
+import {
+    associationLatencies,
+    cooperativeLatencies,
+    createAgentPlacement,
+    defaultDeployment,
+    type DeploymentSettings,
+} from "@lovagepitch/testing/harness/deploymentSettings";
+import type { Manifest } from "@lovagepitch/types/manifest";
+
+/** Workers of each deployment. */
+export const workers = 10;
+/** Slots of each worker. */
+export const slotsPerWorker = 8;
+const workersPerRack = 3;
+const service = "alerts";
+const kind = "check";
+
+/** A deployment and its configuration. */
+export interface BenchDeployment {
+    readonly name: string;
+    readonly settings: DeploymentSettings;
+    readonly manifest: Manifest;
+    readonly service: string;
+    readonly kind: string;
+    readonly teams: readonly string[];
+}
+
+/** The co-operative: three availability zones. */
+export const cooperative = createDeployment("co-operative", ["kolonnawa", "dehiwala", "maharagama"], {
+    ...defaultDeployment,
+    latencies: cooperativeLatencies,
+});
+
+/** The association: four availability zones. */
+export const association = createDeployment("association", ["ikeja", "victoria-island", "lekki", "apapa"], {
+    ...defaultDeployment,
+    latencies: associationLatencies,
+});
+
+function createDeployment(name: string, zones: readonly string[], base: DeploymentSettings): BenchDeployment {
+    const teams = ["team-1", "team-2", "team-3"];
+    const agents = Array.from({ length: workers }, (_unused, position) => {
+        const zone = zones[position % zones.length]!;
+        return createAgentPlacement(`worker-${position}`, `rack-${Math.floor(position / workersPerRack)}`, zone);
+    });
+    return {
+        name,
+        settings: { ...base, entries: zones.map(availabilityZone => ({ availabilityZone })), agents },
+        manifest: createManifest(zones, teams),
+        service,
+        kind,
+        teams,
+    };
+}
+
+function createManifest(availabilityZones: readonly string[], teams: readonly string[]): Manifest {
+    const quota = { guaranteedSlots: 24, maximumWaitingTasks: 100_000 };
+    return {
+        availabilityZones,
+        teams: teams.map(name => ({ name, quota })),
+        services: [{
+            name: service,
+            kinds: [{
+                name: kind,
+                availabilityZones,
+                maximumCores: 16,
+                maximumMemoryMegabytes: 32_768,
+                maximumDeadlineMilliseconds: 120_000,
+                taskTimeoutMilliseconds: 60_000,
+            }],
+        }],
+    };
+}
