--- /dev/null
+++ b/packages/lovagepitch-links/src/__tests__/rawPeer.ts
@@ -0,0 +1,69 @@
+/**
+ * Raw ends of a link, for frames that no correct process sends.
+ */
+import type { AddressInfo } from "node:net";
+import { WebSocket, WebSocketServer } from "ws";
+import { peerPath } from "../peerListener.js";
+
+/**
+ * Opens a raw connection to a listener.
+ *
+ * @param address - address and port
+ * @returns the open connection
+ */
+export function openRawConnection(address: string): Promise<WebSocket> {
+    return new Promise((resolve, reject) => {
+        const socket = new WebSocket(`ws://${address}${peerPath}`);
+        socket.once("open", () => resolve(socket));
+        socket.once("error", reject);
+    });
+}
+
+/**
+ * Waits for the next frame or the end of a connection.
+ *
+ * @param socket - the connection
+ * @returns the frame's text, or "closed" with the code
+ */
+export function nextFrame(socket: WebSocket): Promise<string> {
+    return new Promise(resolve => {
+        const onClose = (code: number): void => resolve(`closed ${code}`);
+        socket.once("close", onClose);
+        socket.once("message", data => {
+            socket.off("close", onClose);
+            resolve((data as Buffer).toString());
+        });
+    });
+}
+
+/** A server that answers every call with the same text. */
+export class ScriptedServer {
+    private readonly server = new WebSocketServer({ port: 0, host: "127.0.0.1", path: peerPath });
+
+    /**
+     * @param answer - makes the frame that answers a call with this id
+     */
+    public constructor(answer: (id: number) => string | Buffer) {
+        this.server.on("connection", socket => {
+            socket.on("message", data => {
+                const { id } = JSON.parse((data as Buffer).toString()) as { readonly id: number };
+                socket.send(answer(id));
+            });
+        });
+    }
+
+    /** Waits until it listens; returns the port. */
+    public listen(): Promise<number> {
+        return new Promise(resolve => {
+            this.server.once("listening", () => resolve((this.server.address() as AddressInfo).port));
+        });
+    }
+
+    /** Ends everything. */
+    public close(): void {
+        for (const socket of this.server.clients) {
+            socket.terminate();
+        }
+        this.server.close();
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/__tests__/relay.ts
@@ -0,0 +1,79 @@
+/**
+ * A TCP relay that can lose track of its connections: they stay open and carry nothing any more.
+ */
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+
+/** Relays every accepted connection to one target. */
+export class Relay {
+    /** Connections accepted so far. */
+    public accepted = 0;
+    /** Connections that ended so far. */
+    public ended = 0;
+
+    private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    private isSilentForNew = false;
+
+    /**
+     * @param targetPort - port on 127.0.0.1 to relay to
+     */
+    public constructor(targetPort: number) {
+        this.server = createServer(inbound => {
+            this.accepted += 1;
+            const outbound = connect(targetPort, "127.0.0.1");
+            this.join(inbound, outbound);
+            this.join(outbound, inbound);
+            inbound.on("close", () => {
+                this.ended += 1;
+            });
+            if (this.isSilentForNew) {
+                this.silence(inbound);
+                this.silence(outbound);
+            }
+        });
+    }
+
+    /** Starts to accept connections; returns the port. */
+    public listen(): Promise<number> {
+        return new Promise(resolve => {
+            this.server.listen(0, "127.0.0.1", () => resolve((this.server.address() as AddressInfo).port));
+        });
+    }
+
+    /** Silences every open connection for good; new ones work. */
+    public loseTrack(): void {
+        for (const socket of this.sockets) {
+            this.silence(socket);
+        }
+    }
+
+    /** Silences every open connection and every new one. */
+    public goSilent(): void {
+        this.isSilentForNew = true;
+        this.loseTrack();
+    }
+
+    /** Ends everything. */
+    public close(): void {
+        this.server.close();
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
+    }
+
+    private join(from: Socket, to: Socket): void {
+        this.sockets.add(from);
+        from.setNoDelay(true);
+        from.on("data", data => to.write(data));
+        from.on("error", () => undefined);
+        from.on("close", () => {
+            this.sockets.delete(from);
+            to.destroy();
+        });
+    }
+
+    private silence(socket: Socket): void {
+        socket.removeAllListeners("data");
+        socket.on("data", () => undefined);
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-links/src/__tests__/testPeer.ts
@@ -0,0 +1,78 @@
+/**
+ * A process with links and hardly a core: it answers pings, and records what arrives.
+ */
+import type { PeerAddress } from "@lovagepitch/types/identity";
+import type { OutgoingMessage, PeerBatch, PeerMessage } from "@lovagepitch/types/peerMessage";
+import { ManualClock } from "@lovagepitch/utils/clock";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { LinkLimits } from "../linkLimits.js";
+import { PeerLinks } from "../peerLinks.js";
+
+const pollMilliseconds = 2;
+
+/** A peer of a test. */
+export class TestPeer {
+    /** Batches that arrived. */
+    public readonly batches: PeerBatch[] = [];
+    /** Addresses that were reported, in order. */
+    public readonly unreachable: PeerAddress[] = [];
+    /** The clock of the links. */
+    public readonly clock = new ManualClock(0);
+    /** Links under test. */
+    public readonly links: PeerLinks;
+    /** Whether a tick follows each batch. */
+    public ticks = true;
+
+    /**
+     * @param name - incarnation of the peer
+     * @param limits - limits that differ from the defaults
+     */
+    public constructor(name: string, limits: Partial<LinkLimits> = {}) {
+        this.links = new PeerLinks({
+            identity: { address: "127.0.0.1:0", incarnation: name },
+            role: "entry",
+            address: "127.0.0.1",
+            port: 0,
+            clock: this.clock,
+            receive: batch => this.receive(batch),
+            unreachable: address => this.unreachable.push(address),
+            configurationVersion: () => 7,
+            limits,
+        });
+    }
+
+    /** Address of the peer, once it listens. */
+    public get address(): PeerAddress {
+        return this.links.identity.address;
+    }
+
+    /** Messages that arrived, in order. */
+    public get messages(): readonly PeerMessage[] {
+        return this.batches.flatMap(batch => batch.messages);
+    }
+
+    /** Sends messages to one destination in one tick. */
+    public send(destination: PeerAddress, messages: readonly PeerMessage[]): void {
+        this.links.send(messages.map(message => ({ destination, message })));
+    }
+
+    private receive(batch: PeerBatch): void {
+        this.batches.push(batch);
+        if (!this.ticks) {
+            return;
+        }
+        const pings = batch.messages.filter(message => message.type === "ping");
+        const replies = pings.map((): OutgoingMessage => ({
+            destination: batch.sender.address,
+            message: { type: "pong" },
+        }));
+        setImmediate(() => this.links.send(replies));
+    }
+}
+
+/** Waits until a condition holds; the test's own timeout ends a wait in vain. */
+export async function until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await sleep(pollMilliseconds);
+    }
+}
--- a/packages/lovagepitch-links/src/socketLink.ts
+++ b/packages/lovagepitch-links/src/socketLink.ts
@@ -11,7 +11,7 @@
 import type { PeerRouter } from "./peerRouter.js";
 
 const responseSchema = z.union([
-    z.object({ id: z.number(), result: z.object({ type: z.literal("data"), data: z.unknown() }) }),
+    z.object({ id: z.number(), result: z.object({ type: z.literal("data"), data: z.unknown().optional() }) }),
     z.object({ id: z.number(), error: z.object({ message: z.string() }) }),
 ]);
 
