--- /dev/null
+++ b/packages/lovagepitch-platform/src/claimGroup.ts
@@ -0,0 +1,205 @@
+/**
+ * One group of claims on its way through the table.
+ */
+import type { Clock } from "@lovagepitch/utils/clock";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import type { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
+import { claimRowKey, claimSchema, isReplaceable, type KeyBinding, type KeyClaim } from "./claimRow.js";
+import { PlatformError } from "./platformError.js";
+import { parseRow } from "./registryRows.js";
+import type { RetryPolicy } from "./retryPolicy.js";
+import type { ConditionalWrite, TableRow, TableService, WriteCondition } from "./tableService.js";
+
+/** Result of one claim. */
+export type ClaimResult = Result<KeyBinding, PlatformError>;
+
+/** What a group needs to know. */
+export interface ClaimGroupContext {
+    readonly table: TableService;
+    readonly retries: RetryPolicy;
+    readonly clock: Clock;
+    readonly codec: SubmissionCodec;
+    readonly resubmissionWindowMilliseconds: number;
+    /** Names the next transaction, differently in each process and each time. */
+    readonly nextTransaction: () => string;
+}
+
+interface PendingClaim {
+    readonly claim: KeyClaim;
+    readonly rowKey: string;
+    readonly condition: WriteCondition;
+    readonly resolve: (result: ClaimResult) => void;
+}
+
+/** Claims of different keys that are written in one transaction. */
+export class ClaimGroup {
+    private pending: readonly PendingClaim[] = [];
+    /** The last answer that was lost; the claims it spoke of may be in the table, or still arrive there. */
+    private lostAnswer: PlatformError | undefined;
+    /** The last failure to read a row back. */
+    private readFailure: PlatformError | undefined;
+
+    /**
+     * @param context - the table and what else a group needs
+     */
+    public constructor(private readonly context: ClaimGroupContext) {}
+
+    /** Number of claims without a result. */
+    public get size(): number {
+        return this.pending.length;
+    }
+
+    /**
+     * Adds a claim; its key must not be in the group yet.
+     *
+     * @param claim - the claim
+     * @returns its result, once the group was committed
+     */
+    public async add(claim: KeyClaim): Promise<ClaimResult> {
+        return new Promise(resolve => {
+            const rowKey = claimRowKey(claim);
+            this.pending = [...this.pending, { claim, rowKey, condition: { kind: "absent" }, resolve }];
+        });
+    }
+
+    /**
+     * Writes the group until every claim has a result.
+     *
+     * @returns the failure that left claims unbound, if any
+     */
+    public async commit(): Promise<PlatformError | undefined> {
+        let failure = new PlatformError("conflict", "The rows of the keys keep changing; try again later");
+        for (let attempt = 0; attempt < this.context.retries.maximumAttempts && this.size > 0; attempt += 1) {
+            await this.context.retries.waitBefore(attempt);
+            const transaction = this.context.nextTransaction();
+            const written = await this.context.table.write(this.createWrites(transaction));
+            if (written.ok) {
+                this.bindAll();
+                return undefined;
+            }
+            failure = written.val;
+            switch (failure.kind) {
+                case "conflict":
+                    await this.resolveConflicts(failure.conflictingKeys);
+                    break;
+                case "unavailable":
+                    this.lostAnswer = failure;
+                    await this.resolveLostAnswer(transaction);
+                    break;
+                case "invalid":
+                case "throttled":
+                    return this.fail(this.lostAnswer ?? failure);
+            }
+        }
+        return this.size > 0 ? this.fail(this.lostAnswer ?? failure) : this.readFailure;
+    }
+
+    /**
+     * Gives every claim that has no result a failure.
+     *
+     * @param failure - the failure
+     * @returns the failure
+     */
+    public fail(failure: PlatformError): PlatformError {
+        for (const pending of this.takeAll()) {
+            pending.resolve(Err(failure));
+        }
+        return failure;
+    }
+
+    private createWrites(transaction: string): readonly ConditionalWrite[] {
+        const expiresAtMilliseconds = this.context.clock.nowMilliseconds()
+            + this.context.resubmissionWindowMilliseconds;
+        return this.pending.map(({ claim, rowKey, condition }) => ({
+            key: rowKey,
+            condition,
+            value: {
+                team: claim.team,
+                service: claim.service,
+                key: claim.key,
+                jobDigest: claim.jobDigest,
+                submission: claim.submission,
+                expiresAtMilliseconds,
+                transaction,
+            },
+        }));
+    }
+
+    /** Reads back only the rows that stood in the way. */
+    private async resolveConflicts(conflictingKeys: readonly string[]): Promise<void> {
+        const isConflicting = (pending: PendingClaim): boolean =>
+            conflictingKeys.length === 0 || conflictingKeys.includes(pending.rowKey);
+        const checked = await Promise.all(this.pending.filter(isConflicting).map(pending => this.readBack(pending)));
+        const unsettled = checked.filter(pending => pending !== undefined);
+        this.pending = [...this.pending.filter(pending => !isConflicting(pending)), ...unsettled];
+    }
+
+    /** One row tells what became of the transaction, because it wrote all rows or none. */
+    private async resolveLostAnswer(transaction: string): Promise<void> {
+        const [probe, ...others] = this.pending;
+        if (probe === undefined) {
+            return;
+        }
+        const row = await this.context.table.read(probe.rowKey);
+        if (row.err) {
+            this.readFailure = this.fail(row.val);
+            return;
+        }
+        const value = row.val === undefined ? undefined : parseRow(row.val, claimSchema);
+        if (value?.ok && value.val.transaction === transaction) {
+            this.bindAll();
+            return;
+        }
+        const remaining = this.settle(probe, row.val);
+        this.pending = remaining === undefined ? others : [remaining, ...others];
+    }
+
+    private async readBack(pending: PendingClaim): Promise<PendingClaim | undefined> {
+        const row = await this.context.table.read(pending.rowKey);
+        if (row.err) {
+            this.readFailure = row.val;
+            pending.resolve(row);
+            return undefined;
+        }
+        return this.settle(pending, row.val);
+    }
+
+    /**
+     * Compares a claim with its row.
+     *
+     * @param pending - the claim
+     * @param row - its row, undefined when there is none
+     * @returns the claim with the condition for its next write, or undefined when it has its result
+     */
+    private settle(pending: PendingClaim, row: TableRow | undefined): PendingClaim | undefined {
+        if (row === undefined) {
+            return { ...pending, condition: { kind: "absent" } };
+        }
+        const value = parseRow(row, claimSchema);
+        if (value.err) {
+            pending.resolve(value);
+            return undefined;
+        }
+        if (isReplaceable(value.val, this.context.codec, this.context.clock.nowMilliseconds())) {
+            return { ...pending, condition: { kind: "etag", etag: row.etag } };
+        }
+        bind(pending, value.val);
+        return undefined;
+    }
+
+    private bindAll(): void {
+        for (const pending of this.takeAll()) {
+            bind(pending, pending.claim);
+        }
+    }
+
+    private takeAll(): readonly PendingClaim[] {
+        const taken = this.pending;
+        this.pending = [];
+        return taken;
+    }
+}
+
+function bind(pending: PendingClaim, { submission, jobDigest }: KeyBinding): void {
+    pending.resolve(Ok({ submission, jobDigest }));
+}
--- /dev/null
+++ b/packages/lovagepitch-platform/src/claimRepository.ts
@@ -0,0 +1,112 @@
+/**
+ * Binds callers' keys to submissions in the platform's table, many in one write.
+ */
+import type { Clock } from "@lovagepitch/utils/clock";
+import { createIncarnation } from "@lovagepitch/utils/incarnation";
+import { Err, type Result } from "@lovagepitch/utils/result";
+import type { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
+import { ClaimGroup, type ClaimGroupContext, type ClaimResult } from "./claimGroup.js";
+import { claimRowKey, type KeyBinding, type KeyClaim } from "./claimRow.js";
+import { PlatformError } from "./platformError.js";
+import type { RetryPolicy } from "./retryPolicy.js";
+import type { TableService } from "./tableService.js";
+
+const defaultMaximumWaitingClaims = 10_000;
+const defaultMaximumClaimsPerTransaction = 200;
+
+/** Settings of the claims of one process. */
+export interface ClaimOptions {
+    /** How long a key stays bound to its submission, in milliseconds. */
+    readonly resubmissionWindowMilliseconds: number;
+    /** Claims that may wait for the transaction in flight. */
+    readonly maximumWaitingClaims?: number;
+    readonly maximumClaimsPerTransaction?: number;
+}
+
+/** Claims of callers' keys; one transaction at a time carries all that wait. */
+export class ClaimRepository {
+    private readonly context: ClaimGroupContext;
+    private readonly maximumWaitingClaims: number;
+    private readonly maximumClaimsPerTransaction: number;
+    /** Claims in progress by row key; a second claim of a key shares the first one's result. */
+    private readonly claims = new Map<string, Promise<ClaimResult>>();
+    private readonly waitingGroups: ClaimGroup[] = [];
+    private committing = false;
+
+    /**
+     * @param table - the platform's table
+     * @param retries - how often a group is attempted
+     * @param clock - source of time
+     * @param codec - reads the expiry of submissions
+     * @param options - limits and the resubmission window
+     */
+    public constructor(
+        table: TableService,
+        retries: RetryPolicy,
+        clock: Clock,
+        codec: SubmissionCodec,
+        options: ClaimOptions,
+    ) {
+        const process = createIncarnation();
+        let transactions = 0;
+        const nextTransaction = (): string => {
+            transactions += 1;
+            return `${process}-${transactions}`;
+        };
+        const { resubmissionWindowMilliseconds } = options;
+        this.context = { table, retries, clock, codec, resubmissionWindowMilliseconds, nextTransaction };
+        this.maximumWaitingClaims = options.maximumWaitingClaims ?? defaultMaximumWaitingClaims;
+        this.maximumClaimsPerTransaction = options.maximumClaimsPerTransaction ?? defaultMaximumClaimsPerTransaction;
+    }
+
+    /**
+     * Binds a key to a submission unless it is bound already. Claims of one key in this process are serialised.
+     *
+     * @param claim - the key and the submission to bind it to
+     * @returns what the key is bound to, by this claim or an earlier one; after a failure nothing is known of the key
+     */
+    public async claim(claim: KeyClaim): Promise<Result<KeyBinding, PlatformError>> {
+        const rowKey = claimRowKey(claim);
+        const earlier = this.claims.get(rowKey);
+        if (earlier !== undefined) {
+            return earlier;
+        }
+        if (this.claims.size >= this.maximumWaitingClaims) {
+            return Err(new PlatformError("throttled", "Too many keys wait to be claimed; try again in a second"));
+        }
+        const result = this.enqueue(claim);
+        this.claims.set(rowKey, result);
+        try {
+            return await result;
+        }
+        finally {
+            this.claims.delete(rowKey);
+        }
+    }
+
+    private enqueue(claim: KeyClaim): Promise<ClaimResult> {
+        let group = this.waitingGroups.at(-1);
+        if (group === undefined || group.size >= this.maximumClaimsPerTransaction) {
+            group = new ClaimGroup(this.context);
+            this.waitingGroups.push(group);
+        }
+        const result = group.add(claim);
+        if (!this.committing) {
+            this.committing = true;
+            // Claims of one tick arrive in one turn; waiting for its end puts them all into the first transaction.
+            queueMicrotask(() => void this.commitGroups());
+        }
+        return result;
+    }
+
+    private async commitGroups(): Promise<void> {
+        for (let group = this.waitingGroups.shift(); group !== undefined; group = this.waitingGroups.shift()) {
+            const failure = await group.commit();
+            if (failure?.kind === "unavailable") {
+                // While the table is down, each group would wait for its own timeout after all those before it.
+                this.waitingGroups.splice(0).forEach(waiting => waiting.fail(failure));
+            }
+        }
+        this.committing = false;
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-platform/src/handoverRepository.ts
@@ -0,0 +1,124 @@
+/**
+ * What stopped processes leave behind in the object store: finished answers of entries, ledgers of agents.
+ */
+import type { Incarnation } from "@lovagepitch/types/identity";
+import type { AnswersHandover, LedgerHandover } from "@lovagepitch/types/ledger";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import { promisify } from "node:util";
+import { gunzip, gzip } from "node:zlib";
+import { z } from "zod";
+import { answersHandoverSchema, ledgerHandoverSchema } from "./handoverSchema.js";
+import type { ObjectStore } from "./objectStore.js";
+import { PlatformError } from "./platformError.js";
+import type { RetryPolicy } from "./retryPolicy.js";
+
+const compress = promisify(gzip);
+const decompress = promisify(gunzip);
+
+/** Most bytes that an object may have once it is decompressed. */
+const maximumHandoverBytes = 512 * 1024 * 1024;
+
+/** Handover objects, one an incarnation; an incarnation writes its object once, when it stops. */
+export class HandoverRepository {
+    /**
+     * @param objects - the platform's object store
+     * @param retries - how often a write is attempted
+     */
+    public constructor(private readonly objects: ObjectStore, private readonly retries: RetryPolicy) {}
+
+    /**
+     * Writes the finished answers of a stopping entry.
+     *
+     * @param handover - the answers
+     * @returns nothing, or why they are not known to be durable
+     */
+    public async writeAnswers(handover: AnswersHandover): Promise<Result<void, PlatformError>> {
+        return this.write(answersName(handover.incarnation), handover);
+    }
+
+    /**
+     * Reads the finished answers of a stopped entry.
+     *
+     * @param incarnation - the entry
+     * @returns the answers, undefined when it left none, or why they could not be read
+     */
+    public async readAnswers(incarnation: Incarnation): Promise<Result<AnswersHandover | undefined, PlatformError>> {
+        return this.read(answersName(incarnation), incarnation, answersHandoverSchema);
+    }
+
+    /**
+     * Writes the ledger of a stopping agent.
+     *
+     * @param handover - the ledger
+     * @returns nothing, or why it is not known to be durable
+     */
+    public async writeLedger(handover: LedgerHandover): Promise<Result<void, PlatformError>> {
+        return this.write(ledgerName(handover.incarnation), handover);
+    }
+
+    /**
+     * Reads the ledger of a stopped agent.
+     *
+     * @param incarnation - the agent
+     * @returns the ledger, undefined when it left none, or why it could not be read
+     */
+    public async readLedger(incarnation: Incarnation): Promise<Result<LedgerHandover | undefined, PlatformError>> {
+        return this.read(ledgerName(incarnation), incarnation, ledgerHandoverSchema);
+    }
+
+    private async write(name: string, handover: unknown): Promise<Result<void, PlatformError>> {
+        const body = await compress(JSON.stringify(handover));
+        let failure = new PlatformError("unavailable", `The object ${name} was not written; try again`);
+        for (let attempt = 0; attempt < this.retries.maximumAttempts; attempt += 1) {
+            await this.retries.waitBefore(attempt);
+            const written = await this.objects.put(name, body);
+            if (written.ok || written.val.kind !== "unavailable") {
+                return written;
+            }
+            failure = written.val;
+            const stored = await this.objects.get(name);
+            if (stored.ok && stored.val !== undefined && body.equals(stored.val)) {
+                return Ok(undefined);
+            }
+        }
+        return Err(failure);
+    }
+
+    private async read<Handover extends { readonly incarnation: Incarnation }>(
+        name: string,
+        incarnation: Incarnation,
+        schema: z.ZodType<Handover>,
+    ): Promise<Result<Handover | undefined, PlatformError>> {
+        const body = await this.objects.get(name);
+        if (body.err || body.val === undefined) {
+            return body.map(() => undefined);
+        }
+        const parsed = schema.safeParse(await decode(body.val));
+        if (!parsed.success) {
+            const problem = z.prettifyError(parsed.error);
+            return Err(new PlatformError("invalid", `The object ${name} is malformed; delete it (${problem})`));
+        }
+        if (parsed.data.incarnation !== incarnation) {
+            return Err(new PlatformError("invalid", `The object ${name} is of another process; delete it`));
+        }
+        return Ok(parsed.data);
+    }
+}
+
+function answersName(incarnation: Incarnation): string {
+    return `handover/answers/${incarnation}.json.gz`;
+}
+
+function ledgerName(incarnation: Incarnation): string {
+    return `handover/ledger/${incarnation}.json.gz`;
+}
+
+async function decode(body: Uint8Array): Promise<unknown> {
+    try {
+        const text = await decompress(body, { maxOutputLength: maximumHandoverBytes });
+        return JSON.parse(text.toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-platform/src/handoverSchema.ts
@@ -0,0 +1,61 @@
+/**
+ * Content of handover objects.
+ */
+import type { AnswersHandover, LedgerHandover } from "@lovagepitch/types/ledger";
+import { z } from "zod";
+
+const taskRefusalSchema = z.enum([
+    "busy",
+    "not-eligible",
+    "not-permitted",
+    "sealed",
+    "leaving",
+    "configuration-behind",
+    "backend-unavailable",
+    "recalled",
+    "deadline-passed",
+    "not-registered",
+]);
+
+const jsonValueSchema = z.json();
+
+const taskReportStateSchema = z.discriminatedUnion("state", [
+    z.object({ state: z.literal("standing-by") }),
+    z.object({ state: z.literal("running") }),
+    z.object({ state: z.literal("succeeded"), output: jsonValueSchema }),
+    z.object({ state: z.literal("failed"), reason: z.string() }),
+    z.object({ state: z.literal("refused"), refusal: taskRefusalSchema }),
+    z.object({ state: z.literal("unknown") }),
+    z.object({ state: z.literal("forgotten") }),
+]);
+
+/** The object that a stopping agent leaves behind. */
+export const ledgerHandoverSchema: z.ZodType<LedgerHandover> = z.object({
+    incarnation: z.string(),
+    submissions: z.array(z.object({
+        submission: z.string(),
+        reports: z.array(z.object({ index: z.int().min(0), report: taskReportStateSchema })),
+    })),
+    lowWaterMarks: z.record(z.string(), z.number()),
+});
+
+const jobAnswerSchema = z.object({
+    submission: z.string(),
+    state: z.enum(["complete", "failed"]),
+    reason: z.string().optional(),
+    configurationVersion: z.int().min(0),
+    tasks: z.array(z.object({
+        index: z.int().min(0),
+        state: z.enum(["succeeded", "failed", "not-run", "may-have-run"]),
+        output: jsonValueSchema.optional(),
+        worker: z.string().optional(),
+        availabilityZone: z.string().optional(),
+    })),
+    nextSubmission: z.string().optional(),
+});
+
+/** The object that a stopping entry leaves behind. */
+export const answersHandoverSchema: z.ZodType<AnswersHandover> = z.object({
+    incarnation: z.string(),
+    answers: z.array(z.object({ submission: z.string(), jobDigest: z.string(), answer: jobAnswerSchema })),
+});
--- a/packages/lovagepitch-testing/src/standIns/platformFaults.ts
+++ b/packages/lovagepitch-testing/src/standIns/platformFaults.ts
@@ -3,6 +3,7 @@
  */
 import { PlatformError } from "@lovagepitch/platform/platformError";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
 
 const defaultSeed = 1;
 
@@ -24,20 +25,41 @@
     readonly heldWrites?: number;
 }
 
+const noFaults: Required<PlatformFaultSettings> = {
+    down: false,
+    silent: false,
+    slowMilliseconds: 0,
+    lostAnswers: 0,
+    lostAnswerShare: 0,
+    lostRequests: 0,
+    heldWrites: 0,
+};
+
+/**
+ * Checks faults that came in a request.
+ *
+ * @param value - a JSON value
+ * @returns the faults to change, or the error that names what is wrong
+ */
+export function parseFaultSettings(value: unknown): Result<PlatformFaultSettings, PlatformError> {
+    if (typeof value !== "object" || value === undefined || Array.isArray(value)) {
+        return Err(new PlatformError("invalid", "Faults are a JSON object; see PlatformFaultSettings"));
+    }
+    for (const [name, setting] of Object.entries(value ?? {})) {
+        const known = Object.entries(noFaults).find(([knownName]) => knownName === name);
+        if (known === undefined || typeof known[1] !== typeof setting) {
+            return Err(new PlatformError("invalid", `${name} is no fault of that type; see PlatformFaultSettings`));
+        }
+    }
+    return Ok(value ?? {});
+}
+
 /** What becomes of one write. */
 export type WriteFate = "answered" | "answer-lost" | "request-lost" | "held";
 
 /** Faults in force at one stand-in. */
 export class PlatformFaults {
-    private settings: Required<PlatformFaultSettings> = {
-        down: false,
-        silent: false,
-        slowMilliseconds: 0,
-        lostAnswers: 0,
-        lostAnswerShare: 0,
-        lostRequests: 0,
-        heldWrites: 0,
-    };
+    private settings = noFaults;
     private readonly held: (() => void)[] = [];
 
     /**
@@ -65,15 +87,7 @@
 
     /** Switches every fault off; held writes stay held. */
     public clear(): void {
-        this.settings = {
-            down: false,
-            silent: false,
-            slowMilliseconds: 0,
-            lostAnswers: 0,
-            lostAnswerShare: 0,
-            lostRequests: 0,
-            heldWrites: 0,
-        };
+        this.settings = noFaults;
     }
 
     /**
--- /dev/null
+++ b/packages/lovagepitch-testing/src/standIns/runPlatformServer.ts
@@ -0,0 +1,12 @@
+/**
+ * Runs the platform's stand-in as a process of its own: `node runPlatformServer.js --port 7300`.
+ */
+import { parseArgs } from "node:util";
+import { startPlatformServer } from "./platformServer.js";
+
+const { values } = parseArgs({ options: { port: { type: "string", default: "0" } } });
+const platform = await startPlatformServer({ port: Number(values.port) });
+process.stdout.write(`${JSON.stringify({ url: platform.url })}\n`);
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => void platform.close());
+}
