--- a/packages/lovagepitch-platform/src/registryRepository.ts
+++ b/packages/lovagepitch-platform/src/registryRepository.ts
@@ -321,14 +321,31 @@
         return rows;
     }
 
+    /** Deletes a row under its tag; returns the number of rows deleted. */
     private async deleteRow(row: TableRow): Promise<Result<number, PlatformError>> {
-        const condition: WriteCondition = { kind: "etag", etag: row.etag };
-        const written = await this.table.write([{ key: row.key, condition, value: undefined }]);
-        if (written.ok) {
-            return Ok(1);
+        const deletion: ConditionalWrite = {
+            key: row.key,
+            condition: { kind: "etag", etag: row.etag },
+            value: undefined,
+        };
+        let failure = new PlatformError("unavailable", `The row ${row.key} may still be there; try again later`);
+        for (let attempt = 0; attempt < this.retries.maximumAttempts; attempt += 1) {
+            await this.retries.waitBefore(attempt);
+            const written = await this.table.write([deletion]);
+            if (written.ok) {
+                return Ok(1);
+            }
+            if (written.val.kind !== "unavailable") {
+                // A row that changed is not expired any more, or someone else has deleted it.
+                return written.val.kind === "conflict" ? Ok(0) : written;
+            }
+            failure = written.val;
+            const remaining = await this.table.read(row.key);
+            if (remaining.err || remaining.val === undefined) {
+                return remaining.map(() => 1);
+            }
         }
-        // A row that changed is not expired any more, or someone else has deleted it.
-        return written.val.kind === "conflict" ? Ok(0) : written;
+        return Err(failure);
     }
 }
 
