--- a/packages/lovagepitch-testing/src/harness/eventQueue.ts
+++ b/packages/lovagepitch-testing/src/harness/eventQueue.ts
@@ -40,7 +40,7 @@
         const last = this.times.length;
         this.times.push(Math.max(atMilliseconds, this.clock.nowMilliseconds()));
         this.orders.push(this.nextOrder);
-        this.handlers.push(handler as EventHandler<never>);
+        this.handlers.push(handler);
         this.operands.push(operand);
         this.nextOrder += 1;
         this.siftUp(last);
--- /dev/null
+++ b/packages/lovagepitch-testing/src/standIns/runBackendServer.ts
@@ -0,0 +1,34 @@
+/**
+ * Runs the backend server stand-in as a process; prints its address as one JSON line when it listens.
+ */
+import { parseArgs } from "node:util";
+import { BackendServer } from "./backendServer.js";
+
+const { values } = parseArgs({
+    options: {
+        "port": { type: "string", default: "0" },
+        "agent": { type: "string" },
+        "worker": { type: "string", default: "worker" },
+        "availability-zone": { type: "string", default: "zone" },
+        "slots": { type: "string", default: "8" },
+        "connections": { type: "string", default: "64" },
+        "services": { type: "string", default: "alerts" },
+    },
+});
+if (values.agent === undefined) {
+    throw new Error("--agent is missing; give the base address of the agent's local port");
+}
+const server = new BackendServer({
+    port: Number(values.port),
+    agentUrl: values.agent,
+    worker: values.worker,
+    availabilityZone: values["availability-zone"],
+    slots: Number(values.slots),
+    connections: Number(values.connections),
+    services: values.services.split(","),
+});
+await server.start();
+console.log(JSON.stringify({ listening: server.url }));
+process.on("SIGTERM", () => {
+    void server.stop().then(() => process.exit(0));
+});
