--- a/packages/lovagepitch-testing/src/harness/fakeCallers.ts
+++ b/packages/lovagepitch-testing/src/harness/fakeCallers.ts
@@ -28,6 +28,7 @@
     private readonly issuing = new Map<RequestNumber, PendingIssue>();
     private readonly ids: SubmissionKey[][] = [];
     private readonly silentEntries = new Set<number>();
+    private readonly keptIds = new Set<SubmissionKey>();
     private nextNumber = 1;
 
     /**
@@ -285,7 +286,9 @@
     };
 
     private keepId(entryIndex: number, submission: SubmissionKey | undefined): void {
-        if (submission !== undefined) {
+        // A replayed answer brings the same id again, which must not serve two jobs.
+        if (submission !== undefined && !this.keptIds.has(submission)) {
+            this.keptIds.add(submission);
             this.ids[entryIndex]?.push(submission);
         }
     }
