--- a/packages/lovagepitch-platform/src/handoverSchema.ts
+++ b/packages/lovagepitch-platform/src/handoverSchema.ts
@@ -15,6 +15,7 @@
     "recalled",
     "deadline-passed",
     "not-registered",
+    "out-of-order",
 ]);
 
 const jsonValueSchema = z.json();
@@ -24,7 +25,11 @@
     z.object({ state: z.literal("running") }),
     z.object({ state: z.literal("succeeded"), output: jsonValueSchema }),
     z.object({ state: z.literal("failed"), reason: z.string() }),
-    z.object({ state: z.literal("refused"), refusal: taskRefusalSchema }),
+    z.object({
+        state: z.literal("refused"),
+        refusal: taskRefusalSchema,
+        startSequence: z.number().int().nonnegative(),
+    }),
     z.object({ state: z.literal("unknown") }),
     z.object({ state: z.literal("forgotten") }),
 ]);
