--- a/packages/lovagepitch-agent/src/core/systems/handleInputs.ts
+++ b/packages/lovagepitch-agent/src/core/systems/handleInputs.ts
@@ -104,7 +104,8 @@
         case "sealSubmissions":
             return sealSubmissions(context, origin.sender.address, message);
         case "acknowledgeOutcomes":
-            return acknowledgeOutcomes(context, origin.sender.address, message);
+            acknowledgeOutcomes(context, origin.sender.address, message);
+            return declineOffer(context, origin.sender.address, message.declinedSlots);
         case "placeBid":
             return placeBid(context, origin, message);
         case "declineOffer":
--- a/packages/lovagepitch-entry/src/core/entryCore.ts
+++ b/packages/lovagepitch-entry/src/core/entryCore.ts
@@ -8,7 +8,7 @@
 import type { EntryOutput } from "./entryOutput.js";
 import { type EntryCoreParts, type EntryPolicies, EntryState, type TimerKey } from "./entryState.js";
 import { RandomBids } from "./policies/bidPolicy.js";
-import { MostFreeSlots } from "./policies/placementPolicy.js";
+import { OwnZoneFirst } from "./policies/placementPolicy.js";
 import { OldestFirst, ShortestWorkWithAgeLimit } from "./policies/startOrderPolicy.js";
 import { checkAgent } from "./systems/agentLiveness.js";
 import { acceptRegistry } from "./systems/agentRegistry.js";
@@ -248,7 +248,7 @@
     const policy = parts.settings.policy;
     return {
         startOrder: policy.startOrder === "oldest-first" ? new OldestFirst() : new ShortestWorkWithAgeLimit(),
-        placement: new MostFreeSlots(parts.settings.availabilityZone),
+        placement: new OwnZoneFirst(parts.settings.availabilityZone),
         bids: new RandomBids(policy.bids, parts.random),
     };
 }
--- a/packages/lovagepitch-entry/src/core/entryState.ts
+++ b/packages/lovagepitch-entry/src/core/entryState.ts
@@ -198,10 +198,28 @@
     public acknowledge(destination: PeerAddress, submission: SubmissionKey, index: number): void {
         const key = `${destination} ${submission}`;
         const indexes = this.acknowledgements.get(key)?.message.indexes ?? [];
-        const message = { type: "acknowledgeOutcomes" as const, submission, indexes: [...indexes, index] };
+        const message = { type: "acknowledgeOutcomes" as const, submission, indexes: [...indexes, index], declinedSlots: 0 };
         this.acknowledgements.set(key, { destination, message });
     }
 
+    /**
+     * Declines offered slots on an acknowledgement that goes to the agent in this tick anyway.
+     *
+     * @param destination - address of the agent
+     * @param slots - slots to decline
+     * @returns false when no acknowledgement goes there
+     */
+    public declineAlong(destination: PeerAddress, slots: number): boolean {
+        for (const [key, acknowledgement] of this.acknowledgements) {
+            if (acknowledgement.destination === destination) {
+                const message = { ...acknowledgement.message, declinedSlots: slots };
+                this.acknowledgements.set(key, { destination, message });
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Logs a decision.
      *
--- a/packages/lovagepitch-entry/src/core/policies/placementPolicy.ts
+++ b/packages/lovagepitch-entry/src/core/policies/placementPolicy.ts
@@ -41,3 +41,23 @@
         return best;
     }
 }
+
+/** Most free slots in the entry's own availability zone; elsewhere only when its own zone has none. */
+export class OwnZoneFirst extends PlacementPolicy {
+    private readonly mostFree: MostFreeSlots;
+
+    /**
+     * @param availabilityZone - availability zone of the entry
+     */
+    public constructor(private readonly availabilityZone: string) {
+        super();
+        this.mostFree = new MostFreeSlots(availabilityZone);
+    }
+
+    /** {@inheritDoc PlacementPolicy.choose} */
+    public override choose(agents: Iterable<AgentRow>): AgentRow | undefined {
+        const all = [...agents];
+        const near = all.filter(agent => agent.availabilityZone === this.availabilityZone);
+        return this.mostFree.choose(near) ?? this.mostFree.choose(all);
+    }
+}
--- a/packages/lovagepitch-entry/src/core/systems/bidding.ts
+++ b/packages/lovagepitch-entry/src/core/systems/bidding.ts
@@ -42,8 +42,10 @@
         if (agent === undefined || agent.offeredSlots === 0) {
             continue;
         }
-        state.send(address, { type: "declineOffer", slots: agent.offeredSlots });
-        state.counters.wastedMessages += 1;
+        if (!state.declineAlong(address, agent.offeredSlots)) {
+            state.send(address, { type: "declineOffer", slots: agent.offeredSlots });
+            state.counters.wastedMessages += 1;
+        }
         state.agents.update(address, { offeredSlots: 0 });
     }
     state.offering.clear();
--- a/packages/lovagepitch-links/src/peerBatchSchema.ts
+++ b/packages/lovagepitch-links/src/peerBatchSchema.ts
@@ -178,7 +178,7 @@
     z.object({ type: z.literal("recallTasks"), submission: name, startSequence: count, indexes }),
     z.object({ type: z.literal("queryTasks"), submission: name, indexes }),
     z.object({ type: z.literal("sealSubmissions"), submissions: z.array(name) }),
-    z.object({ type: z.literal("acknowledgeOutcomes"), submission: name, indexes }),
+    z.object({ type: z.literal("acknowledgeOutcomes"), submission: name, indexes, declinedSlots: count }),
     z.object({ type: z.literal("placeBid"), service: name, oldestArrivalMilliseconds: amount, waitingTasks: count }),
     z.object({ type: z.literal("declineOffer"), slots: count }),
     z.object({ type: z.literal("reportTasks"), submission: name, reports, load, offeredSlots: count }),
--- a/packages/lovagepitch-types/src/peerMessage.ts
+++ b/packages/lovagepitch-types/src/peerMessage.ts
@@ -60,6 +60,8 @@
     readonly type: "acknowledgeOutcomes";
     readonly submission: SubmissionKey;
     readonly indexes: readonly number[];
+    /** Slots offered along with the outcomes that the entry does not need. */
+    readonly declinedSlots: number;
 }
 
 /** Entry to agent: tasks wait here; offer a slot when one is free. Replaces the sender's earlier bid. */
