--- a/packages/lovagepitch-links/src/peerLinks.ts
+++ b/packages/lovagepitch-links/src/peerLinks.ts
@@ -7,7 +7,7 @@
 import type { Result } from "@lovagepitch/utils/result";
 import type { WebSocket } from "ws";
 import { CountingCodec } from "./countingCodec.js";
-import { JsonFrameCodec } from "./frameCodec.js";
+import { type FrameCodec, JsonFrameCodec } from "./frameCodec.js";
 import { createLinkCounters, type LinkCounters } from "./linkCounters.js";
 import { LinkError } from "./linkError.js";
 import { defaultLinkLimits, type LinkLimits } from "./linkLimits.js";
@@ -35,6 +35,8 @@
     /** Newest configuration version in force. */
     readonly configurationVersion: () => number;
     readonly limits?: Partial<LinkLimits>;
+    /** Encoding of the frames, the same in every process; JSON when absent. */
+    readonly codec?: FrameCodec;
 }
 
 /** Links of one process to its peers. */
@@ -56,7 +58,8 @@
     public constructor(private readonly options: PeerLinksOptions) {
         this.limits = { ...defaultLinkLimits, ...options.limits };
         this.currentIdentity = options.identity;
-        this.codec = new CountingCodec(new JsonFrameCodec(this.limits.maximumFrameBytes), this.counts);
+        const codec = options.codec ?? new JsonFrameCodec(this.limits.maximumFrameBytes);
+        this.codec = new CountingCodec(codec, this.counts);
         const router = createPeerRouter(
             value => this.parseBatch(value),
             (batch, socket) => this.accept(batch, socket),
