--- /dev/null
+++ b/packages/lovagepitch-agent/src/core/systems/recallTasks.ts
@@ -0,0 +1,85 @@
+/**
+ * Recalls and queries of tasks.
+ */
+import type { PeerAddress, PeerIdentity, SubmissionIdentity } from "@lovagepitch/types/identity";
+import type { QueryTasks, RecallTasks, TaskReport } from "@lovagepitch/types/peerMessage";
+import { raiseForKeeper, taskKey } from "../entities/agentTables.js";
+import { describeTask, isForgotten } from "../entities/ledger.js";
+import { findStartSequence, refuseTask } from "./refuseTask.js";
+import type { TickContext } from "./tickContext.js";
+
+/**
+ * Drops tasks that have not started; their earlier starts are refused when they arrive later.
+ *
+ * @param context - the tick
+ * @param sender - the entry that asked
+ * @param message - the recall
+ */
+export function recallTasks(context: TickContext, sender: PeerIdentity, message: RecallTasks): void {
+    raiseForKeeper(context.tables.startSequences, sender.incarnation, message.startSequence);
+    const decoded = context.parts.codec.decode(message.submission);
+    if (decoded.err || decoded.val.keeper.incarnation !== sender.incarnation) {
+        return;
+    }
+    for (const index of message.indexes) {
+        context.report(sender.address, message.submission, recallTask(context, decoded.val, message, index));
+    }
+}
+
+function recallTask(
+    context: TickContext,
+    identity: SubmissionIdentity,
+    message: RecallTasks,
+    index: number,
+): TaskReport {
+    const row = context.tables.tasks.get(taskKey(message.submission, index));
+    if (row?.state === "standing-by") {
+        return describeTask(refuseTask(context, message.submission, index, "recalled"));
+    }
+    if (row !== undefined && row.state !== "refused") {
+        return describeTask(row);
+    }
+    if (isForgotten(context.tables, identity)) {
+        return { index, report: { state: "forgotten" } };
+    }
+    const startSequence = findStartSequence(context, identity.keeper.incarnation);
+    return { index, report: { state: "refused", refusal: "recalled", startSequence } };
+}
+
+/**
+ * Reports what is known of tasks.
+ *
+ * @param context - the tick
+ * @param sender - the entry that asked
+ * @param message - the query
+ */
+export function queryTasks(context: TickContext, sender: PeerAddress, message: QueryTasks): void {
+    const decoded = context.parts.codec.decode(message.submission);
+    if (decoded.err) {
+        return;
+    }
+    for (const index of message.indexes) {
+        context.report(sender, message.submission, queryTask(context, decoded.val, message, index));
+    }
+}
+
+function queryTask(
+    context: TickContext,
+    identity: SubmissionIdentity,
+    message: QueryTasks,
+    index: number,
+): TaskReport {
+    const row = context.tables.tasks.get(taskKey(message.submission, index));
+    if (row !== undefined) {
+        return describeTask(row);
+    }
+    if (isForgotten(context.tables, identity)) {
+        return { index, report: { state: "forgotten" } };
+    }
+    const isSealed = context.tables.submissions.get(message.submission)?.sealed === true;
+    if (!isSealed) {
+        return { index, report: { state: "unknown" } };
+    }
+    const startSequence = findStartSequence(context, identity.keeper.incarnation);
+    return { index, report: { state: "refused", refusal: "sealed", startSequence } };
+}
