feat(entry): HTTP for callers and operators, and the entry's process

Cause: the entry's core needs its HTTP server, its links and its dealings with the platform. Change: polka routes with problem documents and bounded bodies; metrics; registration, polling and planned stop.

--- /dev/null
+++ b/packages/lovagepitch-entry/src/http/callerRoutes.ts
@@ -0,0 +1,141 @@
+/**
+ * The callers' routes: ids, submissions and jobs.
+ */
+import type { JobRequest } from "@lovagepitch/types/job";
+import type { Problem, ProblemKind } from "@lovagepitch/types/problem";
+import type { Result } from "@lovagepitch/utils/result";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EntryInput, RequestNumber } from "../core/entryInput.js";
+import { sendEntryResponse, sendProblem } from "./httpResponses.js";
+import type { PendingRequests } from "./pendingRequests.js";
+import { type BodyFailure, hasUnreadBody, readJsonBody } from "./requestBody.js";
+import { createMalformedProblem, createTooManyRequestsProblem, restateForSubmission } from "./requestProblems.js";
+
+const mostSubmissionsPerRequest = 1_000;
+const longestIdempotencyKey = 256;
+const countPattern = /^[1-9]\d{0,3}$/;
+/** Printable ASCII without spaces at the ends. */
+const idempotencyKeyPattern = /^[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?$/;
+
+/** A request as the router hands it on. */
+export interface RoutedRequest extends IncomingMessage {
+    readonly params: Readonly<Record<string, string>>;
+    readonly query: Readonly<Record<string, unknown>>;
+}
+
+/** Handles one request. */
+export type RouteHandler = (request: RoutedRequest, response: ServerResponse) => void | Promise<void>;
+
+/** Checks a caller's job. */
+export type ValidateJob = (body: unknown) => Result<JobRequest, Problem>;
+
+/** What the routes need. */
+export interface CallerRoutesParts {
+    readonly pendingRequests: PendingRequests;
+    readonly validateJob: ValidateJob;
+    readonly maximumBodyBytes: number;
+    /** Counts refusals that never reach the core. */
+    readonly countRefusal: (kind: ProblemKind) => void;
+}
+
+/** Handlers of the callers' routes. */
+export class CallerRoutes {
+    /**
+     * @param parts - what the routes need
+     */
+    public constructor(private readonly parts: CallerRoutesParts) {}
+
+    /** `POST /v1/submissions`: issues ids. */
+    public readonly issue: RouteHandler = (request, response) => {
+        const text = request.query["count"] ?? "1";
+        const count = typeof text === "string" && countPattern.test(text) ? Number(text) : 0;
+        if (count < 1 || count > mostSubmissionsPerRequest) {
+            const remedy = `Ask for a count from 1 to ${mostSubmissionsPerRequest}.`;
+            this.refuse(response, createMalformedProblem(400, "The count is not allowed", remedy));
+            return;
+        }
+        request.resume();
+        this.open(response, number => ({ type: "issue", request: number, count }));
+    };
+
+    /** `PUT /v1/submissions/:submission`: submits or resubmits a job. */
+    public readonly submit: RouteHandler = async (request, response) => {
+        const submission = getSubmission(request);
+        const job = await this.readJob(request);
+        if (job.err) {
+            this.refuseBody(response, job.val, restateForSubmission);
+            return;
+        }
+        this.open(response, number => ({ type: "submit", request: number, submission, job: job.val }));
+    };
+
+    /** `GET /v1/submissions/:submission`: tells a submission's state or its final answer. */
+    public readonly query: RouteHandler = (request, response) => {
+        request.resume();
+        this.open(response, number => ({ type: "query", request: number, submission: getSubmission(request) }));
+    };
+
+    /** `DELETE /v1/submissions/:submission`: cancels a submission. */
+    public readonly cancel: RouteHandler = (request, response) => {
+        request.resume();
+        this.open(response, number => ({ type: "cancel", request: number, submission: getSubmission(request) }));
+    };
+
+    /** `POST /v1/jobs`: submits a job under the caller's own key. */
+    public readonly submitWithKey: RouteHandler = async (request, response) => {
+        const job = await this.readJob(request);
+        const key = request.headers["idempotency-key"];
+        if (typeof key !== "string" || key.length > longestIdempotencyKey || !idempotencyKeyPattern.test(key)) {
+            const remedy = `Send the header Idempotency-Key with 1 to ${longestIdempotencyKey} printable characters.`;
+            this.refuse(response, createMalformedProblem(400, "The Idempotency-Key is missing or malformed", remedy));
+            return;
+        }
+        if (job.err) {
+            this.refuseBody(response, job.val, problem => problem);
+            return;
+        }
+        const { team, service } = job.val;
+        const callerKey = { team, service, key };
+        this.open(response, number => ({ type: "submitWithKey", request: number, key: callerKey, job: job.val }));
+    };
+
+    private async readJob(request: RoutedRequest): Promise<Result<JobRequest, BodyFailure>> {
+        const body = await readJsonBody(request, this.parts.maximumBodyBytes);
+        return body.andThen(value => this.parts.validateJob(value) as Result<JobRequest, BodyFailure>);
+    }
+
+    private open(response: ServerResponse, createInput: (request: RequestNumber) => EntryInput): void {
+        const { pendingRequests } = this.parts;
+        const number = pendingRequests.open(createInput, content => sendEntryResponse(response, content));
+        if (number === undefined) {
+            this.refuse(response, createTooManyRequestsProblem());
+            return;
+        }
+        response.once("close", () => pendingRequests.abandon(number));
+        if (response.destroyed) {
+            pendingRequests.abandon(number);
+        }
+    }
+
+    private refuseBody(
+        response: ServerResponse,
+        failure: BodyFailure,
+        restate: (problem: Problem) => Problem,
+    ): void {
+        if (failure === "caller-gone") {
+            response.destroy();
+            return;
+        }
+        this.refuse(response, restate(failure));
+    }
+
+    private refuse(response: ServerResponse, problem: Problem): void {
+        this.parts.countRefusal(problem.kind);
+        // The rest of the body may still be on its way, and nobody will read it.
+        sendProblem(response, problem, hasUnreadBody(response.req) ? { "connection": "close" } : {});
+    }
+}
+
+function getSubmission(request: RoutedRequest): string {
+    return request.params["submission"] ?? "";
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/http/callerServer.ts
@@ -0,0 +1,193 @@
+/**
+ * The HTTP server for callers and operators.
+ */
+import type { EventLog } from "@lovagepitch/utils/logger";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import polka from "polka";
+import type { CallerRoutes, RoutedRequest, RouteHandler } from "./callerRoutes.js";
+import { createProblemDocument, sendProblem } from "./httpResponses.js";
+import { HttpServerError } from "./httpServerError.js";
+import type { OperatorRoutes } from "./operatorRoutes.js";
+import { hasUnreadBody } from "./requestBody.js";
+import { createDefectProblem, createMalformedProblem } from "./requestProblems.js";
+
+const methods = ["GET", "POST", "PUT", "DELETE"] as const;
+
+/** Bounds of connections and requests. */
+const serverLimits = {
+    headersTimeout: 10_000,
+    requestTimeout: 30_000,
+    keepAliveTimeout: 75_000,
+    connectionsCheckingInterval: 1_000,
+    maxHeaderSize: 8 * 1024,
+    keepAlive: true,
+    keepAliveInitialDelay: 30_000,
+    noDelay: true,
+};
+const maximumConnections = 20_000;
+const maximumHeaders = 64;
+
+/** What the server needs. */
+export interface CallerServerParts {
+    readonly callerRoutes: CallerRoutes;
+    readonly operatorRoutes: OperatorRoutes;
+    readonly eventLog: EventLog;
+}
+
+/** Serves callers and operators over HTTP/1.1. */
+export class CallerServer {
+    private readonly server: Server;
+    private readonly router: polka.Polka;
+    private isStopping = false;
+
+    /**
+     * @param parts - the routes and the log
+     */
+    public constructor(private readonly parts: CallerServerParts) {
+        this.router = polka({
+            onNoMatch: (request: IncomingMessage, response: ServerResponse) => this.refuseRoute(request, response),
+        });
+        this.addRoutes();
+        this.server = createServer(serverLimits, (request, response) => this.handle(request, response));
+        this.server.maxConnections = maximumConnections;
+        this.server.maxHeadersCount = maximumHeaders;
+        this.server.on("clientError", (error, socket) => refuseConnection(error, socket as Socket));
+    }
+
+    /**
+     * Binds the port.
+     *
+     * @param address - IP number to listen on
+     * @param port - port, or 0 for any free one
+     * @returns the bound port, or why there is none
+     */
+    public listen(address: string, port: number): Promise<Result<number, HttpServerError>> {
+        return new Promise(resolve => {
+            const fail = (error: Error): void => {
+                const remedy = "choose a free callerPort and an address of this machine in the settings";
+                const message = `cannot listen on ${address}:${port}: ${error.message}; ${remedy}`;
+                resolve(Err(new HttpServerError(message)));
+            };
+            this.server.once("error", fail);
+            this.server.listen(port, address, () => {
+                this.server.off("error", fail);
+                resolve(Ok((this.server.address() as AddressInfo).port));
+            });
+        });
+    }
+
+    /** Asks callers to open no more requests on their connections; requests in flight go on. */
+    public startStopping(): void {
+        this.isStopping = true;
+    }
+
+    /**
+     * Stops listening once every request in flight was answered.
+     *
+     * @returns when the last connection has closed
+     */
+    public async close(): Promise<void> {
+        this.isStopping = true;
+        await new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeIdleConnections();
+        });
+    }
+
+    /** Cuts every connection. */
+    public cut(): void {
+        this.server.closeAllConnections();
+    }
+
+    private addRoutes(): void {
+        const { callerRoutes, operatorRoutes } = this.parts;
+        this.addRoute("POST", "/v1/submissions", callerRoutes.issue);
+        this.addRoute("PUT", "/v1/submissions/:submission", callerRoutes.submit);
+        this.addRoute("GET", "/v1/submissions/:submission", callerRoutes.query);
+        this.addRoute("DELETE", "/v1/submissions/:submission", callerRoutes.cancel);
+        this.addRoute("POST", "/v1/jobs", callerRoutes.submitWithKey);
+        this.addRoute("GET", "/healthz", operatorRoutes.health);
+        this.addRoute("GET", "/readyz", operatorRoutes.readiness);
+        this.addRoute("GET", "/metrics", operatorRoutes.metrics);
+        this.addRoute("GET", "/status", operatorRoutes.status);
+    }
+
+    private addRoute(method: typeof methods[number], pattern: string, handler: RouteHandler): void {
+        this.router.add(method, pattern, (request, response) => {
+            void this.run(handler, request as RoutedRequest, response);
+        });
+    }
+
+    private async run(handler: RouteHandler, request: RoutedRequest, response: ServerResponse): Promise<void> {
+        try {
+            await handler(request, response);
+        }
+        catch (error) {
+            this.reportDefect(error, response);
+        }
+    }
+
+    private handle(request: IncomingMessage, response: ServerResponse): void {
+        response.on("error", () => response.destroy());
+        if (this.isStopping) {
+            response.setHeader("connection", "close");
+        }
+        try {
+            this.router.handler(request as polka.Request, response);
+        }
+        catch (error) {
+            this.reportDefect(error, response);
+        }
+    }
+
+    private reportDefect(error: unknown, response: ServerResponse): void {
+        const reason = error instanceof Error ? error.stack : String(error);
+        this.parts.eventLog.event("error", "a request failed because of a defect; report this line", { reason });
+        sendProblem(response, createDefectProblem(), { "connection": "close" });
+    }
+
+    private refuseRoute(request: IncomingMessage, response: ServerResponse): void {
+        const path = (request.url ?? "").split("?")[0] ?? "";
+        const allowed = methods.filter(method => this.router.find(method, path));
+        const headers = hasUnreadBody(request) ? { "connection": "close" } : {};
+        if (allowed.length === 0) {
+            const remedy = "See the callers' guide for the paths of this API.";
+            sendProblem(response, createMalformedProblem(404, "There is no such path", remedy), headers);
+            return;
+        }
+        const remedy = `Use ${allowed.join(" or ")}.`;
+        const problem = createMalformedProblem(405, "The path does not take this method", remedy);
+        sendProblem(response, problem, { ...headers, "allow": allowed.join(", ") });
+    }
+}
+
+/** Answers what the HTTP parser refused, as far as the caller still listens. */
+function refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === "ECONNRESET" || socket.bytesWritten > 0) {
+        socket.destroy();
+        return;
+    }
+    const status = chooseStatus(error.code);
+    const problem = createMalformedProblem(
+        status,
+        "The request is not HTTP/1.1 within the limits",
+        "Mend the request.",
+    );
+    const body = JSON.stringify(createProblemDocument(problem));
+    const lines = [
+        `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+        "connection: close",
+        "content-type: application/problem+json",
+        `content-length: ${Buffer.byteLength(body)}`,
+    ];
+    socket.end(`${lines.join("\r\n")}\r\n\r\n${body}`);
+}
+
+function chooseStatus(code: string | undefined): number {
+    if (code === "HPE_HEADER_OVERFLOW") {
+        return 431;
+    }
+    return code === "ERR_HTTP_REQUEST_TIMEOUT" ? 408 : 400;
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/process/entryProcess.ts
@@ -0,0 +1,285 @@
+/**
+ * An entry instance: its core, its links, its HTTP server and its dealings with the platform.
+ */
+import { defaultJobLimits } from "@lovagepitch/configuration/jobLimits";
+import { validateJob } from "@lovagepitch/configuration/validateJob";
+import { PeerLinks } from "@lovagepitch/links/peerLinks";
+import type { OutgoingMessage } from "@lovagepitch/types/peerMessage";
+import type { EntrySettings } from "@lovagepitch/types/settings";
+import type { Clock } from "@lovagepitch/utils/clock";
+import { SystemClock } from "@lovagepitch/utils/clock";
+import { createIncarnation } from "@lovagepitch/utils/incarnation";
+import { type EventLog, JsonEventLog } from "@lovagepitch/utils/logger";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
+import { TickLoop } from "@lovagepitch/utils/tickLoop";
+import { randomInt } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { EntryCore } from "../core/entryCore.js";
+import type { EntryInput } from "../core/entryInput.js";
+import type { EntryOutput } from "../core/entryOutput.js";
+import { CallerRoutes } from "../http/callerRoutes.js";
+import { CallerServer } from "../http/callerServer.js";
+import { EntryMetrics } from "../http/entryMetrics.js";
+import { type MissingCondition, OperatorRoutes } from "../http/operatorRoutes.js";
+import { PendingRequests } from "../http/pendingRequests.js";
+import { EntryRegistrar } from "./entryRegistrar.js";
+import { createPlatformClients, type PlatformClients } from "./platformClients.js";
+import { PlatformRequests } from "./platformRequests.js";
+import { Poller } from "./poller.js";
+import { StoreHealth } from "./storeHealth.js";
+
+const registryPollMilliseconds = 2_000;
+const maximumWaitingRequests = 20_000;
+/** Longest time that a planned stop waits for open jobs. */
+const drainLimitMilliseconds = 120_000;
+const drainCheckMilliseconds = 10;
+/** Time for callers to read their last answers before connections are cut. */
+const closeLimitMilliseconds = 5_000;
+const largestSeed = 0x7fff_ffff;
+
+/** What exists once the ports are bound. */
+interface RunningParts {
+    readonly core: EntryCore;
+    readonly loop: TickLoop<EntryInput, EntryOutput>;
+    readonly server: CallerServer;
+    readonly metrics: EntryMetrics;
+    readonly platformRequests: PlatformRequests;
+    readonly registrar: EntryRegistrar;
+    readonly registryPoller: Poller;
+    readonly manifestPoller: Poller;
+}
+
+/** Ports that an entry has bound. */
+export interface EntryPorts {
+    readonly peerPort: number;
+    readonly callerPort: number;
+}
+
+/** Runs one entry instance. */
+export class EntryProcess {
+    private readonly incarnation = createIncarnation();
+    private readonly clock: Clock = new SystemClock();
+    private readonly random = new RandomSource(randomInt(largestSeed));
+    private readonly codec: SubmissionCodec;
+    private readonly eventLog: EventLog;
+    private readonly storeHealth: StoreHealth;
+    private readonly clients: PlatformClients;
+    private readonly links: PeerLinks;
+    private readonly pendingRequests: PendingRequests;
+    private running: RunningParts | undefined;
+    private registryWasRead = false;
+    private isStopping = false;
+
+    /**
+     * @param settings - the entry's settings
+     */
+    public constructor(private readonly settings: EntrySettings) {
+        this.codec = new SubmissionCodec(settings.submissionKey);
+        this.eventLog = new JsonEventLog("lovagepitch-entry", settings.logLevel);
+        this.storeHealth = new StoreHealth(this.eventLog);
+        this.clients = createPlatformClients(settings, this.clock, this.random, this.codec);
+        this.pendingRequests = new PendingRequests(input => this.accept(input), maximumWaitingRequests);
+        this.links = new PeerLinks({
+            identity: { address: `${settings.address}:${settings.port}`, incarnation: this.incarnation },
+            role: "entry",
+            address: settings.address,
+            port: settings.port,
+            clock: this.clock,
+            receive: batch => this.accept({ type: "peerBatch", batch }),
+            unreachable: address => this.accept({ type: "peerUnreachable", address }),
+            configurationVersion: () => this.running?.core.status().configurationVersion ?? 0,
+        });
+    }
+
+    /**
+     * Binds the ports and starts to serve.
+     *
+     * @returns the bound ports
+     * @throws LinkError or HttpServerError when a port cannot be bound
+     */
+    public async start(): Promise<EntryPorts> {
+        const peerPort = unwrap(await this.links.listen());
+        const running = this.createParts();
+        this.running = running;
+        const callerPort = unwrap(await running.server.listen(this.settings.address, this.settings.callerPort));
+        running.manifestPoller.run();
+        running.registryPoller.run();
+        running.registrar.start();
+        running.loop.schedule();
+        this.eventLog.event("info", "the entry serves", { ...this.links.identity, callerPort });
+        return { peerPort, callerPort };
+    }
+
+    /**
+     * Stops without cutting off a request: admits nothing more, finishes what was admitted, and leaves the finished
+     * answers in the object store.
+     *
+     * @returns when the process may end
+     */
+    public async stop(): Promise<void> {
+        const running = this.running;
+        if (running === undefined || this.isStopping) {
+            return;
+        }
+        this.isStopping = true;
+        running.server.startStopping();
+        this.accept({ type: "stop" });
+        await this.drain(running.core);
+        const handover = running.core.answersHandover();
+        const written = await this.clients.handovers.writeAnswers(handover);
+        if (this.storeHealth.record("writeAnswers", written).err) {
+            this.eventLog.event("error", "finished answers could not be handed over; resubmissions ask the agents", {
+                answers: handover.answers.length,
+            });
+        }
+        await running.registrar.leave();
+        running.manifestPoller.stop();
+        running.registryPoller.stop();
+        await Promise.race([running.server.close(), sleep(closeLimitMilliseconds, undefined, { ref: false })]);
+        running.server.cut();
+        await this.links.close();
+        running.loop.stop();
+        await this.clients.connection.close();
+        this.eventLog.event("info", "the entry has stopped", { answers: handover.answers.length });
+    }
+
+    private createParts(): RunningParts {
+        const { settings, clock, random, eventLog, storeHealth } = this;
+        const core = new EntryCore({ identity: this.links.identity, settings, codec: this.codec, clock, random });
+        const metrics = new EntryMetrics({
+            status: () => core.status(),
+            linkCounters: () => this.links.counters,
+            storeHealthy: () => storeHealth.isHealthy,
+            waitingRequests: () => this.pendingRequests.size,
+        });
+        const platformRequests = new PlatformRequests({
+            clients: this.clients,
+            storeHealth,
+            eventLog,
+            accept: input => this.accept(input),
+            configurationVersion: () => core.status().configurationVersion,
+        });
+        return {
+            core,
+            metrics,
+            platformRequests,
+            loop: new TickLoop(
+                core,
+                clock,
+                outputs => this.perform(outputs),
+                duration => metrics.observeTick(duration),
+            ),
+            server: this.createServer(core, metrics),
+            registrar: new EntryRegistrar({
+                identity: this.links.identity,
+                settings,
+                registry: this.clients.registry,
+                storeHealth,
+                eventLog,
+                clock,
+                random,
+            }),
+            registryPoller: new Poller(registryPollMilliseconds, random, () => platformRequests.readRegistry()),
+            manifestPoller: new Poller(
+                settings.manifestPollMilliseconds,
+                random,
+                () => platformRequests.readManifest(),
+            ),
+        };
+    }
+
+    private createServer(core: EntryCore, metrics: EntryMetrics): CallerServer {
+        return new CallerServer({
+            eventLog: this.eventLog,
+            callerRoutes: new CallerRoutes({
+                pendingRequests: this.pendingRequests,
+                validateJob: body => validateJob(body, defaultJobLimits),
+                maximumBodyBytes: this.settings.maximumBodyBytes,
+                countRefusal: kind => metrics.countRequestRefusal(kind),
+            }),
+            operatorRoutes: new OperatorRoutes({
+                incarnation: this.incarnation,
+                status: () => core.status(),
+                missingConditions: () => this.findMissingConditions(core),
+                storeHealthy: () => this.storeHealth.isHealthy,
+                metrics,
+            }),
+        });
+    }
+
+    private accept(input: EntryInput): void {
+        this.registryWasRead ||= input.type === "registryRead";
+        this.running?.loop.accept(input);
+    }
+
+    private perform(outputs: readonly EntryOutput[]): void {
+        const messages: OutgoingMessage[] = [];
+        for (const output of outputs) {
+            if (output.type === "send") {
+                messages.push({ destination: output.destination, message: output.message });
+            }
+            else {
+                this.performOther(output);
+            }
+        }
+        this.links.send(messages);
+    }
+
+    private performOther(output: Exclude<EntryOutput, { readonly type: "send" }>): void {
+        switch (output.type) {
+            case "respond":
+                this.pendingRequests.resolve(output.request, output.response);
+                return;
+            case "claimKey":
+                void this.running?.platformRequests.claimKey(output);
+                return;
+            case "readRegistry":
+                this.running?.registryPoller.run();
+                return;
+            case "readHandover":
+                void this.running?.platformRequests.readHandover(output.kind, output.incarnation);
+                return;
+            case "readManifest":
+                this.running?.manifestPoller.run();
+                return;
+            case "decision":
+                this.eventLog.decision(output.decision);
+                return;
+        }
+    }
+
+    private findMissingConditions(core: EntryCore): readonly MissingCondition[] {
+        const conditions: readonly (readonly [MissingCondition, boolean])[] = [
+            ["configuration", core.status().configurationVersion === 0],
+            ["registry", !this.registryWasRead],
+            ["stopping", this.isStopping],
+        ];
+        return conditions.filter(([, isMissing]) => isMissing).map(([condition]) => condition);
+    }
+
+    private async drain(core: EntryCore): Promise<void> {
+        const startedAt = performance.now();
+        const isDrained = (): boolean => core.isDrained() && this.pendingRequests.size === 0;
+        // The stop input is seen by the next tick only.
+        await sleep(drainCheckMilliseconds);
+        while (!isDrained()) {
+            if (performance.now() - startedAt > drainLimitMilliseconds) {
+                this.eventLog.event("error", "jobs are still open at the end of the time for a planned stop", {
+                    requests: this.pendingRequests.size,
+                });
+                return;
+            }
+            await sleep(drainCheckMilliseconds);
+        }
+    }
+}
+
+function unwrap<Value>(
+    result: { readonly ok: true; readonly val: Value } | { readonly ok: false; readonly val: Error },
+): Value {
+    if (!result.ok) {
+        throw result.val;
+    }
+    return result.val;
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/process/entryRegistrar.ts
@@ -0,0 +1,99 @@
+/**
+ * Keeps an entry's row in the registry.
+ */
+import type { RegistryRepository } from "@lovagepitch/platform/registryRepository";
+import type { PeerIdentity } from "@lovagepitch/types/identity";
+import type { EntrySettings } from "@lovagepitch/types/settings";
+import type { Clock } from "@lovagepitch/utils/clock";
+import type { EventLog } from "@lovagepitch/utils/logger";
+import type { RandomSource } from "@lovagepitch/utils/randomSource";
+import { Poller } from "./poller.js";
+import type { StoreHealth } from "./storeHealth.js";
+
+/** Time between two attempts to register. */
+const registerRetryMilliseconds = 1_000;
+/** Rows are kept for this many resubmission windows after their last renewal. */
+const keptWindows = 2;
+/** Part of the resubmission window after which expired rows are looked for again. */
+const expiryChecksPerWindow = 4;
+
+/** What the registrar needs. */
+export interface EntryRegistrarParts {
+    readonly identity: PeerIdentity;
+    readonly settings: EntrySettings;
+    readonly registry: RegistryRepository;
+    readonly storeHealth: StoreHealth;
+    readonly eventLog: EventLog;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+}
+
+/** Registers, renews and signs off one entry, and removes rows that nobody needs any more. */
+export class EntryRegistrar {
+    private readonly registration: Poller;
+    private readonly renewal: Poller;
+    private readonly expiry: Poller;
+
+    /**
+     * @param parts - the entry and the registry
+     */
+    public constructor(private readonly parts: EntryRegistrarParts) {
+        const { settings, random } = parts;
+        const expiryInterval = settings.resubmissionWindowMilliseconds / expiryChecksPerWindow;
+        this.registration = new Poller(registerRetryMilliseconds, random, () => this.register());
+        this.renewal = new Poller(settings.registrationRenewMilliseconds, random, () => this.renew());
+        this.expiry = new Poller(expiryInterval, random, () => this.removeExpired());
+    }
+
+    /** Starts to register. */
+    public start(): void {
+        this.registration.run();
+    }
+
+    /**
+     * Marks the row as left.
+     *
+     * @returns when the mark is durable or could not be made
+     */
+    public async leave(): Promise<void> {
+        this.registration.stop();
+        this.renewal.stop();
+        this.expiry.stop();
+        const { registry, storeHealth, eventLog, identity } = this.parts;
+        const left = storeHealth.record("markEntryLeft", await registry.markEntryLeft(identity.incarnation));
+        if (left.err) {
+            eventLog.event("warn", "the entry's row could not be marked as left; it expires by itself", {
+                reason: left.val.message,
+            });
+        }
+    }
+
+    private async register(): Promise<void> {
+        const { registry, storeHealth, identity, settings, clock } = this.parts;
+        const registered = storeHealth.record(
+            "registerEntry",
+            await registry.registerEntry({
+                ...identity,
+                availabilityZone: settings.availabilityZone,
+                state: "serving",
+                renewedAtMilliseconds: clock.nowMilliseconds(),
+            }),
+        );
+        if (registered.ok) {
+            this.registration.stop();
+            this.renewal.run();
+            this.expiry.run();
+        }
+    }
+
+    private async renew(): Promise<void> {
+        const { registry, storeHealth, identity } = this.parts;
+        storeHealth.record("renewEntry", await registry.renewEntry(identity.incarnation));
+    }
+
+    private async removeExpired(): Promise<void> {
+        const { registry, storeHealth, settings, clock } = this.parts;
+        const window = settings.resubmissionWindowMilliseconds * keptWindows;
+        storeHealth.record("removeExpired", await registry.removeExpired(clock.nowMilliseconds(), window));
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/process/platformRequests.ts
@@ -0,0 +1,112 @@
+/**
+ * What an entry's core asks of the platform, and what comes back as inputs.
+ */
+import { validateManifest } from "@lovagepitch/configuration/validateManifest";
+import type { Incarnation } from "@lovagepitch/types/identity";
+import type { EventLog } from "@lovagepitch/utils/logger";
+import type { EntryInput, HandoverOutcome } from "../core/entryInput.js";
+import type { EntryOutput } from "../core/entryOutput.js";
+import type { PlatformClients } from "./platformClients.js";
+import type { StoreHealth } from "./storeHealth.js";
+
+/** What the requests need. */
+export interface PlatformRequestsParts {
+    readonly clients: PlatformClients;
+    readonly storeHealth: StoreHealth;
+    readonly eventLog: EventLog;
+    /** Hands an input to the core. */
+    readonly accept: (input: EntryInput) => void;
+    /** Version of the manifest in force; 0 before there is one. */
+    readonly configurationVersion: () => number;
+}
+
+/** Requests to the platform on behalf of the core. */
+export class PlatformRequests {
+    /**
+     * @param parts - the repositories and the core's inlet
+     */
+    public constructor(private readonly parts: PlatformRequestsParts) {}
+
+    /**
+     * Reads the manifest when the platform has a newer one.
+     *
+     * @returns when the core has what there is
+     */
+    public async readManifest(): Promise<void> {
+        const { clients, storeHealth, eventLog, accept } = this.parts;
+        const version = storeHealth.record("readManifestVersion", await clients.manifests.readVersion());
+        if (version.err || version.val <= this.parts.configurationVersion()) {
+            return;
+        }
+        const manifest = storeHealth.record("readManifest", await clients.manifests.read());
+        if (manifest.err || manifest.val === undefined) {
+            return;
+        }
+        const valid = validateManifest(manifest.val.manifest);
+        if (valid.err) {
+            const fields = { version: manifest.val.version, reason: valid.val.message };
+            eventLog.event("error", "the accepted manifest is invalid and stays unused; apply a valid one", fields);
+            return;
+        }
+        accept({ type: "manifestAccepted", manifest: { ...manifest.val, manifest: valid.val } });
+    }
+
+    /**
+     * Reads the registry.
+     *
+     * @returns when the core has it, or knows that it cannot be read
+     */
+    public async readRegistry(): Promise<void> {
+        const { clients, storeHealth, accept } = this.parts;
+        const registry = storeHealth.record("readRegistry", await clients.registry.read());
+        accept(registry.ok ? { type: "registryRead", registry: registry.val } : { type: "registryUnavailable" });
+    }
+
+    /**
+     * Claims a caller's key.
+     *
+     * @param output - the core's request
+     * @returns when the core knows the outcome
+     */
+    public async claimKey(output: Extract<EntryOutput, { readonly type: "claimKey" }>): Promise<void> {
+        const { clients, storeHealth, accept } = this.parts;
+        const { request, key, jobDigest, submission } = output;
+        const claim = await clients.claims.claim({ ...key, jobDigest, submission });
+        const binding = storeHealth.record("claimKey", claim);
+        accept({
+            type: "claimResolved",
+            request,
+            outcome: binding.ok ? { kind: "bound", ...binding.val } : { kind: "unavailable" },
+        });
+    }
+
+    /**
+     * Reads what a stopped process left behind.
+     *
+     * @param kind - answers of an entry, or the ledger of an agent
+     * @param incarnation - the process
+     * @returns when the core knows the outcome
+     */
+    public async readHandover(kind: "answers" | "ledger", incarnation: Incarnation): Promise<void> {
+        const outcome = kind === "answers" ? await this.readAnswers(incarnation) : await this.readLedger(incarnation);
+        this.parts.accept({ type: "handoverRead", incarnation, outcome });
+    }
+
+    private async readAnswers(incarnation: Incarnation): Promise<HandoverOutcome> {
+        const { clients, storeHealth } = this.parts;
+        const answers = storeHealth.record("readAnswers", await clients.handovers.readAnswers(incarnation));
+        if (answers.err) {
+            return { kind: "unavailable" };
+        }
+        return answers.val === undefined ? { kind: "absent" } : { kind: "answers", handover: answers.val };
+    }
+
+    private async readLedger(incarnation: Incarnation): Promise<HandoverOutcome> {
+        const { clients, storeHealth } = this.parts;
+        const ledger = storeHealth.record("readLedger", await clients.handovers.readLedger(incarnation));
+        if (ledger.err) {
+            return { kind: "unavailable" };
+        }
+        return ledger.val === undefined ? { kind: "absent" } : { kind: "ledger", handover: ledger.val };
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/process/runEntry.ts
@@ -0,0 +1,31 @@
+/**
+ * Runs an entry instance from its settings file until it is told to stop.
+ */
+import { loadEntrySettings } from "@lovagepitch/configuration/loadEntrySettings";
+import { readFile } from "node:fs/promises";
+import { EntryProcess } from "./entryProcess.js";
+
+const stopSignals = ["SIGTERM", "SIGINT"] as const;
+
+/**
+ * Runs an entry instance.
+ *
+ * @param settingsPath - path of the settings file, JSON with comments
+ * @returns when a planned stop has ended
+ * @throws ConfigurationError, LinkError or HttpServerError, whose messages name the remedy
+ */
+export async function runEntry(settingsPath: string): Promise<void> {
+    const settings = loadEntrySettings(await readFile(settingsPath, "utf8"), settingsPath);
+    if (settings.err) {
+        throw settings.val;
+    }
+    const entry = new EntryProcess(settings.val);
+    const stopRequested = new Promise<void>(resolve => {
+        for (const signal of stopSignals) {
+            process.on(signal, () => resolve());
+        }
+    });
+    await entry.start();
+    await stopRequested;
+    await entry.stop();
+}
--- /dev/null
+++ b/packages/lovagepitch-entry/src/process/storeHealth.ts
@@ -0,0 +1,43 @@
+/**
+ * Whether the platform answers.
+ */
+import type { PlatformError } from "@lovagepitch/platform/platformError";
+import type { EventLog } from "@lovagepitch/utils/logger";
+import type { Result } from "@lovagepitch/utils/result";
+
+/** Remembers how the last request to the platform ended. */
+export class StoreHealth {
+    private healthy = true;
+
+    /**
+     * @param eventLog - told of each change
+     */
+    public constructor(private readonly eventLog: EventLog) {}
+
+    /** True when the last request was answered. */
+    public get isHealthy(): boolean {
+        return this.healthy;
+    }
+
+    /**
+     * Records a result.
+     *
+     * @param operation - what was asked of the platform
+     * @param result - how it ended
+     * @returns the same result
+     */
+    public record<Value>(operation: string, result: Result<Value, PlatformError>): Result<Value, PlatformError> {
+        const healthy = result.ok || result.val.kind !== "unavailable";
+        if (healthy !== this.healthy) {
+            this.healthy = healthy;
+            const message = healthy
+                ? "the platform answers again"
+                : "the platform does not answer; check that it is up";
+            this.eventLog.event(healthy ? "info" : "warn", message, { operation });
+        }
+        if (result.err && result.val.kind !== "unavailable") {
+            this.eventLog.event("warn", result.val.message, { operation, kind: result.val.kind });
+        }
+        return result;
+    }
+}
