fix(entry): read the configuration version once a tick

Cause: each batch asked the core's status, which walks all agents. Change: the version follows the core's decision lines. Seen: trial with two entries and the stand-in platform: forwarding, refusals, claims, metrics and planned stop answered.

--- a/packages/lovagepitch-entry/src/process/entryProcess.ts
+++ b/packages/lovagepitch-entry/src/process/entryProcess.ts
@@ -68,6 +68,8 @@
     private readonly links: PeerLinks;
     private readonly pendingRequests: PendingRequests;
     private running: RunningParts | undefined;
+    /** Version in force as of the last tick; the core's status costs a walk over its tables. */
+    private configurationVersion = 0;
     private registryWasRead = false;
     private isStopping = false;
 
@@ -88,7 +90,7 @@
             clock: this.clock,
             receive: batch => this.accept({ type: "peerBatch", batch }),
             unreachable: address => this.accept({ type: "peerUnreachable", address }),
-            configurationVersion: () => this.running?.core.status().configurationVersion ?? 0,
+            configurationVersion: () => this.configurationVersion,
         });
     }
 
@@ -158,7 +160,7 @@
             storeHealth,
             eventLog,
             accept: input => this.accept(input),
-            configurationVersion: () => core.status().configurationVersion,
+            configurationVersion: () => this.configurationVersion,
         });
         return {
             core,
@@ -201,7 +203,7 @@
             operatorRoutes: new OperatorRoutes({
                 incarnation: this.incarnation,
                 status: () => core.status(),
-                missingConditions: () => this.findMissingConditions(core),
+                missingConditions: () => this.findMissingConditions(),
                 storeHealthy: () => this.storeHealth.isHealthy,
                 metrics,
             }),
@@ -244,14 +246,15 @@
                 this.running?.manifestPoller.run();
                 return;
             case "decision":
+                this.configurationVersion = output.decision.configurationVersion;
                 this.eventLog.decision(output.decision);
                 return;
         }
     }
 
-    private findMissingConditions(core: EntryCore): readonly MissingCondition[] {
+    private findMissingConditions(): readonly MissingCondition[] {
         const conditions: readonly (readonly [MissingCondition, boolean])[] = [
-            ["configuration", core.status().configurationVersion === 0],
+            ["configuration", this.configurationVersion === 0],
             ["registry", !this.registryWasRead],
             ["stopping", this.isStopping],
         ];
