--- /dev/null
+++ b/packages/lovagepitch-entry/src/__tests__/httpRequests.ts
@@ -0,0 +1,127 @@
+/**
+ * Requests that no correct caller sends.
+ */
+import fastCheck from "fast-check";
+import assert from "node:assert/strict";
+import { createJob, type HttpScene, maximumBodyBytes } from "./httpScene.js";
+
+type CallParameters = Parameters<HttpScene["call"]>;
+
+/** Headers of a JSON body. */
+export const jsonHeaders = { "content-type": "application/json" };
+/** Headers of a JSON body with a caller's key. */
+export const keyHeaders = { ...jsonHeaders, "idempotency-key": "key-1" };
+/** Path of a submission. */
+export const path = "/v1/submissions/id-1";
+/** Body of a job that fits the schema. */
+export const jobText = JSON.stringify(createJob());
+
+/** A request made up at random. */
+export interface RandomRequest {
+    readonly method: string;
+    readonly target: string;
+    readonly type: string;
+    readonly key: string;
+    readonly body: Buffer;
+}
+
+/**
+ * Makes a request that the server refuses.
+ *
+ * @param name - name of the case
+ * @returns what to call
+ */
+export function createBadRequest(name: string): CallParameters {
+    const large = JSON.stringify({ ...createJob(), team: "x".repeat(maximumBodyBytes) });
+    const deep = "[".repeat(5_000) + "]".repeat(5_000);
+    const requests: Readonly<Record<string, CallParameters>> = {
+        "PUT of bad JSON": ["PUT", path, "{", jsonHeaders],
+        "PUT of an unknown field": ["PUT", path, JSON.stringify({ ...createJob(), colour: 1 }), jsonHeaders],
+        "PUT of a wrong type": ["PUT", path, JSON.stringify({ ...createJob(), team: 1 }), jsonHeaders],
+        "PUT of no body": ["PUT", path],
+        "PUT of an empty body": ["PUT", path, "", jsonHeaders],
+        "PUT of text": ["PUT", path, jobText, { "content-type": "text/plain" }],
+        "PUT of compressed bytes": ["PUT", path, jobText, { ...jsonHeaders, "content-encoding": "gzip" }],
+        "PUT of broken UTF-8": ["PUT", path, Uint8Array.from([0x22, 0xff, 0x22]), jsonHeaders],
+        "PUT of a deep payload": ["PUT", path, jobText.replace("\"payload\":0", `"payload":${nest(100)}`), jsonHeaders],
+        "PUT of a deep body": ["PUT", path, deep.slice(3_500, 6_500), jsonHeaders],
+        "PUT of a large body": ["PUT", path, large, jsonHeaders],
+        "PUT of a declared flood": ["PUT", path, "x".repeat(maximumBodyBytes * 5), jsonHeaders],
+        "POST of bad JSON": ["POST", "/v1/jobs", "{", keyHeaders],
+        "POST of a large body": ["POST", "/v1/jobs", large, keyHeaders],
+        "POST without a key": ["POST", "/v1/jobs", jobText, jsonHeaders],
+        "POST with a long key": ["POST", "/v1/jobs", jobText, { ...jsonHeaders, "idempotency-key": "k".repeat(257) }],
+        "POST with a spaced key": ["POST", "/v1/jobs", jobText, { ...jsonHeaders, "idempotency-key": "\u00e9" }],
+        "a wrong path": ["GET", "/v1/nothing"],
+        "a path too long": ["GET", "/v1/submissions/id-1/tasks"],
+        "a wrong method": ["PATCH", path, jobText, jsonHeaders],
+        "a wrong type": ["PUT", path, jobText, { "content-type": "text/plain" }],
+    };
+    const request = requests[name];
+    assert.ok(request !== undefined, `no bad request is named ${name}`);
+    return request;
+}
+
+function nest(depth: number): string {
+    return "[".repeat(depth) + "]".repeat(depth);
+}
+
+/**
+ * Makes bytes that are no request.
+ *
+ * @param name - name of the case
+ * @returns the bytes
+ */
+export function createBytes(name: string): string {
+    const put = `PUT ${path} HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n`;
+    const bytes: Readonly<Record<string, string>> = {
+        "noise": "\u0000\u0001 noise\r\n\r\n",
+        "large header": `GET ${path} HTTP/1.1\r\nHost: a\r\nX: ${"x".repeat(20_000)}\r\n\r\n`,
+        "two lengths": `${put}Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx`,
+        "negative length": `${put}Content-Length: -1\r\n\r\n`,
+        "bad chunk": `${put}Transfer-Encoding: chunked\r\n\r\nzz\r\n`,
+    };
+    const found = bytes[name];
+    assert.ok(found !== undefined, `no bytes are named ${name}`);
+    return found;
+}
+
+/**
+ * Makes up requests, none of which a core that knows no submission can fulfil.
+ *
+ * @returns the source of requests
+ */
+export function createRandomRequests(): fastCheck.Arbitrary<RandomRequest> {
+    const word = fastCheck.string({ maxLength: 30 }).map(encodeURIComponent);
+    const target = fastCheck.oneof(
+        word.map(id => `/v1/submissions/x${id}`),
+        fastCheck.constantFrom(
+            "/v1/jobs",
+            "/v1/submissions?count=x",
+            "/v1/submissions/id-1",
+            "//",
+            "/v1/submissions//",
+        ),
+        fastCheck.array(word, { maxLength: 5 }).map(words => `/${words.join("/")}/x`),
+    );
+    const job = fastCheck.record({
+        team: fastCheck.oneof(fastCheck.string(), fastCheck.jsonValue()),
+        service: fastCheck.constantFrom("s", 1),
+        kind: fastCheck.constantFrom("k", false),
+        deadlineMilliseconds: fastCheck.oneof(fastCheck.integer(), fastCheck.double()),
+        tasks: fastCheck.oneof(fastCheck.array(fastCheck.jsonValue(), { maxLength: 3 }), fastCheck.jsonValue()),
+    }, { requiredKeys: [] });
+    const body = fastCheck.oneof(
+        fastCheck.string().map(text => Buffer.from(text)),
+        fastCheck.uint8Array({ maxLength: 200 }).map(bytes => Buffer.from(bytes)),
+        job.map(value => Buffer.from(JSON.stringify(value))),
+        fastCheck.json().map(text => Buffer.from(text)),
+    );
+    return fastCheck.record({
+        method: fastCheck.constantFrom("GET", "PUT", "POST", "DELETE", "PATCH", "OPTIONS", "PROPFIND"),
+        target,
+        type: fastCheck.constantFrom("application/json", "application/json;", "text/plain", ";", "application/JSON"),
+        key: fastCheck.string({ maxLength: 300, unit: "grapheme-ascii" }),
+        body,
+    });
+}
--- a/packages/lovagepitch-entry/src/http/callerServer.ts
+++ b/packages/lovagepitch-entry/src/http/callerServer.ts
@@ -40,6 +40,8 @@
 export class CallerServer {
     private readonly server: Server;
     private readonly router: polka.Polka;
+    /** Responses that are not finished. */
+    private readonly responses = new Set<ServerResponse>();
     private isStopping = false;
 
     /**
@@ -81,6 +83,7 @@
     /** Asks callers to open no more requests on their connections; requests in flight go on. */
     public startStopping(): void {
         this.isStopping = true;
+        this.responses.forEach(endConnection);
     }
 
     /**
@@ -89,7 +92,7 @@
      * @returns when the last connection has closed
      */
     public async close(): Promise<void> {
-        this.isStopping = true;
+        this.startStopping();
         await new Promise<void>(resolve => {
             this.server.close(() => resolve());
             this.server.closeIdleConnections();
@@ -131,8 +134,10 @@
 
     private handle(request: IncomingMessage, response: ServerResponse): void {
         response.on("error", () => response.destroy());
+        this.responses.add(response);
+        response.once("close", () => this.responses.delete(response));
         if (this.isStopping) {
-            response.setHeader("connection", "close");
+            endConnection(response);
         }
         try {
             this.router.handler(request as polka.Request, response);
@@ -163,6 +168,13 @@
     }
 }
 
+/** Makes a response the last one on its connection. */
+function endConnection(response: ServerResponse): void {
+    if (!response.headersSent) {
+        response.setHeader("connection", "close");
+    }
+}
+
 /** Answers what the HTTP parser refused, as far as the caller still listens. */
 function refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
     if (!socket.writable || error.code === "ECONNRESET" || socket.bytesWritten > 0) {
--- a/packages/lovagepitch-entry/src/http/pendingRequests.ts
+++ b/packages/lovagepitch-entry/src/http/pendingRequests.ts
@@ -42,8 +42,9 @@
         }
         this.lastRequest += 1;
         const request = this.lastRequest;
-        this.listeners.set(request, listener);
+        // The response comes with a later tick.
         this.accept(createInput(request));
+        this.listeners.set(request, listener);
         return request;
     }
 
--- a/packages/lovagepitch-entry/src/process/entryProcess.ts
+++ b/packages/lovagepitch-entry/src/process/entryProcess.ts
@@ -62,7 +62,6 @@
     private readonly clock: Clock = new SystemClock();
     private readonly random = new RandomSource(randomInt(largestSeed));
     private readonly codec: SubmissionCodec;
-    private readonly eventLog: EventLog;
     private readonly storeHealth: StoreHealth;
     private readonly clients: PlatformClients;
     private readonly links: PeerLinks;
@@ -75,10 +74,13 @@
 
     /**
      * @param settings - the entry's settings
+     * @param eventLog - where decisions and events go
      */
-    public constructor(private readonly settings: EntrySettings) {
+    public constructor(
+        private readonly settings: EntrySettings,
+        private readonly eventLog: EventLog = new JsonEventLog("lovagepitch-entry", settings.logLevel),
+    ) {
         this.codec = new SubmissionCodec(settings.submissionKey);
-        this.eventLog = new JsonEventLog("lovagepitch-entry", settings.logLevel);
         this.storeHealth = new StoreHealth(this.eventLog);
         this.clients = createPlatformClients(settings, this.clock, this.random, this.codec);
         this.pendingRequests = new PendingRequests(input => this.accept(input), maximumWaitingRequests);
