fix(links): tell an address where nobody listens from other failures

Cause: a connection cut in its opening handshake, as by a full listener, was reported like a process that is gone. Change: only a refused connection is reported at once; other failures count like silence and are reported after two.

--- a/packages/lovagepitch-links/src/__tests__/peerLinks.feature
+++ b/packages/lovagepitch-links/src/__tests__/peerLinks.feature
@@ -55,6 +55,22 @@
         And B's links close
         Then A reports B with 1 refused and 0 silent connections
 
+    Scenario: A peer that cuts every connection is reported after two
+        Given linked peers A and B
+        And a raw server that cuts every connection
+        When A meets 1 cut connection
+        Then A reported nothing and closed 0 silent connections
+        When A meets 1 cut connection
+        Then A reported the raw server once
+
+    Scenario: A server of another kind is reported after two connections
+        Given linked peers A and B
+        And a raw server that answers "HTTP/1.1 404 Not Found\r\n\r\n"
+        When A meets 1 cut connection
+        Then A reported nothing and closed 0 silent connections
+        When A meets 1 cut connection
+        Then A reported the raw server once
+
     Scenario: Reports of one address keep their distance in time
         Given linked peers A and B
         And B's links close
--- a/packages/lovagepitch-links/src/__tests__/rawPeer.ts
+++ b/packages/lovagepitch-links/src/__tests__/rawPeer.ts
@@ -1,7 +1,7 @@
 /**
  * Raw ends of a link, for frames that no correct process sends.
  */
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer, type Server } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import { peerPath } from "../peerListener.js";
 
@@ -36,6 +36,22 @@
     });
 }
 
+/**
+ * Starts a server that answers the first bytes of every connection and cuts it.
+ *
+ * @param answer - what it writes first; nothing when empty
+ * @returns the listening server
+ */
+export function startCuttingServer(answer: string): Promise<Server> {
+    return new Promise(resolve => {
+        const server = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => socket.end(answer));
+        });
+        server.listen(0, "127.0.0.1", () => resolve(server));
+    });
+}
+
 /** A server that answers every call with the same text. */
 export class ScriptedServer {
     private readonly server = new WebSocketServer({ port: 0, host: "127.0.0.1", path: peerPath });
--- a/packages/lovagepitch-links/src/linkCounters.ts
+++ b/packages/lovagepitch-links/src/linkCounters.ts
@@ -16,12 +16,14 @@
     readonly bytesReceived: number;
     /** Connections opened to other processes. */
     readonly connectionsOpened: number;
-    /** Those of them that followed a refused, silent or lost connection to the same address. */
+    /** Those of them that followed a connection that failed in any way to the same address. */
     readonly reconnects: number;
     /** Connections closed because a batch got no reply in time. */
     readonly connectionsSilent: number;
-    /** Connections that the destination refused. */
+    /** Connections to addresses where nobody listens. */
     readonly connectionsRefused: number;
+    /** Connections that failed for another reason, or were cut by the other end. */
+    readonly connectionsFailed: number;
     /** Received batches and frames that were malformed or beyond a limit. */
     readonly batchesRefused: number;
 }
@@ -48,6 +50,7 @@
         reconnects: 0,
         connectionsSilent: 0,
         connectionsRefused: 0,
+        connectionsFailed: 0,
         batchesRefused: 0,
     };
 }
--- a/packages/lovagepitch-links/src/peerConnection.ts
+++ b/packages/lovagepitch-links/src/peerConnection.ts
@@ -17,8 +17,10 @@
 export type ConnectionEnd =
     /** Nothing was sent for the idle time, or the process closes its links. */
     | "closed"
-    /** The destination refused it, or cut it before it was open. */
+    /** Nobody listens at the destination. */
     | "refused"
+    /** It could not be opened for another reason than refusal or silence. */
+    | "failed"
     /** A batch, or the opening handshake, got no reply in time. */
     | "silent"
     /** It had been open, and the other end or the network cut it. */
@@ -81,7 +83,7 @@
         this.client = createTRPCClient<PeerRouter>({ links: [link.createLink()] });
         this.socket.on("open", () => this.pump());
         this.socket.on("error", error => this.end(this.classify(error)));
-        this.socket.on("close", () => this.end(this.closing ? "closed" : "lost"));
+        this.socket.on("close", () => this.end("lost"));
         this.idleTimer = setTimeout(() => this.closeWhenDrained(), limits.idleMilliseconds);
     }
 
@@ -211,7 +213,10 @@
         if (this.socket.readyState === WebSocket.OPEN || this.acknowledged) {
             return "lost";
         }
-        return error.message.includes("handshake has timed out") ? "silent" : "refused";
+        if (error.message.includes("handshake has timed out")) {
+            return "silent";
+        }
+        return (error as NodeJS.ErrnoException).code === "ECONNREFUSED" ? "refused" : "failed";
     }
 
     private end(end: ConnectionEnd): void {
--- a/packages/lovagepitch-links/src/peerLinks.ts
+++ b/packages/lovagepitch-links/src/peerLinks.ts
@@ -30,7 +30,7 @@
     readonly clock: Clock;
     /** Takes each batch that arrives, at once. */
     readonly receive: (batch: PeerBatch) => void;
-    /** Learns that an address refused a connection, or that two in a row were silent. */
+    /** Learns that nobody listens at an address, or that two connections in a row failed or were silent. */
     readonly unreachable: (address: PeerAddress) => void;
     /** Newest configuration version in force. */
     readonly configurationVersion: () => number;
@@ -234,17 +234,35 @@
     private handleEnd(connection: PeerConnection, end: ConnectionEnd): void {
         const { destination } = connection;
         this.connections.delete(destination);
-        if (end === "silent") {
-            this.counts.connectionsSilent += 1;
-            this.unreachablePeers.recordSilence(destination);
+        switch (end) {
+            case "closed":
+                return;
+            case "refused":
+                this.counts.connectionsRefused += 1;
+                this.unreachablePeers.recordRefusal(destination);
+                return;
+            case "silent":
+                this.counts.connectionsSilent += 1;
+                this.unreachablePeers.recordFailure(destination);
+                return;
+            case "failed":
+                this.counts.connectionsFailed += 1;
+                this.unreachablePeers.recordFailure(destination);
+                return;
+            case "lost":
+                this.handleLoss(connection);
         }
-        if (end === "refused") {
-            this.counts.connectionsRefused += 1;
-            this.unreachablePeers.recordRefusal(destination);
+    }
+
+    private handleLoss(connection: PeerConnection): void {
+        this.counts.connectionsFailed += 1;
+        if (!connection.wasAcknowledged) {
+            this.unreachablePeers.recordFailure(connection.destination);
+            return;
         }
-        if (end === "lost" && connection.wasAcknowledged && !this.isClosed) {
+        if (!this.isClosed) {
             // A process that ended refuses the new connection, which tells its peers at once.
-            this.connect(destination, true);
+            this.connect(connection.destination, true);
         }
     }
 }
--- a/packages/lovagepitch-links/src/unreachablePeers.ts
+++ b/packages/lovagepitch-links/src/unreachablePeers.ts
@@ -4,14 +4,14 @@
 import type { PeerAddress } from "@lovagepitch/types/identity";
 import type { Clock } from "@lovagepitch/utils/clock";
 
-/** Silent connections in a row after which an address is reported. */
-const silencesUntilReport = 2;
+/** Failed connections in a row after which an address is reported. */
+const failuresUntilReport = 2;
 /** Addresses remembered; the oldest is forgotten beyond. */
 const maximumAddresses = 10_000;
 
 /** Failures of one address since its last reply. */
 interface FailureRecord {
-    readonly silences: number;
+    readonly failures: number;
     readonly reportedAtMilliseconds: number | undefined;
 }
 
@@ -50,31 +50,31 @@
     }
 
     /**
-     * Records a connection that fell silent.
+     * Records a connection that fell silent or could not be opened.
      *
      * @param address - the address
      */
-    public recordSilence(address: PeerAddress): void {
+    public recordFailure(address: PeerAddress): void {
         this.record(address, 1);
     }
 
     /**
-     * Records a refused connection, which is reported without waiting for a second.
+     * Records that nobody listens, which is reported without waiting for a second failure.
      *
      * @param address - the address
      */
     public recordRefusal(address: PeerAddress): void {
-        this.record(address, silencesUntilReport);
+        this.record(address, failuresUntilReport);
     }
 
     private record(address: PeerAddress, weight: number): void {
         const earlier = this.records.get(address);
-        const silences = (earlier?.silences ?? 0) + weight;
+        const failures = (earlier?.failures ?? 0) + weight;
         const now = this.clock.nowMilliseconds();
-        const isDue = silences >= silencesUntilReport && this.isRepeatAllowed(earlier?.reportedAtMilliseconds, now);
+        const isDue = failures >= failuresUntilReport && this.isRepeatAllowed(earlier?.reportedAtMilliseconds, now);
         this.records.delete(address);
         this.records.set(address, {
-            silences,
+            failures,
             reportedAtMilliseconds: isDue ? now : earlier?.reportedAtMilliseconds,
         });
         this.forgetOldest();
