feat(links): count frames that cannot be sent; frames as large as the largest job

Cause: a reply beyond the frame's limit was lost without a trace, and a job of the largest allowed body could not travel.

--- a/packages/lovagepitch-links/src/__tests__/peerLinks.feature
+++ b/packages/lovagepitch-links/src/__tests__/peerLinks.feature
@@ -141,6 +141,15 @@
         When A sends B 2 small link messages around one of 4000 bytes
         Then B has the 2 small link messages and A dropped 1
 
+    Scenario: A reply that is too large for a frame harms neither end
+        Given linked peers A and B with frames of at most 2000 bytes
+        And B answers pings with a message of 4000 bytes
+        When A sends B a link ping
+        Then B counts 1 unsendable frame
+        When B answers pings again
+        And A sends B a link ping
+        Then A receives a pong
+
     Scenario Outline: A malformed reply is refused and the links go on: <reply>
         Given linked peers A and B
         And a scripted server that answers A with <reply>
--- a/packages/lovagepitch-links/src/__tests__/peerLinks.steps.ts
+++ b/packages/lovagepitch-links/src/__tests__/peerLinks.steps.ts
@@ -97,6 +97,20 @@
     scriptedPort = await scripted.listen();
 });
 
+Given("B answers pings with a message of {int} bytes", (bytes: number) => {
+    scene.b.answer = createLongMessage(0, bytes);
+});
+
+When("B answers pings again", () => {
+    scene.b.answer = { type: "pong" };
+});
+
+Then("B counts {int} unsendable frame", patient, async (count: number) => {
+    await until(() => scene.b.links.counters.framesUnsendable >= count);
+    assert.equal(scene.b.links.counters.framesUnsendable, count);
+    assert.equal(scene.a.batches.length, 0);
+});
+
 Given("a raw server that cuts every connection", async () => {
     cuttingServer = await startCuttingServer("");
 });
--- a/packages/lovagepitch-links/src/__tests__/testPeer.ts
+++ b/packages/lovagepitch-links/src/__tests__/testPeer.ts
@@ -20,6 +20,8 @@
     public readonly clock = new ManualClock(0);
     /** Links under test. */
     public readonly links: PeerLinks;
+    /** What each ping is answered with. */
+    public answer: PeerMessage = { type: "pong" };
     /** Whether a tick follows each batch. */
     public ticks = true;
 
@@ -64,7 +66,7 @@
         const pings = batch.messages.filter(message => message.type === "ping");
         const replies = pings.map((): OutgoingMessage => ({
             destination: batch.sender.address,
-            message: { type: "pong" },
+            message: this.answer,
         }));
         setImmediate(() => this.links.send(replies));
     }
--- a/packages/lovagepitch-links/src/countingCodec.ts
+++ b/packages/lovagepitch-links/src/countingCodec.ts
@@ -4,7 +4,7 @@
 import { type EncodedFrame, FrameCodec } from "./frameCodec.js";
 import type { MutableLinkCounters } from "./linkCounters.js";
 
-/** A codec that adds up bytes, and counts frames that cannot be decoded. */
+/** A codec that adds up bytes, and counts frames that cannot be encoded or decoded. */
 export class CountingCodec extends FrameCodec {
     /**
      * @param codec - does the work
@@ -16,9 +16,15 @@
 
     /** {@inheritDoc FrameCodec.encode} */
     public override encode = (envelope: unknown): EncodedFrame => {
-        const frame = this.codec.encode(envelope);
-        this.counters.bytesSent += Buffer.byteLength(frame);
-        return frame;
+        try {
+            const frame = this.codec.encode(envelope);
+            this.counters.bytesSent += Buffer.byteLength(frame);
+            return frame;
+        }
+        catch (error) {
+            this.counters.framesUnsendable += 1;
+            throw error;
+        }
     };
 
     /** {@inheritDoc FrameCodec.decode} */
--- a/packages/lovagepitch-links/src/linkCounters.ts
+++ b/packages/lovagepitch-links/src/linkCounters.ts
@@ -26,6 +26,8 @@
     readonly connectionsFailed: number;
     /** Received batches and frames that were malformed or beyond a limit. */
     readonly batchesRefused: number;
+    /** Frames that could not be encoded within their limit. */
+    readonly framesUnsendable: number;
 }
 
 /** Counters as their owner changes them. */
@@ -52,5 +54,6 @@
         connectionsRefused: 0,
         connectionsFailed: 0,
         batchesRefused: 0,
+        framesUnsendable: 0,
     };
 }
--- a/packages/lovagepitch-links/src/linkLimits.ts
+++ b/packages/lovagepitch-links/src/linkLimits.ts
@@ -20,7 +20,7 @@
     readonly maximumBatchesInFlight: number;
     /** Messages in one batch. */
     readonly maximumBatchMessages: number;
-    /** Encoded size of one batch. */
+    /** Encoded size of one batch; larger than any job that an entry accepts. */
     readonly maximumFrameBytes: number;
     /** Received batches of one sender that wait for the next tick's reply. */
     readonly maximumPendingReplies: number;
@@ -36,6 +36,6 @@
     maximumQueuedMessages: 20_000,
     maximumBatchesInFlight: 64,
     maximumBatchMessages: 2_000,
-    maximumFrameBytes: 16 * 1024 * 1024,
+    maximumFrameBytes: 65 * 1024 * 1024,
     maximumPendingReplies: 256,
 };
