test(entry): whole path through entry processes over real links and a scripted agent

Cause: the process's wiring (claims, forwarding, handover, planned stop, polling) had only been tried by hand. Change: the platform's services are passed into the process; six scenarios with fakes of the platform in memory.

--- a/packages/lovagepitch-entry/src/__tests__/httpEntryProcess.steps.ts
+++ b/packages/lovagepitch-entry/src/__tests__/httpEntryProcess.steps.ts
@@ -1,70 +1,316 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { loadEntrySettings } from "@lovagepitch/configuration/loadEntrySettings";
+import { SystemDelay } from "@lovagepitch/platform/delay";
+import { HandoverRepository } from "@lovagepitch/platform/handoverRepository";
+import { ManifestRepository } from "@lovagepitch/platform/manifestRepository";
+import { RegistryRepository } from "@lovagepitch/platform/registryRepository";
+import { RetryPolicy } from "@lovagepitch/platform/retryPolicy";
+import type { JobAnswer } from "@lovagepitch/types/job";
+import { SystemClock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { EntryProcess } from "../process/entryProcess.js";
+import { MemoryPlatform } from "./httpMemoryPlatform.js";
 import { MemoryEventLog } from "./httpScene.js";
+import { ScriptedAgent } from "./httpScriptedAgent.js";
 
 const patient = { timeout: 60_000 };
-const pollMilliseconds = 2;
+const pollMilliseconds = 5;
+const manifest = {
+    availabilityZones: ["ikeja"],
+    teams: [{ name: "t", quota: { guaranteedSlots: 1, maximumWaitingTasks: 100 } }],
+    services: [{
+        name: "s",
+        kinds: [{
+            name: "k",
+            availabilityZones: ["ikeja"],
+            maximumCores: 4,
+            maximumMemoryMegabytes: 1_024,
+            maximumDeadlineMilliseconds: 60_000,
+            taskTimeoutMilliseconds: 60_000,
+        }],
+    }],
+};
 
-let entry: EntryProcess | undefined;
-let entryAddress = "";
+interface Reading {
+    readonly status: number;
+    readonly headers: Headers;
+    readonly document: Readonly<Record<string, unknown>>;
+}
 
-After({ tags: "@entryProcess", timeout: 60_000 }, async () => {
-    await entry?.stop();
-    entry = undefined;
-});
+let platform: MemoryPlatform;
+let registry: RegistryRepository;
+let entries: EntryProcess[] = [];
+let addresses: string[] = [];
+let agent: ScriptedAgent | undefined;
+let submission = "";
+let job: unknown;
+let answer: Reading;
+let readings: readonly Reading[] = [];
+let waiting: Promise<Reading> | undefined;
+let stopping: Promise<void> | undefined;
 
-When("the entry process stops", patient, async () => {
-    await entry?.stop();
-});
-
-Given("an entry process whose platform refuses connections", async () => {
-    // A port that was just free refuses connections.
-    const probe = createServer();
-    await new Promise<void>(resolve => probe.listen(0, "127.0.0.1", resolve));
-    const { port } = probe.address() as AddressInfo;
-    await new Promise(resolve => probe.close(resolve));
-    const settings = loadEntrySettings(
-        JSON.stringify({
-            address: "127.0.0.1",
-            port: 0,
-            callerPort: 0,
-            availabilityZone: "ikeja",
-            submissionKey: "a key of at least thirty-two characters",
-            platform: { url: `http://127.0.0.1:${port}` },
-        }),
-        "entry.jsonc",
-    ).unwrap();
-    entry = new EntryProcess(settings, new MemoryEventLog());
-    const { callerPort } = await entry.start();
-    entryAddress = `http://127.0.0.1:${callerPort}`;
-});
-
-Then("its {string} answers {int}", async (target: string, status: number) => {
-    const answer = await fetch(entryAddress + target);
-    await answer.text();
-    assert.equal(answer.status, status);
-});
-
-Then("its {string} says that the store is not healthy", patient, async (target: string) => {
-    const read = async (): Promise<unknown> => {
-        const answer = await fetch(entryAddress + target);
-        return (await answer.json() as { readonly storeHealthy: boolean }).storeHealthy;
+function createRetries(): RetryPolicy {
+    return new RetryPolicy(new RandomSource(1), new SystemDelay());
+}
+
+function createEntries(count: number): void {
+    platform = new MemoryPlatform();
+    registry = new RegistryRepository(platform.table, createRetries(), new SystemClock());
+    entries = [];
+    addresses = [];
+    waiting = undefined;
+    stopping = undefined;
+    for (let index = 0; index < count; index += 1) {
+        const settings = loadEntrySettings(
+            JSON.stringify({
+                address: "127.0.0.1",
+                port: 0,
+                callerPort: 0,
+                availabilityZone: "ikeja",
+                submissionKey: "a key of at least thirty-two characters",
+                platform: { url: "http://127.0.0.1:1" },
+                manifestPollMilliseconds: 20,
+            }),
+            "entry.jsonc",
+        ).unwrap();
+        const entry = new EntryProcess(settings, { eventLog: new MemoryEventLog(), platform: platform.services });
+        entries.push(entry);
+        addresses.push("");
+    }
+}
+
+async function serve(): Promise<void> {
+    addresses = await Promise.all(entries.map(async entry => {
+        const { callerPort } = await entry.start();
+        return `http://127.0.0.1:${callerPort}`;
+    }));
+}
+
+async function acceptManifest(): Promise<void> {
+    const manifests = new ManifestRepository(platform.table, createRetries());
+    (await manifests.apply({ baseVersion: 0, manifest, digest: "d", appliedBy: "a test" })).unwrap();
+}
+
+async function call(
+    entry: number,
+    method: string,
+    path: string,
+    body?: unknown,
+    headers: Readonly<Record<string, string>> = {},
+): Promise<Reading> {
+    const response = await fetch(addresses[entry - 1] + path, {
+        method,
+        body: body === undefined ? undefined : JSON.stringify(body),
+        headers: body === undefined ? headers : { "content-type": "application/json", ...headers },
+    });
+    return {
+        status: response.status,
+        headers: response.headers,
+        document: await response.json() as Reading["document"],
     };
-    while (await read() !== false) {
+}
+
+async function until(condition: () => Promise<boolean>): Promise<void> {
+    while (!await condition()) {
         await sleep(pollMilliseconds);
     }
+}
+
+function createJob(tasks: number): unknown {
+    return {
+        team: "t",
+        service: "s",
+        kind: "k",
+        deadlineMilliseconds: 50_000,
+        tasks: Array.from({ length: tasks }, (_item, index) => ({
+            payload: index,
+            cores: 1,
+            memoryMegabytes: 64,
+            expectedMilliseconds: 50,
+        })),
+    };
+}
+
+async function issue(tasks: number): Promise<void> {
+    const issued = await call(1, "POST", "/v1/submissions");
+    [submission] = issued.document["submissions"] as [string];
+    job = createJob(tasks);
+}
+
+/** An answer without the id for the next submission, which is new each time. */
+function withoutNext(reading: Reading): unknown {
+    return { ...reading.document, nextSubmission: undefined };
+}
+
+function checkComplete(reading: Reading, tasks: number): void {
+    const document = reading.document as unknown as JobAnswer;
+    assert.equal(document.state, "complete", JSON.stringify(document));
+    assert.deepEqual(document.tasks.map(task => task.output), createOutputs(tasks));
+}
+
+function createOutputs(tasks: number): readonly unknown[] {
+    return Array.from({ length: tasks }, (_item, index) => ({ doubled: index * 2 }));
+}
+
+After({ tags: "@entryProcess", timeout: 60_000 }, async () => {
+    agent?.release();
+    await waiting;
+    await Promise.all(entries.map(entry => entry.stop()));
+    await stopping;
+    await agent?.close();
+    agent = undefined;
+});
+
+Given("an entry process whose platform is down", async () => {
+    createEntries(1);
+    platform.isDown = true;
+    await serve();
+});
+
+Given("two entry processes and no manifest", async () => {
+    createEntries(2);
+    await serve();
+});
+
+Given("two entry processes with a manifest and a scripted agent", patient, async () => {
+    createEntries(2);
+    await acceptManifest();
+    agent = new ScriptedAgent();
+    await agent.start(registry);
+    await serve();
+    for (const entry of [1, 2]) {
+        await until(async () => (await call(entry, "GET", "/status")).document["agents"] === 1);
+        await until(async () => (await call(entry, "GET", "/readyz")).status === 200);
+    }
+});
+
+Given("the scripted agent holds its tasks", () => {
+    assert.ok(agent);
+    agent.isHolding = true;
+});
+
+Given("the platform goes down", () => {
+    platform.isDown = true;
+});
+
+When("a manifest is accepted", acceptManifest);
+
+When("a caller submits a job of {int} tasks at entry {int}", patient, async (tasks: number, entry: number) => {
+    await issue(tasks);
+    answer = await call(entry, "PUT", `/v1/submissions/${submission}`, job);
+});
+
+When(
+    "a caller submits a job of {int} tasks at entry {int} and waits",
+    patient,
+    async (tasks: number, entry: number) => {
+        await issue(tasks);
+        waiting = call(entry, "PUT", `/v1/submissions/${submission}`, job);
+        await until(() => Promise.resolve(agent?.starts.size === tasks));
+    },
+);
+
+When("the caller resubmits the job at entry {int}", patient, async (entry: number) => {
+    // An answer that is not known yet says so and is asked for again, as the client package does.
+    await until(async () => {
+        readings = [await call(entry, "PUT", `/v1/submissions/${submission}`, job)];
+        return readings[0]?.status === 200;
+    });
+});
+
+When("a caller sends a job of {int} tasks under one key to both entries at once", patient, async (tasks: number) => {
+    const headers = { "idempotency-key": "one key" };
+    const body = createJob(tasks);
+    readings = await Promise.all([1, 2].map(entry => call(entry, "POST", "/v1/jobs", body, headers)));
+    [answer] = readings as [Reading];
+});
+
+When("a caller sends a job under a key to entry {int}", patient, async (entry: number) => {
+    answer = await call(entry, "POST", "/v1/jobs", createJob(1), { "idempotency-key": "a key" });
 });
 
-Then("its {string} issues an id", async (target: string) => {
-    const answer = await fetch(entryAddress + target, { method: "POST" });
-    assert.equal(answer.status, 201);
-    assert.equal((await answer.json() as { readonly submissions: readonly string[] }).submissions.length, 1);
+When("entry {int} begins to stop", (entry: number) => {
+    stopping = entries[entry - 1]?.stop();
+});
+
+When("the scripted agent releases its tasks", () => agent?.release());
+
+When("the entry process stops", patient, async () => {
+    await entries[0]?.stop();
+});
+
+Then("its {string} answers {int}", async (path: string, status: number) => {
+    assert.equal((await call(1, "GET", path)).status, status);
+});
+
+Then("its {string} says that the store is not healthy", patient, async (path: string) => {
+    await until(async () => (await call(1, "GET", path)).document["storeHealthy"] === false);
+});
+
+Then("its {string} issues an id", async (path: string) => {
+    const issued = await call(1, "POST", path);
+    assert.equal(issued.status, 201);
+    assert.equal((issued.document["submissions"] as readonly string[]).length, 1);
 });
 
 Then("its port refuses connections", async () => {
-    await assert.rejects(fetch(`${entryAddress}/healthz`));
+    await assert.rejects(call(1, "GET", "/healthz"));
+});
+
+Then("entry {int} is not ready", async (entry: number) => {
+    assert.equal((await call(entry, "GET", "/readyz")).status, 503);
+});
+
+Then("both entries become ready", patient, async () => {
+    for (const entry of [1, 2]) {
+        await until(async () => (await call(entry, "GET", "/readyz")).status === 200);
+    }
+});
+
+Then("its answer is complete with {int} outputs", patient, async (tasks: number) => {
+    answer = waiting === undefined ? answer : await waiting;
+    checkComplete(answer, tasks);
+    assert.equal(answer.headers.get("lovagepitch-next-submission"), answer.document["nextSubmission"]);
+});
+
+Then("the resubmission reads the same answer", () => {
+    assert.deepEqual(readings.map(withoutNext), [withoutNext(answer)]);
+});
+
+Then("both callers read the same complete answer", () => {
+    const [first, second] = readings.map(withoutNext);
+    checkComplete(answer, 3);
+    assert.deepEqual(first, second);
+});
+
+Then("the scripted agent started {int} tasks, each once", (tasks: number) => {
+    assert.deepEqual([...agent?.starts.values() ?? []], Array.from({ length: tasks }, () => 1));
+});
+
+Then(
+    "the caller reads a problem {string} with execution {string} and a time to come back",
+    (kind: string, execution: string) => {
+        assert.equal(answer.document["type"], `https://lovagepitch.example/problems/${kind}`);
+        assert.equal(answer.document["execution"], execution);
+        assert.ok(Number(answer.headers.get("retry-after")) >= 1);
+    },
+);
+
+Then("entry {int} issues no more work", async (entry: number) => {
+    const refused = await call(entry, "POST", "/v1/jobs", createJob(1), { "idempotency-key": "late" });
+    assert.equal(refused.document["type"], "https://lovagepitch.example/problems/stopping");
+    assert.equal(refused.headers.get("connection"), "close");
+});
+
+Then("entry {int} stops and its row is marked as left", patient, async (entry: number) => {
+    await stopping;
+    const rows = (await registry.read()).unwrap().entries;
+    const left = rows.filter(row => row.state === "left");
+    assert.equal(left.length, 1);
+    const handovers = new HandoverRepository(platform.objects, createRetries());
+    const handover = (await handovers.readAnswers(String(left[0]?.incarnation))).unwrap();
+    assert.deepEqual(handover?.answers.map(record => record.submission), [submission]);
+    await assert.rejects(call(entry, "GET", "/healthz"));
 });
--- a/packages/lovagepitch-entry/src/process/entryProcess.ts
+++ b/packages/lovagepitch-entry/src/process/entryProcess.ts
@@ -24,7 +24,12 @@
 import { type MissingCondition, OperatorRoutes } from "../http/operatorRoutes.js";
 import { PendingRequests } from "../http/pendingRequests.js";
 import { EntryRegistrar } from "./entryRegistrar.js";
-import { createPlatformClients, type PlatformClients } from "./platformClients.js";
+import {
+    connectPlatform,
+    createPlatformClients,
+    type PlatformClients,
+    type PlatformServices,
+} from "./platformClients.js";
 import { PlatformRequests } from "./platformRequests.js";
 import { Poller } from "./poller.js";
 import { StoreHealth } from "./storeHealth.js";
@@ -50,6 +55,14 @@
     readonly manifestPoller: Poller;
 }
 
+/** Parts of an entry process that may be replaced. */
+export interface EntryProcessOptions {
+    /** Where decisions and events go; JSON lines on standard output when absent. */
+    readonly eventLog?: EventLog;
+    /** The platform's services; over HTTP when absent. */
+    readonly platform?: PlatformServices;
+}
+
 /** Ports that an entry has bound. */
 export interface EntryPorts {
     readonly peerPort: number;
@@ -62,6 +75,8 @@
     private readonly clock: Clock = new SystemClock();
     private readonly random = new RandomSource(randomInt(largestSeed));
     private readonly codec: SubmissionCodec;
+    private readonly eventLog: EventLog;
+    private readonly platform: PlatformServices;
     private readonly storeHealth: StoreHealth;
     private readonly clients: PlatformClients;
     private readonly links: PeerLinks;
@@ -74,15 +89,14 @@
 
     /**
      * @param settings - the entry's settings
-     * @param eventLog - where decisions and events go
+     * @param options - replacements of the log and of the platform
      */
-    public constructor(
-        private readonly settings: EntrySettings,
-        private readonly eventLog: EventLog = new JsonEventLog("lovagepitch-entry", settings.logLevel),
-    ) {
+    public constructor(private readonly settings: EntrySettings, options: EntryProcessOptions = {}) {
+        this.eventLog = options.eventLog ?? new JsonEventLog("lovagepitch-entry", settings.logLevel);
+        this.platform = options.platform ?? connectPlatform(settings, this.clock, this.random);
         this.codec = new SubmissionCodec(settings.submissionKey);
         this.storeHealth = new StoreHealth(this.eventLog);
-        this.clients = createPlatformClients(settings, this.clock, this.random, this.codec);
+        this.clients = createPlatformClients(this.platform, settings, this.clock, this.random, this.codec);
         this.pendingRequests = new PendingRequests(input => this.accept(input), maximumWaitingRequests);
         this.links = new PeerLinks({
             identity: { address: `${settings.address}:${settings.port}`, incarnation: this.incarnation },
@@ -144,7 +158,7 @@
         running.server.cut();
         await this.links.close();
         running.loop.stop();
-        await this.clients.connection.close();
+        await this.platform.close();
         this.eventLog.event("info", "the entry has stopped", { answers: handover.answers.length });
     }
 
