--- a/packages/lovagepitch-links/src/peerLinks.ts
+++ b/packages/lovagepitch-links/src/peerLinks.ts
@@ -7,7 +7,7 @@
 import type { Result } from "@lovagepitch/utils/result";
 import type { WebSocket } from "ws";
 import { CountingCodec } from "./countingCodec.js";
-import { JsonFrameCodec } from "./frameCodec.js";
+import { type FrameCodec, JsonFrameCodec } from "./frameCodec.js";
 import { createLinkCounters, type LinkCounters } from "./linkCounters.js";
 import { LinkError } from "./linkError.js";
 import { defaultLinkLimits, type LinkLimits } from "./linkLimits.js";
@@ -30,11 +30,13 @@
     readonly clock: Clock;
     /** Takes each batch that arrives, at once. */
     readonly receive: (batch: PeerBatch) => void;
-    /** Learns that an address refused a connection, or that two in a row were silent. */
+    /** Learns that nobody listens at an address, or that two connections in a row failed or were silent. */
     readonly unreachable: (address: PeerAddress) => void;
     /** Newest configuration version in force. */
     readonly configurationVersion: () => number;
     readonly limits?: Partial<LinkLimits>;
+    /** Encoding of the frames, the same in every process; JSON when absent. */
+    readonly codec?: FrameCodec;
 }
 
 /** Links of one process to its peers. */
@@ -56,7 +58,8 @@
     public constructor(private readonly options: PeerLinksOptions) {
         this.limits = { ...defaultLinkLimits, ...options.limits };
         this.currentIdentity = options.identity;
-        this.codec = new CountingCodec(new JsonFrameCodec(this.limits.maximumFrameBytes), this.counts);
+        const codec = options.codec ?? new JsonFrameCodec(this.limits.maximumFrameBytes);
+        this.codec = new CountingCodec(codec, this.counts);
         const router = createPeerRouter(
             value => this.parseBatch(value),
             (batch, socket) => this.accept(batch, socket),
@@ -231,17 +234,35 @@
     private handleEnd(connection: PeerConnection, end: ConnectionEnd): void {
         const { destination } = connection;
         this.connections.delete(destination);
-        if (end === "silent") {
-            this.counts.connectionsSilent += 1;
-            this.unreachablePeers.recordSilence(destination);
+        switch (end) {
+            case "closed":
+                return;
+            case "refused":
+                this.counts.connectionsRefused += 1;
+                this.unreachablePeers.recordRefusal(destination);
+                return;
+            case "silent":
+                this.counts.connectionsSilent += 1;
+                this.unreachablePeers.recordFailure(destination);
+                return;
+            case "failed":
+                this.counts.connectionsFailed += 1;
+                this.unreachablePeers.recordFailure(destination);
+                return;
+            case "lost":
+                this.handleLoss(connection);
         }
-        if (end === "refused") {
-            this.counts.connectionsRefused += 1;
-            this.unreachablePeers.recordRefusal(destination);
+    }
+
+    private handleLoss(connection: PeerConnection): void {
+        this.counts.connectionsFailed += 1;
+        if (!connection.wasAcknowledged) {
+            this.unreachablePeers.recordFailure(connection.destination);
+            return;
         }
-        if (end === "lost" && connection.wasAcknowledged && !this.isClosed) {
+        if (!this.isClosed) {
             // A process that ended refuses the new connection, which tells its peers at once.
-            this.connect(destination, true);
+            this.connect(connection.destination, true);
         }
     }
 }
