--- a/packages/lovagepitch-configuration/src/commonSchemas.ts
+++ b/packages/lovagepitch-configuration/src/commonSchemas.ts
@@ -7,7 +7,7 @@
 const maximumMegabytes = 64 * 1024 * 1024;
 
 /** Longest duration that a document may name: a day, in milliseconds. */
-const maximumDurationMilliseconds = 24 * 60 * 60 * 1000;
+export const maximumDurationMilliseconds = 24 * 60 * 60 * 1000;
 
 /** Names of zones, teams, services, kinds, workers and racks; they appear in logs, paths and row keys. */
 export const nameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, {
--- /dev/null
+++ b/packages/lovagepitch-configuration/src/createJsonSchemas.ts
@@ -0,0 +1,45 @@
+/**
+ * JSON Schemas of every document, for editors and pipelines.
+ */
+import { z } from "zod";
+import { agentSettingsSchema } from "./agentSettingsSchema.js";
+import { entrySettingsSchema } from "./entrySettingsSchema.js";
+import { jobSchema } from "./jobSchema.js";
+import { schemaReferenceKey } from "./loadDocument.js";
+import { manifestSchema } from "./manifestSchema.js";
+import { operatorSettingsSchema } from "./operatorSettingsSchema.js";
+
+/** One JSON Schema and the file that it is kept in. */
+export interface JsonSchemaFile {
+    readonly fileName: string;
+    readonly text: string;
+}
+
+const indentation = 4;
+const referenceShape = { [schemaReferenceKey]: z.string().optional().describe("The JSON Schema of this document.") };
+
+/**
+ * Makes the JSON Schemas from the schemas that check the documents.
+ *
+ * @returns the files, in order of their names
+ */
+export function createJsonSchemas(): readonly JsonSchemaFile[] {
+    return [
+        createFile("agent-settings", "Settings of an agent", agentSettingsSchema.extend(referenceShape)),
+        createFile("entry-settings", "Settings of an entry", entrySettingsSchema.extend(referenceShape)),
+        createFile("job", "A job", jobSchema.extend(referenceShape)),
+        createFile("manifest", "Manifest", manifestSchema.extend(referenceShape)),
+        createFile(
+            "operator-settings",
+            "Settings of the operator's commands",
+            operatorSettingsSchema.extend(referenceShape),
+        ),
+    ];
+}
+
+function createFile(name: string, title: string, schema: z.ZodType): JsonSchemaFile {
+    // Defaults are filled in when a document is read, so the schema describes what may be written.
+    const content = z.toJSONSchema(schema, { io: "input", unrepresentable: "any" });
+    const text = `${JSON.stringify({ title, ...content }, undefined, indentation)}\n`;
+    return { fileName: `${name}.schema.json`, text };
+}
--- a/packages/lovagepitch-configuration/src/jobSchema.ts
+++ b/packages/lovagepitch-configuration/src/jobSchema.ts
@@ -3,14 +3,20 @@
  */
 import type { JsonValue } from "@lovagepitch/types/job";
 import { z } from "zod";
-import { coresSchema, durationSchema, megabytesSchema, nameSchema } from "./commonSchemas.js";
+import {
+    coresSchema,
+    durationSchema,
+    maximumDurationMilliseconds,
+    megabytesSchema,
+    nameSchema,
+} from "./commonSchemas.js";
 
 const taskSchema = z.strictObject({
     // Payloads are measured before the schema runs; here they only have to be present.
     payload: z.custom<JsonValue>(value => value !== undefined, { error: "add any JSON value, null included" }),
     cores: coresSchema,
     memoryMegabytes: megabytesSchema,
-    expectedMilliseconds: z.number().nonnegative(),
+    expectedMilliseconds: z.number().nonnegative().max(maximumDurationMilliseconds),
 });
 
 /** Checks the shape of a job; `validateJob` checks its limits first. */
--- a/packages/lovagepitch-configuration/src/parseDocument.ts
+++ b/packages/lovagepitch-configuration/src/parseDocument.ts
@@ -14,11 +14,15 @@
 import { ConfigurationError, type ConfigurationErrorKind, type TextPosition } from "./configurationError.js";
 import { type DocumentPath, formatDocumentPath } from "./documentPath.js";
 
-/** Longest text that is parsed, in characters. */
-const maximumTextLength = 1024 * 1024;
+/** Limits of a document's text. */
+export interface DocumentLimits {
+    /** Longest text, in characters. */
+    readonly maximumTextLength: number;
+    /** Deepest nesting of objects and arrays; the parser recurses once a level. */
+    readonly maximumDepth: number;
+}
 
-/** Deepest nesting of objects and arrays that is parsed; the parser recurses once a level. */
-const maximumDepth = 64;
+const defaultLimits: DocumentLimits = { maximumTextLength: 1024 * 1024, maximumDepth: 64 };
 
 /** A document and where its parts stand. */
 export interface ParsedDocument {
@@ -32,17 +36,27 @@
  *
  * @param text - the text
  * @param fileName - its file, for error messages
+ * @param limits - limits of the text
  * @returns the document, or an error that names file, line, column and remedy
  */
-export function parseDocument(text: string, fileName: string): Result<ParsedDocument, ConfigurationError> {
-    if (text.length > maximumTextLength) {
-        return fail("too-large", fileName, "", "the file is too large", `use at most ${maximumTextLength} characters`);
+export function parseDocument(
+    text: string,
+    fileName: string,
+    limits: DocumentLimits = defaultLimits,
+): Result<ParsedDocument, ConfigurationError> {
+    if (text.length > limits.maximumTextLength) {
+        const remedy = `use at most ${limits.maximumTextLength} characters`;
+        return fail("too-large", fileName, "", "the file is too large", remedy);
     }
-    const tooDeepAt = findExcessiveNesting(text);
+    const tooDeepAt = findExcessiveNesting(text, limits.maximumDepth);
     if (tooDeepAt !== undefined) {
-        const position = positionAt(text, tooDeepAt);
-        return fail("too-large", fileName, "", "nested too deep", `use at most ${maximumDepth} levels`, position);
+        const remedy = `use at most ${limits.maximumDepth} levels`;
+        return fail("too-large", fileName, "", "nested too deep", remedy, positionAt(text, tooDeepAt));
     }
+    return parseText(text, fileName);
+}
+
+function parseText(text: string, fileName: string): Result<ParsedDocument, ConfigurationError> {
     const errors: ParseError[] = [];
     const root = parseTree(text, errors, { allowTrailingComma: true });
     const error = errors[0];
@@ -66,24 +80,22 @@
     problem: string,
     remedy: string,
     position?: TextPosition,
-): Err {
+): Result<never, ConfigurationError> {
     const issue = { path, problem, remedy, ...(position === undefined ? {} : { position }) };
     return Err(new ConfigurationError(kind, [issue], fileName));
 }
 
-type Err = Result<never, ConfigurationError>;
-
 function describeSyntax(error: ParseError): string {
     const words = printParseErrorCode(error.error).replace(/([a-z])([A-Z])/g, "$1 $2").toLowerCase();
     return `syntax error (${words})`;
 }
 
-function findExcessiveNesting(text: string): number | undefined {
+function findExcessiveNesting(text: string, maximumDepth: number): number | undefined {
     const scanner = createScanner(text, true);
     let depth = 0;
     scanner.scan();
-    // Only the end of the text is a token without length.
-    while (scanner.getTokenLength() > 0) {
+    // Only the end of the text is a token that starts there; its length may be wrong after an open comment.
+    while (scanner.getTokenOffset() < text.length) {
         const firstCharacter = text[scanner.getTokenOffset()];
         if (firstCharacter === "{" || firstCharacter === "[") {
             depth += 1;
--- /dev/null
+++ b/packages/lovagepitch-configuration/src/runWriteSchemas.ts
@@ -0,0 +1,13 @@
+/**
+ * Writes the JSON Schemas into the directory `schemas` of the working directory.
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { createJsonSchemas } from "./createJsonSchemas.js";
+
+const directory = "schemas";
+
+mkdirSync(directory, { recursive: true });
+for (const file of createJsonSchemas()) {
+    writeFileSync(join(directory, file.fileName), file.text);
+}
