--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.registry.feature
@@ -0,0 +1,66 @@
+Feature: Registry of agents and entries
+
+    Scenario: An agent that left keeps its number and cannot come back
+        Given a platform registry with agents "a1, a2"
+        When agent "a1" is marked as left in the platform registry
+        Then the platform registry has version 2 and shows agent "a1" as left with number 1
+        And registering agent "a1" again is a conflict
+        And renewing agent "a1" is a conflict
+
+    Scenario: Marking an agent that never registered changes nothing
+        Given a platform registry with agents "a1"
+        When agent "a9" is marked as left in the platform registry
+        Then the platform registry has agents "a1"
+
+    Scenario: Numbers go on rising when rows are removed
+        Given a platform registry with agents "a1, a2"
+        When agent "a2" is marked as left in the platform registry
+        And 600001 ms pass and expired registry rows are removed
+        And agent "a3" registers in the platform registry
+        Then the platform registry has version 3 and shows agent "a3" as serving with number 3
+
+    Scenario: A counter that was deleted does not hand out a number twice
+        Given a platform registry with agents "a1, a2"
+        And the platform registry's counter was deleted
+        When agent "a3" registers in the platform registry
+        Then the platform registry has version 3 and shows agent "a3" as serving with number 3
+
+    Scenario: Rows stay for the whole window
+        Given a platform registry with agents "a1, a2"
+        When agent "a2" is marked as left in the platform registry
+        And 600000 ms pass and expired registry rows are removed
+        Then the platform registry has agents "a1, a2"
+
+    Scenario: Rows that were not renewed are removed after the window
+        Given a platform registry with agents "a1, a2"
+        When agent "a1" renews 300000 ms later
+        And 300001 ms pass and expired registry rows are removed
+        Then the platform registry has agents "a1"
+        And renewing agent "a2" is a conflict
+
+    Scenario: An outage of the table spares the rows that could not be renewed
+        Given a platform registry with agents "a1, a2"
+        When the table is down for 700000 ms while the registry is read
+        And 1 ms pass and expired registry rows are removed
+        Then the platform registry has agents "a1, a2"
+
+    Scenario: A process that has just started spares the rows that claim to serve
+        Given a platform registry with agents "a1, a2"
+        And agent "a2" is marked as left in the platform registry
+        When 700000 ms pass and a process that has just started removes expired registry rows
+        Then the platform registry has agents "a1"
+
+    Scenario: A row that is renewed while it is removed stays
+        Given a platform registry with agents "a1"
+        When 700000 ms pass and agent "a1" renews between the listing and the removal of expired rows
+        Then the platform registry has agents "a1"
+
+    Scenario: A malformed row fails the whole reading
+        Given a platform registry with agents "a1"
+        And a malformed row of an agent in the platform registry
+        Then reading the platform registry is invalid and names the row
+
+    Scenario: A renewal is one write without a read
+        Given a platform registry with agents "a1"
+        When agent "a1" renews 1000 ms later
+        Then the renewal took 1 write and 0 reads
