--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.handover.feature
@@ -0,0 +1,23 @@
+Feature: Handover objects
+
+    Scenario Outline: What is read is what was written, platform in <kind>
+        When an agent's ledger and an entry's answers are written to a "<kind>" platform
+        Then the same handover objects are read back
+        And a process that left no handover object has none
+
+        Examples:
+            | kind   |
+            | memory |
+            | http   |
+
+    Scenario Outline: A handover object that is <damage> is refused
+        Given a ledger object that is <damage>
+        Then reading the ledger object is invalid
+
+        Examples:
+            | damage                |
+            | cut short             |
+            | not compressed        |
+            | no JSON               |
+            | of another shape      |
+            | of another incarnation |
