test(platform): HTTP requests under failures and limits

Cause: writes may be sent once only, reads within a budget, and no malformed answer may pass as one. Change: a scripted server that fails, goes silent or answers nonsense; unit tests of the rate limit and the retry budget; the stand-in refuses null as faults, which a scenario showed it took.

--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.connection.steps.ts
@@ -0,0 +1,229 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { Delay } from "@lovagepitch/platform/delay";
+import { HttpTable } from "@lovagepitch/platform/httpTable";
+import { PlatformConnection } from "@lovagepitch/platform/platformConnection";
+import type { PlatformError } from "@lovagepitch/platform/platformError";
+import { ManualClock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import type { Result } from "@lovagepitch/utils/result";
+import assert from "node:assert/strict";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { request as sendRequest } from "undici";
+import { type PlatformServer, startPlatformServer } from "../standIns/platformServer.js";
+import { startMilliseconds } from "./platformServer.fixture.js";
+
+const timeoutMilliseconds = 1000;
+const ampleRate = 100_000;
+const absentAnswer = JSON.stringify({ absent: true });
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Records waits instead of waiting; the clock does not move. */
+class RecordingDelay extends Delay {
+    public waits: readonly number[] = [];
+
+    public override wait(milliseconds: number): Promise<void> {
+        this.waits = [...this.waits, milliseconds];
+        return Promise.resolve();
+    }
+}
+
+let server: Server | undefined;
+let standIn: PlatformServer | undefined;
+let connection: PlatformConnection | undefined;
+let delay: RecordingDelay;
+let requests = 0;
+let result: Result<unknown, PlatformError>;
+let results: readonly Result<unknown, PlatformError>[] = [];
+
+const failures: Readonly<Record<string, Handler>> = {
+    "answers 500": (_, response) => answer(response, 500, "{}"),
+    "answers 503": (_, response) => answer(response, 503, "{}"),
+    "answers 429": (_, response) => answer(response, 429, "{}"),
+    "closes the connection": (_, response) => response.destroy(),
+    "cuts the answer short": (_, response) => {
+        response.writeHead(200, { "content-length": "100" });
+        response.write("{", () => response.destroy());
+    },
+};
+
+function answer(response: ServerResponse, status: number, body: string): void {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(body);
+}
+
+async function startScripted(handle: Handler, rate = ampleRate, deadline = timeoutMilliseconds): Promise<void> {
+    requests = 0;
+    server = createServer((request, response) => {
+        requests += 1;
+        request.resume();
+        request.once("end", () => handle(request, response));
+    });
+    await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    delay = new RecordingDelay();
+    const settings = {
+        url: `http://127.0.0.1:${port}/`,
+        requestTimeoutMilliseconds: deadline,
+        writesPerSecond: rate,
+        readsPerSecond: rate,
+    };
+    connection = new PlatformConnection(settings, new ManualClock(startMilliseconds), new RandomSource(1), delay);
+}
+
+function createTable(): HttpTable {
+    assert.ok(connection !== undefined);
+    return new HttpTable(connection);
+}
+
+async function writeRow(key = "row"): Promise<Result<unknown, PlatformError>> {
+    return createTable().write([{ key, condition: { kind: "absent" }, value: 1 }]);
+}
+
+Given(/^a scripted platform that (.*) for every request$/, async (failure: string) => {
+    await startScripted(failures[failure] as Handler);
+});
+
+Given(/^a scripted platform that (.*) for (\d+) requests$/, async (failure: string, count: string) => {
+    await startScripted((request, response) => {
+        if (requests <= Number(count)) {
+            failures[failure]?.(request, response);
+            return;
+        }
+        answer(response, 404, absentAnswer);
+    });
+});
+
+Given(/^a scripted platform that answers (\d+) with '(.*)'$/, async (status: string, body: string) => {
+    await startScripted((_, response) => answer(response, Number(status), body));
+});
+
+Given("a scripted platform that leaves the first connection silent for good", async () => {
+    let silent: Socket | undefined;
+    await startScripted((request, response) => {
+        silent ??= request.socket;
+        if (request.socket !== silent) {
+            answer(response, 404, absentAnswer);
+        }
+    });
+});
+
+Given("a platform that has stopped", async () => {
+    await startScripted((_, response) => answer(response, 200, "{}"));
+    await new Promise(resolve => server?.close(resolve));
+});
+
+Given(
+    "a connection with {int} reads and {int} writes a second and a deadline of {int} ms",
+    async (rate: number, _writes: number, deadline: number) => {
+        const body = JSON.stringify({ etags: ["1"] });
+        await startScripted(
+            (request, response) => {
+                const isRead = request.method === "GET";
+                answer(response, isRead ? 404 : 200, isRead ? absentAnswer : body);
+            },
+            rate,
+            deadline,
+        );
+    },
+);
+
+When(/^a row is (read|listed|written) through the connection$/, async (request: string) => {
+    const table = createTable();
+    const send = {
+        read: () => table.read("row"),
+        listed: () => table.list("row"),
+        written: () => writeRow(),
+    }[request];
+    result = await (send as () => Promise<Result<unknown, PlatformError>>)();
+});
+
+When("a row is read {int} times through the connection", async (count: number) => {
+    for (let index = 0; index < count; index += 1) {
+        await createTable().read("row");
+    }
+});
+
+When(/^a (read|write) that accepts (\d+) bytes is sent$/, async (kind: string, bytes: string) => {
+    assert.ok(connection !== undefined);
+    const maximumAnswerBytes = Number(bytes);
+    result = kind === "read"
+        ? await connection.read({ method: "GET", path: "/rows/row", maximumAnswerBytes })
+        : await connection.write({ method: "POST", path: "/transactions", body: "{}", maximumAnswerBytes });
+});
+
+When(/^(\d+) (reads|writes) are made at one instant through it$/, async (count: string, kind: string) => {
+    const send = kind === "reads" ? () => createTable().read("row") : () => writeRow();
+    results = await Promise.all(Array.from({ length: Number(count) }, send));
+});
+
+When("a transaction of {int} rows is written through the connection", async (count: number) => {
+    const rows = Array.from({ length: count }, (_, index) => ({
+        key: `row-${index}`,
+        condition: { kind: "absent" } as const,
+        value: 1,
+    }));
+    result = await createTable().write(rows);
+});
+
+Then(/^the connection's result is "([\w-]+)"(?: after (\d+) requests?)?$/, (kind: string, count?: string) => {
+    assert.equal(result.ok ? "ok" : result.val.kind, kind, result.err ? result.val.message : "");
+    if (count !== undefined) {
+        assert.equal(requests, Number(count));
+    }
+});
+
+Then("the scripted platform has received at most {int} requests", (most: number) => {
+    assert.ok(requests <= most, `${requests} requests`);
+});
+
+Then("4 of them are made after waits of 0, 0, 500 and 1000 ms", () => {
+    assert.equal(results.filter(made => made.ok).length, 4);
+    assert.deepEqual(delay.waits, [500, 1000]);
+});
+
+Then("2 of them are throttled without being sent", () => {
+    assert.equal(results.filter(made => made.err && made.val.kind === "throttled").length, 2);
+    assert.equal(requests, 4);
+});
+
+Given("a running stand-in of the platform", async () => {
+    standIn = await startPlatformServer();
+});
+
+async function sendToStandIn(method: "DELETE" | "GET" | "POST" | "PUT", path: string, body?: string): Promise<number> {
+    const response = await sendRequest(`${standIn?.url}${path}`, { method, body });
+    await response.body.dump();
+    return response.statusCode;
+}
+
+When(/^the fault request '(.*)' is sent$/, async (body: string) => {
+    assert.equal(await sendToStandIn("PUT", "/faults", body), 200);
+});
+
+When("the faults are cleared by a request", async () => {
+    assert.equal(await sendToStandIn("DELETE", "/faults"), 200);
+});
+
+Then("the stand-in answers a read with status {int}", async (status: number) => {
+    assert.equal(await sendToStandIn("GET", "/rows/row"), status);
+});
+
+Then(/^the stand-in answers the fault request '(.*)' with status (\d+)$/, async (body: string, status: string) => {
+    assert.equal(await sendToStandIn("PUT", "/faults", body), Number(status));
+});
+
+Then(/^the stand-in answers the transaction '(.*)' with status (\d+)$/, async (body: string, status: string) => {
+    assert.equal(await sendToStandIn("POST", "/transactions", body), Number(status));
+});
+
+After(async () => {
+    await connection?.close();
+    server?.closeAllConnections();
+    server?.close();
+    await standIn?.close();
+    connection = undefined;
+    server = undefined;
+    standIn = undefined;
+});
--- a/packages/lovagepitch-testing/src/standIns/platformFaults.ts
+++ b/packages/lovagepitch-testing/src/standIns/platformFaults.ts
@@ -42,16 +42,16 @@
  * @returns the faults to change, or the error that names what is wrong
  */
 export function parseFaultSettings(value: unknown): Result<PlatformFaultSettings, PlatformError> {
-    if (typeof value !== "object" || value === undefined || Array.isArray(value)) {
+    if (typeof value !== "object" || value === null || Array.isArray(value)) {
         return Err(new PlatformError("invalid", "Faults are a JSON object; see PlatformFaultSettings"));
     }
-    for (const [name, setting] of Object.entries(value ?? {})) {
+    for (const [name, setting] of Object.entries(value)) {
         const known = Object.entries(noFaults).find(([knownName]) => knownName === name);
         if (known === undefined || typeof known[1] !== typeof setting) {
             return Err(new PlatformError("invalid", `${name} is no fault of that type; see PlatformFaultSettings`));
         }
     }
-    return Ok(value ?? {});
+    return Ok(value);
 }
 
 /** What becomes of one write. */
