test(testing): fault matrix of requests, singly and in pairs

It now demands equal answers of one entry, and no task of which two answers tell different things for good. Callers at a paused or unreachable entry are told apart from late answers.

--- a/packages/lovagepitch-entry/src/core/systems/collectionOutcome.ts
+++ b/packages/lovagepitch-entry/src/core/systems/collectionOutcome.ts
@@ -114,6 +114,6 @@
             detail: "The entry that kept the submission is gone; nothing of the job was started, and nothing will be.",
             remedy: "Send the job again under the id in nextSubmission.",
             execution: "not-run",
-            }),
+        }),
     };
 }
--- a/packages/lovagepitch-testing/src/__tests__/checker.feature
+++ b/packages/lovagepitch-testing/src/__tests__/checker.feature
@@ -14,7 +14,9 @@
             | notRunIsTrue         | refused as not run and never started     |
             | notRunIsTrue         | mismatch refused while the first job ran |
             | answeredInTime       | answered within deadline and margin      |
+            | ownCompleteAnswer    | failed answer before a complete one elsewhere |
             | answeredInTime       | caller whose connection broke            |
+            | answeredInTime       | silent caller whose entry was paused     |
             | gracefulLeaving      | start before the leaving limit           |
             | gracefulLeaving      | planned stop that answered everything    |
             | configurationInForce | version in force everywhere in time      |
@@ -34,6 +36,7 @@
             | ownCompleteAnswer    | complete answer that lacks a task     | has 1 of 2 tasks              |
             | ownCompleteAnswer    | failed answer with an output          | holds an output               |
             | ownCompleteAnswer    | two answers that disagree             | differs from an earlier       |
+            | ownCompleteAnswer    | answers elsewhere that contradict     | what contradicts              |
             | ownCompleteAnswer    | answer about a task that never started | which never started          |
             | ownCompleteAnswer    | answer to another submission          | was given to                  |
             | notRunIsTrue         | refused as not run and started        | answered "not run"            |
--- a/packages/lovagepitch-testing/src/__tests__/checker.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/checker.steps.ts
@@ -1,6 +1,7 @@
 import { Given, Then } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { checkRun, type RunRecord } from "../checker/checker.js";
+import { checkRun } from "../checker/checker.js";
+import type { RunRecord } from "../checker/runRecord.js";
 import { statedLimits } from "../checker/violation.js";
 import { createCheckerRecord } from "./checkerRecords.js";
 
--- a/packages/lovagepitch-testing/src/__tests__/checkerRecords.ts
+++ b/packages/lovagepitch-testing/src/__tests__/checkerRecords.ts
@@ -6,8 +6,8 @@
 import type { SubmissionResult } from "@lovagepitch/types/peerMessage";
 import type { Problem } from "@lovagepitch/types/problem";
 import { AnswerRecord, type CallerRequest } from "../checker/answerRecord.js";
-import type { RunRecord } from "../checker/checker.js";
 import { DeploymentRecord } from "../checker/deploymentRecord.js";
+import type { RunRecord } from "../checker/runRecord.js";
 import { StartRecord, type TaskStart } from "../checker/startRecord.js";
 
 const zone = "kolonnawa";
@@ -149,6 +149,16 @@
     "caller whose connection broke": parts => {
         ask(parts, { end: { kind: "connection-lost", atMilliseconds: 50_000 } });
     },
+    "silent caller whose entry was paused": parts => {
+        parts.deployment.lives.push({ process: "entry-1", fromMilliseconds: 0, untilMilliseconds: 3000 });
+        parts.deployment.lives.push({ process: "entry-1", fromMilliseconds: 9000, untilMilliseconds: undefined });
+        ask(parts, {});
+    },
+    "failed answer before a complete one elsewhere": parts => {
+        runBoth(parts);
+        ask(parts, answered(failedAnswer([0, 1].map(index => ({ index, state: "may-have-run" as const })))));
+        ask(parts, { ...answered(completeAnswer()), entry: "entry-2" });
+    },
     "start before the leaving limit": parts => {
         accept(parts, 1, zone, 0);
         start(parts, 0);
@@ -200,6 +210,12 @@
         ask(parts, answered(completeAnswer()));
         ask(parts, answered(failedAnswer([0, 1].map(index => ({ index, state: "may-have-run" as const })))));
     },
+    "answers elsewhere that contradict": parts => {
+        runBoth(parts);
+        const tasks = [{ index: 0, state: "failed" as const }, { index: 1, state: "may-have-run" as const }];
+        ask(parts, answered(failedAnswer(tasks)));
+        ask(parts, { ...answered(completeAnswer()), entry: "entry-2" });
+    },
     "answer about a task that never started": parts => {
         const tasks = [{ index: 0, state: "failed" as const }, { index: 1, state: "not-run" as const }];
         ask(parts, answered(failedAnswer(tasks)));
@@ -216,7 +232,10 @@
         runBoth(parts);
         ask(parts, answered(failedAnswer([0, 1].map(index => ({ index, state: "not-run" as const })))));
     },
-    "no answer at all": parts => ask(parts, {}),
+    "no answer at all": parts => {
+        parts.deployment.lives.push({ process: "entry-1", fromMilliseconds: 0, untilMilliseconds: undefined });
+        ask(parts, {});
+    },
     "answered too late": parts => ask(parts, answered(notRun("overloaded"), 7000)),
     "complete answer held back": parts => {
         runBoth(parts);
--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/faultMatrix.steps.ts
@@ -0,0 +1,67 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { matrixFaults } from "./faults.js";
+import { MatrixRun } from "./matrixRun.js";
+import { requestSteps } from "./requestSteps.js";
+
+const seeds = [1, 2, 3];
+const stepsThatEndTheJob = ["the job is being cancelled", "the deadline passes"];
+
+interface Finding {
+    readonly title: string;
+    readonly problems: readonly string[];
+    readonly trace: string;
+}
+
+let findings: Finding[] = [];
+
+function strikeAt(seed: number, step: string, faults: readonly string[]): void {
+    const run = new MatrixRun(seed);
+    run.agentIndex = (seed - 1) % 3;
+    const bring = requestSteps[step];
+    assert.ok(bring, `no step is named "${step}"`);
+    const proceed = bring(run);
+    let mustComplete = !stepsThatEndTheJob.includes(step);
+    let heldBack = 0;
+    for (const name of faults) {
+        const fault = matrixFaults[name];
+        assert.ok(fault, `no fault is named "${name}"`);
+        heldBack += fault.heldBackMilliseconds;
+        mustComplete &&= fault.mustComplete;
+        fault.strike(run);
+    }
+    run.heldBackMilliseconds = heldBack;
+    // Two silences in a row outlast the time after which a silent worker counts as lost.
+    mustComplete &&= faults.length === 1 || heldBack === 0;
+    proceed?.();
+    run.settle();
+    const problems = [...run.judge()];
+    if (mustComplete && !run.isComplete()) {
+        problems.push(`the job was not completed: ${JSON.stringify(run.caller?.result)}`);
+    }
+    if (problems.length > 0) {
+        findings.push({ title: `${faults.join(" and ")} while ${step}, seed ${seed}`, problems, trace: run.traceText });
+    }
+}
+
+When("{string} strikes while {string}", (fault: string, step: string) => {
+    findings = [];
+    for (const seed of seeds) {
+        strikeAt(seed, step, [fault]);
+    }
+});
+
+When("{string} and every other fault strike while {string}", { timeout: 120_000 }, (fault: string, step: string) => {
+    findings = [];
+    for (const other of Object.keys(matrixFaults)) {
+        strikeAt(1, step, [fault, other]);
+    }
+});
+
+Then("every caller of the matrix has its final answer and no rule is broken", () => {
+    const shown = findings.map(finding => `${finding.title}\n  ${finding.problems.slice(0, 4).join("\n  ")}`);
+    if (process.env["MATRIX_TRACE"] !== undefined && findings[0] !== undefined) {
+        console.error(findings[0].title, findings[0].problems, findings[0].trace);
+    }
+    assert.equal(findings.length, 0, `${findings.length} runs failed\n${shown.slice(0, 6).join("\n")}`);
+});
--- a/packages/lovagepitch-testing/src/checker/answerRecord.ts
+++ b/packages/lovagepitch-testing/src/checker/answerRecord.ts
@@ -11,6 +11,8 @@
 /** How a caller's request ended, as the caller saw it. */
 export type RequestEnd =
     | { readonly kind: "answered"; readonly result: SubmissionResult; readonly atMilliseconds: number }
+    /** No connection could be made, so the entry never had the request. */
+    | { readonly kind: "refused"; readonly atMilliseconds: number }
     /** The connection broke, so the caller does not wait here any more. */
     | { readonly kind: "connection-lost"; readonly atMilliseconds: number }
     /** The caller went away. */
--- a/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
+++ b/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
@@ -33,6 +33,14 @@
     readonly returnedAtMilliseconds: number | undefined;
 }
 
+/** A stretch of time in which callers could not reach an entry, though it ran. */
+export interface CallerSilence {
+    readonly process: string;
+    readonly fromMilliseconds: number;
+    /** Undefined while it lasts. */
+    readonly untilMilliseconds: number | undefined;
+}
+
 /** A planned stop of a process. */
 export interface PlannedStop {
     readonly process: string;
@@ -53,6 +61,8 @@
     public readonly lives: ProcessLife[] = [];
     /** Announced departures. */
     public readonly departures: Departure[] = [];
-    /** Planned stops. */
+    /** Silences between callers and entries. */
+    public readonly callerSilences: CallerSilence[] = [];
+    /** Planned stops; one whose process was killed meanwhile is none. */
     public readonly plannedStops: PlannedStop[] = [];
 }
--- a/packages/lovagepitch-testing/src/harness/fakeCallers.ts
+++ b/packages/lovagepitch-testing/src/harness/fakeCallers.ts
@@ -7,6 +7,7 @@
 import type { JobRequest } from "@lovagepitch/types/job";
 import type { Clock } from "@lovagepitch/utils/clock";
 import type { AnswerRecord, CallerOperation } from "../checker/answerRecord.js";
+import type { DeploymentRecord } from "../checker/deploymentRecord.js";
 import type { DeploymentObserver } from "./deploymentObserver.js";
 import type { Latencies } from "./deploymentSettings.js";
 import { type EntryHost, ResponseSink } from "./entryHost.js";
@@ -38,6 +39,7 @@
      * @param counts - counts requests and answers
      * @param observer - watches requests and answers
      * @param answers - the record of answers
+     * @param record - facts of the deployment
      * @param keepsRecord - false to keep no record of requests, for long measurements
      */
     public constructor(
@@ -47,6 +49,7 @@
         private readonly counts: MessageCounts,
         private readonly observer: DeploymentObserver,
         private readonly answers: AnswerRecord,
+        private readonly record: DeploymentRecord,
         private readonly keepsRecord: boolean,
     ) {
         super();
@@ -69,11 +72,18 @@
      * @param isSilent - whether nothing passes
      */
     public setSilent(entryIndex: number, isSilent: boolean): void {
-        if (isSilent) {
+        const process = this.entries[entryIndex]?.name ?? "";
+        const now = this.clock.nowMilliseconds();
+        if (isSilent && !this.silentEntries.has(entryIndex)) {
             this.silentEntries.add(entryIndex);
+            this.record.callerSilences.push({ process, fromMilliseconds: now, untilMilliseconds: undefined });
         }
-        else {
-            this.silentEntries.delete(entryIndex);
+        else if (!isSilent && this.silentEntries.delete(entryIndex)) {
+            const last = this.record.callerSilences.findLastIndex(silence => silence.untilMilliseconds === undefined);
+            const silence = this.record.callerSilences[last];
+            if (silence !== undefined) {
+                this.record.callerSilences[last] = { ...silence, untilMilliseconds: now };
+            }
         }
     }
 
@@ -212,7 +222,7 @@
         this.issue(
             request.entryIndex,
             submission => this.sendSubmission(request, job, submission),
-            () => this.lose(request),
+            () => this.end(request, { kind: "refused", atMilliseconds: this.clock.nowMilliseconds() }),
         );
     }
 
@@ -251,7 +261,7 @@
             return;
         }
         if (entry === undefined || entry.state === "stopped") {
-            this.lose(request);
+            this.end(request, { kind: "refused", atMilliseconds: this.clock.nowMilliseconds() });
             return;
         }
         request.entry = entry.name;
--- a/packages/lovagepitch-testing/src/harness/hostContext.ts
+++ b/packages/lovagepitch-testing/src/harness/hostContext.ts
@@ -79,6 +79,35 @@
         }
     }
 
+    /**
+     * Takes back the record of a planned stop that something else ended.
+     *
+     * @param process - its address and incarnation
+     */
+    public cancelPlannedStop(process: string): void {
+        const { plannedStops } = this.record;
+        const position = plannedStops.findIndex(stop =>
+            stop.process === process && stop.untilMilliseconds === undefined
+        );
+        if (position >= 0) {
+            plannedStops.splice(position, 1);
+        }
+    }
+
+    /**
+     * Records that a planned stop has ended.
+     *
+     * @param process - its address and incarnation
+     */
+    public recordStopEnd(process: string): void {
+        const { plannedStops } = this.record;
+        const position = plannedStops.findIndex(stop => stop.process === process);
+        const stop = plannedStops[position];
+        if (stop !== undefined) {
+            plannedStops[position] = { ...stop, untilMilliseconds: this.clock.nowMilliseconds() };
+        }
+    }
+
     /**
      * Records that a process put a configuration in force.
      *
--- a/packages/lovagepitch-testing/src/harness/processHost.ts
+++ b/packages/lovagepitch-testing/src/harness/processHost.ts
@@ -48,8 +48,11 @@
         return `${this.identity.address}/${this.identity.incarnation}`;
     }
 
-    /** Starts a new life of the process. */
+    /** Starts a new life of the process, unless it runs. */
     public start(): void {
+        if (this.state !== "stopped") {
+            return;
+        }
         this.identity = { address: this.address, incarnation: this.context.createIncarnation() };
         this.configurationVersion = 0;
         this.wakeAtMilliseconds = Number.POSITIVE_INFINITY;
@@ -72,6 +75,7 @@
         this.freezeAfterNextTick = false;
         this.isTickScheduled = false;
         this.context.recordLifeEnd(this.name);
+        this.context.cancelPlannedStop(this.name);
         this.ended();
     }
 
@@ -102,6 +106,7 @@
         for (const input of this.heldInputs.splice(0)) {
             this.core?.accept(input);
         }
+        // The tick also looks whether a planned stop is done, with the inputs that piled up.
         this.scheduleTick();
     }
 
@@ -230,6 +235,7 @@
             return;
         }
         this.performAll(outputs);
+        this.finishStop();
         if (this.core === life) {
             this.scheduleWake(life);
         }
@@ -240,7 +246,6 @@
             this.perform(output);
         }
         this.flush();
-        this.finishStop();
     }
 
     private flush(): void {
