test(testing): hold back the platform's replies while a process is frozen

A frozen process acted on replies of the platform, so a planned stop could end it while frozen. Replies and timers now wait for the resume.

--- a/packages/lovagepitch-testing/src/harness/processHost.ts
+++ b/packages/lovagepitch-testing/src/harness/processHost.ts
@@ -22,6 +22,7 @@
     /** The core of the present life. */
     protected core: Program | undefined;
     private readonly heldInputs: Input[] = [];
+    private readonly heldActions: (() => void)[] = [];
     private readonly outgoing = new Map<PeerAddress, PeerMessage[]>();
     private heldOutputs: readonly Output[] | undefined;
     private freezeAfterNextTick = false;
@@ -71,6 +72,7 @@
         this.state = "stopped";
         this.core = undefined;
         this.heldInputs.length = 0;
+        this.heldActions.length = 0;
         this.heldOutputs = undefined;
         this.freezeAfterNextTick = false;
         this.isTickScheduled = false;
@@ -106,6 +108,9 @@
         for (const input of this.heldInputs.splice(0)) {
             this.core?.accept(input);
         }
+        for (const action of this.heldActions.splice(0)) {
+            action();
+        }
         // The tick also looks whether a planned stop is done, with the inputs that piled up.
         this.scheduleTick();
     }
@@ -165,7 +170,7 @@
         const at = this.context.clock.nowMilliseconds() + delayMilliseconds;
         this.context.queue.schedule(at, (life: Program | undefined) => {
             if (this.core === life && life !== undefined) {
-                action();
+                this.act(action);
             }
         }, core);
     }
@@ -180,11 +185,20 @@
         const { core } = this;
         return value => {
             if (core === this.core && core !== undefined) {
-                handle(value);
+                this.act(() => handle(value));
             }
         };
     }
 
+    private act(action: () => void): void {
+        if (this.state === "frozen") {
+            this.heldActions.push(action);
+        }
+        else {
+            action();
+        }
+    }
+
     /**
      * Collects a message of the present tick.
      *
