--- a/packages/lovagepitch-testing/src/__tests__/checker.feature
+++ b/packages/lovagepitch-testing/src/__tests__/checker.feature
@@ -20,6 +20,7 @@
             | gracefulLeaving      | start before the leaving limit           |
             | gracefulLeaving      | planned stop that answered everything    |
             | configurationInForce | version in force everywhere in time      |
+            | configurationInForce | version that nobody had before an outage |
 
     Scenario Outline: Rule <rule>, a record that breaks it: <record>
         Given the checker's record "<record>"
@@ -47,4 +48,5 @@
             | gracefulLeaving      | start after the leaving limit         | started after leaving         |
             | gracefulLeaving      | planned stop that broke a connection  | cut off                       |
             | configurationInForce | version missing in one process        | was not in force              |
+            | configurationInForce | version that one process had before an outage | was not in force      |
             | configurationInForce | version that fell                     | went back from version 2 to 1 |
--- a/packages/lovagepitch-testing/src/__tests__/checkerRecords.ts
+++ b/packages/lovagepitch-testing/src/__tests__/checkerRecords.ts
@@ -174,6 +174,13 @@
         parts.deployment.lives.push({ process: "a", fromMilliseconds: 0, untilMilliseconds: undefined });
         parts.deployment.observedVersions.push({ process: "a", version: 1, atMilliseconds: 4000 });
     },
+    "version that nobody had before an outage": parts => {
+        spreadAfterOutage(parts);
+    },
+    "version that one process had before an outage": parts => {
+        spreadAfterOutage(parts);
+        parts.deployment.observedVersions.push({ process: "b", version: 1, atMilliseconds: 50 });
+    },
     "one task started at two workers": parts => {
         accept(parts, 1, zone, 0);
         start(parts, 0);
@@ -265,6 +272,13 @@
     },
 };
 
+function spreadAfterOutage(parts: Parts): void {
+    accept(parts, 1, zone, 0);
+    parts.deployment.platformOutages.push({ fromMilliseconds: 100, untilMilliseconds: 9000 });
+    parts.deployment.lives.push({ process: "a", fromMilliseconds: 0, untilMilliseconds: undefined });
+    parts.deployment.observedVersions.push({ process: "a", version: 1, atMilliseconds: 11_000 });
+}
+
 function plannedStop(parts: Parts): void {
     const stop = { process: "entry-1", worker: undefined, fromMilliseconds: 900, untilMilliseconds: 2000 };
     parts.deployment.plannedStops.push(stop);
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/faultMatrix.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/faultMatrix.steps.ts
@@ -1,11 +1,14 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { configurationSteps } from "./configurationSteps.js";
 import { matrixFaults } from "./faults.js";
 import { MatrixRun } from "./matrixRun.js";
+import { processSteps } from "./processSteps.js";
 import { requestSteps } from "./requestSteps.js";
 
 const seeds = [1, 2, 3];
 const stepsThatEndTheJob = ["the job is being cancelled", "the deadline passes"];
+const steps = { ...requestSteps, ...processSteps, ...configurationSteps };
 
 interface Finding {
     readonly title: string;
@@ -18,7 +21,7 @@
 function strikeAt(seed: number, step: string, faults: readonly string[]): void {
     const run = new MatrixRun(seed);
     run.agentIndex = (seed - 1) % 3;
-    const bring = requestSteps[step];
+    const bring = steps[step];
     assert.ok(bring, `no step is named "${step}"`);
     const proceed = bring(run);
     let mustComplete = !stepsThatEndTheJob.includes(step);
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/faults.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/faults.ts
@@ -84,10 +84,8 @@
 }
 
 function faultPlatform(run: MatrixRun, fault: "down" | "slow" | "answersLost"): void {
-    run.deployment.platform.fault = fault;
-    after(run, longOutage, () => {
-        run.deployment.platform.fault = "none";
-    });
+    run.deployment.platform.setFault(fault);
+    after(run, longOutage, () => run.deployment.platform.setFault("none"));
 }
 
 function resubmitElsewhere(run: MatrixRun): void {
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/matrixRun.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/matrixRun.ts
@@ -21,6 +21,8 @@
 /** Something that was seen in a run; the newest events of each kind. */
 export interface MatrixEvents {
     claimAsked: boolean;
+    registrationAsked: boolean;
+    handoverAsked: boolean;
     cancelArrived: boolean;
     jobArrived: boolean;
     jobAdmitted: boolean;
@@ -38,6 +40,8 @@
     /** What was seen of the job in question. */
     public readonly events: MatrixEvents = {
         claimAsked: false,
+        registrationAsked: false,
+        handoverAsked: false,
         cancelArrived: false,
         jobArrived: false,
         jobAdmitted: false,
@@ -195,6 +199,8 @@
             requestEnded: request => this.write(`request ${request.number} ${JSON.stringify(request.end)}`),
             platformAsked: operation => {
                 this.events.claimAsked ||= operation === "claimKey";
+                this.events.registrationAsked ||= operation === "registerAgent" && this.caller !== undefined;
+                this.events.handoverAsked ||= operation === "putHandover";
             },
             batchSent: (destination, batch) => {
                 this.events.startSent ||= this.countMessages(batch, "startTasks") > 0;
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestSteps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestSteps.ts
@@ -7,8 +7,8 @@
 const lostLink = { lossShare: 1, extraMilliseconds: 0, jitterMilliseconds: 0, copies: 1 };
 const shortDeadline = 400;
 
-/** Brings the job to a step; what it returns runs right after the faults struck. */
-type RequestStep = (run: MatrixRun) => (() => void) | undefined;
+/** Brings a run to a step; what it returns runs right after the faults struck. */
+export type MatrixStep = (run: MatrixRun) => (() => void) | undefined;
 
 function fillAllSlots(run: MatrixRun): void {
     for (const entry of [0, 1, 0, 1]) {
@@ -17,7 +17,12 @@
     run.deployment.advance(100);
 }
 
-function runUntilStarted(run: MatrixRun): void {
+/**
+ * Submits the job in question and lets all its tasks start.
+ *
+ * @param run - the run
+ */
+export function runUntilStarted(run: MatrixRun): void {
     run.submitJob();
     run.reach(() => run.events.startedTasks === run.job.tasks.length);
 }
@@ -31,7 +36,7 @@
 }
 
 /** The steps by name. */
-export const requestSteps: { readonly [name: string]: RequestStep } = {
+export const requestSteps: { readonly [name: string]: MatrixStep } = {
     "the id is issued": run => {
         const caller = run.prepareCaller();
         caller.obtainId();
--- a/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
+++ b/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
@@ -41,6 +41,13 @@
     readonly untilMilliseconds: number | undefined;
 }
 
+/** A stretch of time in which the platform answered nobody. */
+export interface PlatformOutage {
+    readonly fromMilliseconds: number;
+    /** Undefined while it lasts. */
+    readonly untilMilliseconds: number | undefined;
+}
+
 /** A planned stop of a process. */
 export interface PlannedStop {
     readonly process: string;
@@ -61,6 +68,8 @@
     public readonly lives: ProcessLife[] = [];
     /** Announced departures. */
     public readonly departures: Departure[] = [];
+    /** Outages of the platform. */
+    public readonly platformOutages: PlatformOutage[] = [];
     /** Silences between callers and entries. */
     public readonly callerSilences: CallerSilence[] = [];
     /** Planned stops; one whose process was killed meanwhile is none. */
