--- a/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
+++ b/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
@@ -33,6 +33,21 @@
     readonly returnedAtMilliseconds: number | undefined;
 }
 
+/** A stretch of time in which callers could not reach an entry, though it ran. */
+export interface CallerSilence {
+    readonly process: string;
+    readonly fromMilliseconds: number;
+    /** Undefined while it lasts. */
+    readonly untilMilliseconds: number | undefined;
+}
+
+/** A stretch of time in which the platform answered nobody. */
+export interface PlatformOutage {
+    readonly fromMilliseconds: number;
+    /** Undefined while it lasts. */
+    readonly untilMilliseconds: number | undefined;
+}
+
 /** A planned stop of a process. */
 export interface PlannedStop {
     readonly process: string;
@@ -53,6 +68,10 @@
     public readonly lives: ProcessLife[] = [];
     /** Announced departures. */
     public readonly departures: Departure[] = [];
-    /** Planned stops. */
+    /** Outages of the platform. */
+    public readonly platformOutages: PlatformOutage[] = [];
+    /** Silences between callers and entries. */
+    public readonly callerSilences: CallerSilence[] = [];
+    /** Planned stops; one whose process was killed meanwhile is none. */
     public readonly plannedStops: PlannedStop[] = [];
 }
