fix(entry): a planned stop finishes claims in flight and takes in nothing it would cut off

A claim that was in the table when the stop began was refused as stopping; a request for another keeper's submission that came while the answers were being written was forwarded and cut off. Ruled out: waiting again after the hand-over, which a stream of such requests would prolong without end. Change: claimed requests are admitted; what arrives after the stop is refused at once with what is true of it; a stopping entry hands out no ids.

--- a/packages/lovagepitch-entry/src/core/entryCore.ts
+++ b/packages/lovagepitch-entry/src/core/entryCore.ts
@@ -13,7 +13,7 @@
 import { checkAgent } from "./systems/agentLiveness.js";
 import { acceptRegistry } from "./systems/agentRegistry.js";
 import { declineOffers, placeBids } from "./systems/bidding.js";
-import { forgetCaller, issueSubmissions } from "./systems/callerRequests.js";
+import { createStopping, forgetCaller, issueSubmissions } from "./systems/callerRequests.js";
 import { claimKey, refuseBeforeClaim, resolveClaim } from "./systems/claims.js";
 import { acceptLedger, checkCollection, endCollection, resumeCollections } from "./systems/collecting.js";
 import { dropResult, failSubmission } from "./systems/finishing.js";
@@ -176,7 +176,9 @@
     }
 
     private submitWithKey(input: Extract<EntryInput, { readonly type: "submitWithKey" }>): void {
-        const problem = refuseBeforeClaim(this.state, input.job);
+        const problem = this.state.stopping
+            ? this.state.refuse(createStopping("unknown-yet"))
+            : refuseBeforeClaim(this.state, input.job);
         if (problem !== undefined) {
             this.state.emit({ type: "respond", request: input.request, response: { kind: "problem", problem } });
             return;
--- a/packages/lovagepitch-entry/src/core/systems/admission.ts
+++ b/packages/lovagepitch-entry/src/core/systems/admission.ts
@@ -57,8 +57,8 @@
 
 function findWorkClass(state: EntryState, job: JobRequest): Result<WorkClass, Problem> {
     const manifest = state.manifest?.manifest;
-    if (manifest === undefined || state.stopping) {
-        return Err(state.refuse(cannotServe(state)));
+    if (manifest === undefined) {
+        return Err(state.refuse(cannotServe()));
     }
     if (!manifest.teams.some(team => team.name === job.team)) {
         return Err(state.refuse(unknown("unknown-team", `There is no team "${job.team}".`)));
@@ -75,15 +75,7 @@
     return Ok(workClass);
 }
 
-function cannotServe(state: EntryState): Problem {
-    if (state.stopping) {
-        return notRun("stopping", {
-            status: 503,
-            detail: "This entry is stopping.",
-            remedy: "Send the job again; the balancer picks another entry.",
-            retryAfterMilliseconds: shortRetryMilliseconds,
-        });
-    }
+function cannotServe(): Problem {
     return notRun("no-configuration", {
         status: 503,
         detail: "This entry has no configuration yet.",
--- a/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
+++ b/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
@@ -6,6 +6,7 @@
 import type { SubmissionResult } from "@lovagepitch/types/peerMessage";
 import type { Problem } from "@lovagepitch/types/problem";
 import { digestJson } from "@lovagepitch/utils/digest";
+import { Err } from "@lovagepitch/utils/result";
 import type { RequestNumber } from "../entryInput.js";
 import type { EntryState } from "../entryState.js";
 import type { LiveSubmission, Requester, SubmissionRow } from "../tables/submissionRow.js";
@@ -15,6 +16,19 @@
 import { failSubmission, keepResult } from "./finishing.js";
 import { respond } from "./respond.js";
 
+/** When to come back to another entry. */
+const stoppingRetryMilliseconds = 1_000;
+
+/** A job under an id of this entry. */
+export interface SubmitRequest {
+    readonly requester: Requester;
+    readonly submission: SubmissionKey;
+    readonly identity: SubmissionIdentity;
+    readonly job: JobRequest;
+    /** The caller's key was bound to the id, so the request was in flight before any planned stop. */
+    readonly isClaimed: boolean;
+}
+
 /**
  * Issues ids.
  *
@@ -31,18 +45,10 @@
  * Submits or resubmits a job under an id of this entry.
  *
  * @param state - the entry's state
- * @param requester - who waits for the result
- * @param submission - the id
- * @param identity - what it says
- * @param job - the job
+ * @param request - the job, its id, and who waits for the result
  */
-export function submitKept(
-    state: EntryState,
-    requester: Requester,
-    submission: SubmissionKey,
-    identity: SubmissionIdentity,
-    job: JobRequest,
-): void {
+export function submitKept(state: EntryState, request: SubmitRequest): void {
+    const { requester, submission, identity, job } = request;
     const jobDigest = digestJson(job);
     const row = state.submissions.get(submission);
     if (row !== undefined) {
@@ -53,7 +59,8 @@
         respond(state, requester, submission, { kind: "problem", problem: state.refuse(expired(state)) });
         return;
     }
-    const admitted = admit(state, job, identity);
+    const isRefusedByStop = state.stopping && !request.isClaimed;
+    const admitted = isRefusedByStop ? Err(state.refuse(createStopping("not-run"))) : admit(state, job, identity);
     if (admitted.err) {
         const problem = admitted.val;
         const result: SubmissionResult = { kind: "problem", problem };
@@ -63,7 +70,7 @@
         respond(state, requester, submission, result);
         return;
     }
-    accept(state, requester, submission, identity, job, jobDigest, admitted.val);
+    accept(state, request, jobDigest, admitted.val);
 }
 
 /**
@@ -155,15 +162,8 @@
     }
 }
 
-function accept(
-    state: EntryState,
-    requester: Requester,
-    submission: SubmissionKey,
-    identity: SubmissionIdentity,
-    job: JobRequest,
-    jobDigest: string,
-    workClass: WorkClass,
-): void {
+function accept(state: EntryState, request: SubmitRequest, jobDigest: string, workClass: WorkClass): void {
+    const { requester, submission, identity, job } = request;
     const now = state.now;
     const work = job.tasks.reduce((sum, task) => sum + workClass.runTime.estimate(task.expectedMilliseconds), 0);
     const live: LiveSubmission = {
@@ -201,6 +201,23 @@
     };
 }
 
+/**
+ * Makes the refusal of what arrives after a planned stop began.
+ *
+ * @param execution - what is true of the job
+ * @returns the refusal
+ */
+export function createStopping(execution: Problem["execution"]): Problem {
+    return {
+        kind: "stopping",
+        status: 503,
+        detail: "This entry is stopping.",
+        remedy: "Send the same request again; the balancer picks another entry.",
+        execution,
+        retryAfterMilliseconds: stoppingRetryMilliseconds,
+    };
+}
+
 /**
  * Makes the refusal of a job under another job's id; what is true of the other job is not told.
  *
--- a/packages/lovagepitch-entry/src/core/systems/claims.ts
+++ b/packages/lovagepitch-entry/src/core/systems/claims.ts
@@ -48,7 +48,7 @@
         answer(state, request, createMismatch());
         return;
     }
-    routeRequest(state, { request, operation: "submit" }, outcome.submission, claim.job);
+    routeRequest(state, { request, operation: "submit", isClaimed: true }, outcome.submission, claim.job);
 }
 
 /**
--- a/packages/lovagepitch-entry/src/core/systems/forwarding.ts
+++ b/packages/lovagepitch-entry/src/core/systems/forwarding.ts
@@ -161,7 +161,7 @@
     const request = message.request;
     const requester = { kind: "entry" as const, address: sender.address, operation: request.operation };
     if (request.operation === "submit") {
-        submitKept(state, requester, submission, identity.val, request.job);
+        submitKept(state, { requester, submission, identity: identity.val, job: request.job, isClaimed: false });
         return;
     }
     if (request.operation === "cancel") {
--- a/packages/lovagepitch-entry/src/core/systems/respond.ts
+++ b/packages/lovagepitch-entry/src/core/systems/respond.ts
@@ -32,6 +32,10 @@
 
 /** Each response brings an id of its own, since two callers of one submission must not share the next one. */
 function withNextSubmission(state: EntryState, result: SubmissionResult): SubmissionResult {
+    if (state.stopping) {
+        // An id of a stopping entry would only lead its caller to a sweep.
+        return result;
+    }
     if (result.kind === "answer") {
         return { kind: "answer", answer: { ...result.answer, nextSubmission: state.issue() } };
     }
--- a/packages/lovagepitch-entry/src/core/systems/routing.ts
+++ b/packages/lovagepitch-entry/src/core/systems/routing.ts
@@ -6,7 +6,7 @@
 import type { EntryState } from "../entryState.js";
 import type { ForwardedCaller } from "../tables/forwardRow.js";
 import type { Requester } from "../tables/submissionRow.js";
-import { cancelKept, queryKept, submitKept } from "./callerRequests.js";
+import { cancelKept, createStopping, queryKept, submitKept } from "./callerRequests.js";
 import { forward } from "./forwarding.js";
 
 /**
@@ -30,12 +30,18 @@
         return;
     }
     if (decoded.val.keeper.incarnation !== state.parts.identity.incarnation) {
+        if (state.stopping && caller.isClaimed !== true && !state.submissions.has(submission)) {
+            const problem = state.refuse(createStopping("unknown-yet"));
+            state.emit({ type: "respond", request: caller.request, response: { kind: "problem", problem } });
+            return;
+        }
         forward(state, caller, submission, decoded.val, job);
         return;
     }
     if (job !== undefined) {
         state.callerSubmissions.set(caller.request, submission);
-        submitKept(state, requester, submission, decoded.val, job);
+        const isClaimed = caller.isClaimed === true;
+        submitKept(state, { requester, submission, identity: decoded.val, job, isClaimed });
         return;
     }
     if (caller.operation === "cancel") {
--- a/packages/lovagepitch-entry/src/core/tables/forwardRow.ts
+++ b/packages/lovagepitch-entry/src/core/tables/forwardRow.ts
@@ -9,6 +9,8 @@
 export interface ForwardedCaller {
     readonly request: RequestNumber;
     readonly operation: "submit" | "query" | "cancel";
+    /** The submission's id was bound to the caller's key before; the request is finished even in a planned stop. */
+    readonly isClaimed?: boolean;
 }
 
 /** One submission whose keeper is asked. */
