test(links): a reply must not overtake the peer's own connection

Cause: with the check taken out the scenario still passed, because A's own send acknowledged B's batch first. Change: the ping comes on a raw connection in A's name, so that B's batch is still in flight.

--- a/packages/lovagepitch-links/src/__tests__/linkFrames.ts
+++ b/packages/lovagepitch-links/src/__tests__/linkFrames.ts
@@ -19,9 +19,9 @@
     return JSON.stringify({ id: 1, method: "mutation", params: { path: "deliver", input } });
 }
 
-/** Makes a batch of a sender that is no process. */
-export function createBatch(messages: readonly unknown[]): unknown {
-    return { sender: { address: "127.0.0.1:9", incarnation: "r" }, role: "agent", configurationVersion: 1, messages };
+/** Makes a batch of a sender that is no process, or in the name of one. */
+export function createBatch(messages: readonly unknown[], address = "127.0.0.1:9"): unknown {
+    return { sender: { address, incarnation: "r" }, role: "agent", configurationVersion: 1, messages };
 }
 
 /** A start whose payload is nested deeper than recursive code can walk. */
--- a/packages/lovagepitch-links/src/__tests__/peerLinks.feature
+++ b/packages/lovagepitch-links/src/__tests__/peerLinks.feature
@@ -22,8 +22,9 @@
         Given linked peers A and B
         And A's links answer nothing yet
         When B sends A 1 link messages in one tick
-        And A sends B a link ping
-        Then A receives a pong
+        And a raw connection sends B a ping in A's name
+        Then the raw connection reads an empty acknowledgement
+        And A receives a pong
         And B opened 1 link connections and piggybacked 0 message
 
     Scenario: A connection that went silent for good is replaced
--- a/packages/lovagepitch-links/src/__tests__/peerLinks.steps.ts
+++ b/packages/lovagepitch-links/src/__tests__/peerLinks.steps.ts
@@ -195,6 +195,16 @@
     scene.a.clock.moveTo(scene.a.clock.nowMilliseconds() + milliseconds);
 });
 
+When("a raw connection sends B a ping in A's name", patient, async () => {
+    raw = await openRawConnection(scene.b.address);
+    raw.send(createCall(createBatch([{ type: "ping" }], scene.a.address)));
+    rawReplies.push(await nextFrame(raw));
+});
+
+Then("the raw connection reads an empty acknowledgement", () => {
+    assert.deepEqual(rawReplies.map(reply => JSON.parse(reply) as unknown), [{ id: 1, result: { type: "data" } }]);
+});
+
 When("a raw connection sends B the same batch twice", patient, async () => {
     raw = await openRawConnection(scene.b.address);
     for (let copy = 0; copy < 2; copy += 1) {
@@ -228,7 +238,7 @@
         }),
         { minLength: 1, maxLength: 3 },
     );
-    const input = fastCheck.oneof(fastCheck.jsonValue(), messages.map(createBatch));
+    const input = fastCheck.oneof(fastCheck.jsonValue(), messages.map(items => createBatch(items)));
     const frame = fastCheck.oneof(input.map(createCall), fastCheck.json(), fastCheck.string());
     const property = fastCheck.asyncProperty(frame, async text => {
         if (text === "PONG") {
