--- a/packages/lovagepitch-entry/src/__tests__/httpEntryProcess.feature
+++ b/packages/lovagepitch-entry/src/__tests__/httpEntryProcess.feature
@@ -10,6 +10,10 @@
         When the entry process stops
         Then its port refuses connections
 
+    Scenario: A callers' port in use is an error with a remedy and leaves nothing open
+        Given an entry process whose platform is down
+        Then another entry process on its callers' port fails with a remedy and closes its links
+
     Scenario: A manifest that is accepted later comes into force
         Given two entry processes and no manifest
         Then entry 1 is not ready
--- a/packages/lovagepitch-entry/src/__tests__/httpEntryProcess.steps.ts
+++ b/packages/lovagepitch-entry/src/__tests__/httpEntryProcess.steps.ts
@@ -9,6 +9,8 @@
 import { SystemClock } from "@lovagepitch/utils/clock";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { EntryProcess } from "../process/entryProcess.js";
 import { MemoryPlatform } from "./httpMemoryPlatform.js";
@@ -55,6 +57,22 @@
     return new RetryPolicy(new RandomSource(1), new SystemDelay());
 }
 
+function createEntry(callerPort: number, port = 0): EntryProcess {
+    const settings = loadEntrySettings(
+        JSON.stringify({
+            address: "127.0.0.1",
+            port,
+            callerPort,
+            availabilityZone: "ikeja",
+            submissionKey: "a key of at least thirty-two characters",
+            platform: { url: "http://127.0.0.1:1" },
+            manifestPollMilliseconds: 20,
+        }),
+        "entry.jsonc",
+    ).unwrap();
+    return new EntryProcess(settings, { eventLog: new MemoryEventLog(), platform: platform.services });
+}
+
 function createEntries(count: number): void {
     platform = new MemoryPlatform();
     registry = new RegistryRepository(platform.table, createRetries(), new SystemClock());
@@ -63,20 +81,7 @@
     waiting = undefined;
     stopping = undefined;
     for (let index = 0; index < count; index += 1) {
-        const settings = loadEntrySettings(
-            JSON.stringify({
-                address: "127.0.0.1",
-                port: 0,
-                callerPort: 0,
-                availabilityZone: "ikeja",
-                submissionKey: "a key of at least thirty-two characters",
-                platform: { url: "http://127.0.0.1:1" },
-                manifestPollMilliseconds: 20,
-            }),
-            "entry.jsonc",
-        ).unwrap();
-        const entry = new EntryProcess(settings, { eventLog: new MemoryEventLog(), platform: platform.services });
-        entries.push(entry);
+        entries.push(createEntry(0));
         addresses.push("");
     }
 }
@@ -255,6 +260,18 @@
     assert.equal((issued.document["submissions"] as readonly string[]).length, 1);
 });
 
+Then("another entry process on its callers' port fails with a remedy and closes its links", async () => {
+    const probe = createServer();
+    await new Promise<void>(resolve => probe.listen(0, "127.0.0.1", resolve));
+    const { port } = probe.address() as AddressInfo;
+    await new Promise(resolve => probe.close(resolve));
+    const callerPort = Number(new URL(addresses[0] ?? "").port);
+    await assert.rejects(createEntry(callerPort, port).start(), /choose a free callerPort/);
+    const socket = connect(port, "127.0.0.1");
+    const [error] = await once(socket, "error") as [NodeJS.ErrnoException];
+    assert.equal(error.code, "ECONNREFUSED");
+});
+
 Then("its port refuses connections", async () => {
     await assert.rejects(call(1, "GET", "/healthz"));
 });
--- a/packages/lovagepitch-entry/src/process/entryProcess.ts
+++ b/packages/lovagepitch-entry/src/process/entryProcess.ts
@@ -120,7 +120,12 @@
         const peerPort = unwrap(await this.links.listen());
         const running = this.createParts();
         this.running = running;
-        const callerPort = unwrap(await running.server.listen(this.settings.address, this.settings.callerPort));
+        const bound = await running.server.listen(this.settings.address, this.settings.callerPort);
+        if (bound.err) {
+            await this.links.close();
+            await this.platform.close();
+        }
+        const callerPort = unwrap(bound);
         running.manifestPoller.run();
         running.registryPoller.run();
         running.registrar.start();
