--- a/packages/lovagepitch-agent/src/__tests__/agentCore.steps.ts
+++ b/packages/lovagepitch-agent/src/__tests__/agentCore.steps.ts
@@ -155,7 +155,12 @@
 });
 
 When("entry {word} acknowledges task {int} of {word}", (entry: string, index: number, name: string) => {
-    agent.send(entry, { type: "acknowledgeOutcomes", submission: agent.submission(name), indexes: [index], declinedSlots: 0 });
+    agent.send(entry, {
+        type: "acknowledgeOutcomes",
+        submission: agent.submission(name),
+        indexes: [index],
+        declinedSlots: 0,
+    });
 });
 
 When(
--- a/packages/lovagepitch-agent/src/__tests__/agentInterleavings.ts
+++ b/packages/lovagepitch-agent/src/__tests__/agentInterleavings.ts
@@ -237,7 +237,12 @@
             }
             case "acknowledge": {
                 const indexes = [0, 1, 2];
-                const message = { type: "acknowledgeOutcomes", submission: this.nameOf(action), indexes, declinedSlots: 0 } as const;
+                const message = {
+                    type: "acknowledgeOutcomes",
+                    submission: this.nameOf(action),
+                    indexes,
+                    declinedSlots: 0,
+                } as const;
                 return this.feed(this.agent.batch(keeperName(action.keeper), [message]));
             }
             case "bid": {
--- /dev/null
+++ b/packages/lovagepitch-client/src/__tests__/lovagepitchClient.feature
@@ -0,0 +1,103 @@
+Feature: Client
+
+    Scenario Outline: One job under issued ids
+        Given a client with "issued-ids" at two entries that answer "<script>"
+        When the client runs a job
+        Then the client's result is "<result>"
+        And the client's requests were "<requests>"
+        And every attempt of one identity carried the same body
+
+        Examples:
+            | script                                                     | result   | requests                |
+            | ids 1; complete                                            | complete | ids A, s1 A             |
+            | ids 1; failed                                              | failed   | ids A, s1 A             |
+            | unsent; ids 1; complete                                    | complete | ids A, ids B, s1 B      |
+            | ids 1; unsent; complete                                    | complete | ids A, s1 A, s1 B       |
+            | ids 1; cut; complete                                       | complete | ids A, s1 A, s1 B       |
+            | ids 1; silent; complete                                    | complete | ids A, s1 A, s1 B       |
+            | ids 1; balancer; complete                                  | complete | ids A, s1 A, s1 B       |
+            | ids 1; partial; complete                                   | complete | ids A, s1 A, s1 B       |
+            | ids 1; strange; complete                                   | complete | ids A, s1 A, s1 B       |
+            | ids 1; cut; cut; unsent; complete                          | complete | ids A, s1 A, s1 B, s1 A, s1 B |
+            | ids 1; 503 keeper-unreachable unknown-yet after=1; complete | complete | ids A, s1 A, s1 B      |
+            | ids 1; 503 keeper-unreachable unknown-yet; complete        | complete | ids A, s1 A, s1 B       |
+            | ids 1; 503 overloaded not-run after=1 next; complete       | complete | ids A, s1 A, s2 A       |
+            | ids 1; 429 quota-exceeded not-run after=1 next; complete   | complete | ids A, s1 A, s2 A       |
+            | ids 1; 503 overloaded not-run after=1; complete            | complete | ids A, s1 A, s1 B       |
+            | ids 1; 503 keeper-unreachable not-run next; complete       | complete | ids A, s1 A, s2 A       |
+            | ids 1; cut; 503 keeper-unreachable not-run next; complete  | complete | ids A, s1 A, s1 B, s2 B |
+            | ids 1; 503 stopping not-run after=1 next; ids 1; complete  | complete | ids A, s1 A, ids B, s3 B |
+            | ids 1; 503 outcome-unknown may-have-run after=1 next; complete | complete | ids A, s1 A, s1 B   |
+            | ids 1; 410 outcome-unknown may-have-run                    | unknown  | ids A, s1 A             |
+            | ids 1; 503 outcome-unknown may-have-run next               | unknown  | ids A, s1 A             |
+            | ids 1; 422 submission-mismatch unknown-yet next            | unknown  | ids A, s1 A             |
+            | ids 1; 400 malformed-request not-run next                  | refused  | ids A, s1 A             |
+            | ids 1; 422 task-too-large not-run next                     | refused  | ids A, s1 A             |
+            | ids 1; 503 overloaded not-run after=60 next                | refused  | ids A, s1 A             |
+
+    Scenario Outline: One job under a caller's key
+        Given a client with "caller-keys" at two entries that answer "<script>"
+        When the client runs a job under <key>
+        Then the client's result is "<result>"
+        And the client's requests were "<requests>"
+
+        Examples:
+            | script                                              | key             | result   | requests     |
+            | complete                                            | the key "k1"    | complete | key A        |
+            | cut; complete                                       | the key "k1"    | complete | key A, key B |
+            | 503 platform-unavailable unknown-yet after=1; complete | the key "k1" | complete | key A, key B |
+            | 503 overloaded not-run after=1 next; complete       | the key "k1"    | complete | key A, key B |
+            | 503 keeper-unreachable not-run next                 | the key "k1"    | refused  | key A        |
+            | 503 keeper-unreachable not-run next; complete       | a key of its own | complete | key A, s1 A |
+            | 422 submission-mismatch unknown-yet                 | the key "k1"    | unknown  | key A        |
+
+    Scenario Outline: A job ends when its time is up, with what is true then
+        Given a client with "<identity>" at two entries that answer "<script>"
+        When the client runs a job under <key> for at most <limit> ms
+        Then the client's result is "<result>"
+        And the client's clock is at most <limit> ms further
+
+        Examples:
+            | identity    | script                                              | key              | limit | result  |
+            | issued-ids  | ids 1; unsent                                       | a key of its own | 3000  | refused |
+            | issued-ids  | unsent                                              | a key of its own | 3000  | refused |
+            | issued-ids  | ids 1; cut; unsent                                  | a key of its own | 3000  | unknown |
+            | issued-ids  | ids 1; silent                                       | a key of its own | 3000  | unknown |
+            | issued-ids  | ids 1; 503 overloaded not-run after=1 next          | a key of its own | 3000  | refused |
+            | issued-ids  | ids 1; 503 keeper-unreachable unknown-yet after=1   | a key of its own | 3000  | unknown |
+            | caller-keys | unsent                                              | the key "k1"     | 3000  | unknown |
+            | caller-keys | unsent                                              | a key of its own | 3000  | refused |
+            | caller-keys | 503 platform-unavailable unknown-yet after=1        | the key "k1"     | 3000  | unknown |
+            | caller-keys | 503 overloaded not-run after=1; 503 overloaded not-run after=1; cut; unsent | the key "k1" | 3000 | unknown |
+
+    Scenario: Retry-After is obeyed, with jitter on top
+        Given a client with "issued-ids" at two entries that answer "ids 1; 503 keeper-unreachable unknown-yet after=2; complete"
+        When the client runs a job
+        Then the client waited between 2000 and 2100 ms once
+
+    Scenario: Backoff grows and stays bounded
+        Given a client with "issued-ids" at two entries that answer "ids 1; cut"
+        When the client runs a job under a key of its own for at most 60000 ms
+        Then no wait of the client is over 2000 ms and their bound doubled from 50 ms
+
+    Scenario: Ids carried over from answers cost no message
+        Given a client with "issued-ids" at two entries that answer "ids 1; complete next; complete next; complete next"
+        When the client runs 3 jobs one after another
+        Then the client's requests were "ids A, s1 A, s2 A, s3 A"
+        And the client counted 1 issues, 3 submissions and 0 resubmissions
+
+    Scenario: Jobs that start together share a batch of ids
+        Given a client with "issued-ids" at two entries that answer "ids 20; complete"
+        When the client runs 20 jobs at once
+        Then the client counted 1 issues, 20 submissions and 0 resubmissions
+        And no id was used twice
+
+    Scenario: Old ids are not used
+        Given a client with "issued-ids" at two entries that answer "ids 2; complete; ids 1; complete"
+        When the client runs a job
+        And 240001 ms pass for the client
+        And the client runs a job
+        Then the client's requests were "ids A, s1 A, ids B, s3 B"
+
+    Scenario: No work is submitted twice, and results are true, under any faults
+        Then 3000 jobs against entries with faults drawn from seed 21 start once at most and end truthfully
--- a/packages/lovagepitch-configuration/src/__tests__/configurationDocuments.steps.ts
+++ b/packages/lovagepitch-configuration/src/__tests__/configurationDocuments.steps.ts
@@ -70,8 +70,8 @@
     manifest = parseManifest(text.replace(before, after), "sample.jsonc");
 });
 
-When(/^a manifest text of (\d+) times "(.*)" is parsed$/, (count: string, part: string) => {
-    manifest = parseManifest(part.repeat(Number(count)), "sample.jsonc");
+When(/^a manifest text of (\d+) times "(.*)" is parsed$/, (count: number, part: string) => {
+    manifest = parseManifest(part.repeat(count), "sample.jsonc");
 });
 
 Then(
--- a/packages/lovagepitch-entry/src/core/entryState.ts
+++ b/packages/lovagepitch-entry/src/core/entryState.ts
@@ -198,7 +198,12 @@
     public acknowledge(destination: PeerAddress, submission: SubmissionKey, index: number): void {
         const key = `${destination} ${submission}`;
         const indexes = this.acknowledgements.get(key)?.message.indexes ?? [];
-        const message = { type: "acknowledgeOutcomes" as const, submission, indexes: [...indexes, index], declinedSlots: 0 };
+        const message = {
+            type: "acknowledgeOutcomes" as const,
+            submission,
+            indexes: [...indexes, index],
+            declinedSlots: 0,
+        };
         this.acknowledgements.set(key, { destination, message });
     }
 
