feat(cli): lovagepitch with entry, manifest, submit and status

Cause: operators and pipelines need one command with stated exit codes. Change: yargs commands over abstract stores, bound to the platform's repositories; entry loads @lovagepitch/entry/process/runEntry when it is run.

--- /dev/null
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.feature
@@ -0,0 +1,147 @@
+Feature: Command line
+
+    Scenario Outline: Wrong usage ends with exit code 2 and a pointer to the help
+        When the operator runs "<command>"
+        Then the command's exit code is 2
+        And the command's error names "<text>"
+
+        Examples:
+            | command                                                                       | text               |
+            |                                                                               | Name a command     |
+            | frobnicate                                                                    | frobnicate         |
+            | manifest                                                                      | action             |
+            | manifest apply examples/cooperative/manifest.jsonc --base 0                   | settings           |
+            | manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc | base   |
+            | manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc --base=-1 | --base |
+            | manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc --base=x | --base |
+            | manifest diff examples/cooperative/manifest.jsonc                             | --settings FILE    |
+            | manifest diff examples/cooperative/manifest.jsonc -s a --against b            | mutually exclusive |
+            | manifest show --settings                                                      | settings           |
+            | status --frob -s x                                                            | frob               |
+            | entry                                                                         | settings           |
+
+    Scenario Outline: Help shows examples and exit codes
+        When the operator runs "<command> --help"
+        Then the command's exit code is 0
+        And the command's output names "<text>"
+
+        Examples:
+            | command           | text                                    |
+            |                   | Exit codes: 0 done                      |
+            | entry             | lovagepitch entry --settings            |
+            | manifest validate | lovagepitch manifest validate           |
+            | manifest diff     | Compare two files                       |
+            | manifest apply    | --base 7                                |
+            | manifest show     | lovagepitch manifest show               |
+            | submit            | lovagepitch submit job.jsonc            |
+            | status            | lovagepitch status                      |
+
+    Scenario: The entry is run with its settings
+        When the operator runs "entry --settings entry.jsonc"
+        Then the command's exit code is 0
+        And the entry was run with "entry.jsonc"
+
+    Scenario: A manifest goes its way from the file to the table
+        When the operator runs "manifest show -s examples/association/operator.jsonc"
+        Then the command's exit code is 1
+        And the command's error names "--base 0"
+        When the operator runs "manifest validate examples/association/manifest.jsonc"
+        Then the command's exit code is 0
+        When the operator runs "manifest diff examples/association/manifest.jsonc -s examples/association/operator.jsonc"
+        Then the command's output names "+ kind settlement/netting"
+        When the operator runs "manifest apply examples/association/manifest.jsonc -s examples/association/operator.jsonc --base 0"
+        Then the command's exit code is 0
+        And the command's output names "accepted as version 1"
+        When the operator runs "manifest apply examples/association/manifest.jsonc -s examples/association/operator.jsonc --base 0"
+        Then the command's exit code is 0
+        And the command's output names "accepted as version 1"
+        When the operator runs "manifest show -s examples/association/operator.jsonc --json"
+        Then the command's JSON output has "version" 1
+        And the command's JSON output has "appliedBy" "amara"
+        When the operator runs "manifest diff examples/association/manifest.jsonc -s examples/association/operator.jsonc"
+        Then the command's output names "0 changes"
+
+    Scenario: The loser of a race learns who won
+        Given version 1 of the manifest was applied by "bola"
+        When the operator runs "manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc --base 0"
+        Then the command's exit code is 4
+        And the command's error names "Version 1 by bola"
+
+    Scenario: A lost answer of the table is read back
+        Given the table of the command line is "lost-write-answer"
+        When the operator runs "manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc --base 0"
+        Then the command's exit code is 0
+        And the command's output names "accepted as version 1"
+
+    Scenario Outline: Without the table commands end with exit code 3
+        Given the table of the command line is "down"
+        When the operator runs "<command> -s examples/cooperative/operator.jsonc"
+        Then the command's exit code is 3
+
+        Examples:
+            | command                                                     |
+            | manifest show                                               |
+            | manifest diff examples/cooperative/manifest.jsonc           |
+            | manifest apply examples/cooperative/manifest.jsonc --base 0 |
+            | status                                                      |
+
+    Scenario: A wrong file is named with its line and a remedy
+        Given the operator's file "wrong.jsonc" with the line "{ 'a': 1 }"
+        When the operator runs "manifest validate wrong.jsonc"
+        Then the command's exit code is 1
+        And the command's error names "wrong.jsonc:1:3: the document: syntax error"
+        And the command's error names "write JSON"
+
+    Scenario: Nobody applies a manifest without a name
+        Given the operator has no name
+        When the operator runs "manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc --base 0"
+        Then the command's exit code is 2
+        And the command's error names "--applied-by"
+
+    Scenario Outline: A job's result becomes an exit code
+        Given the client will end jobs as "<result>"
+        When the operator runs "submit examples/cooperative/job.jsonc -s examples/cooperative/operator.jsonc <options>"
+        Then the command's exit code is <code>
+        And one job was submitted with "<identity>"
+
+        Examples:
+            | result      | options                    | code | identity    |
+            | complete    |                            | 0    | issued-ids  |
+            | complete    | --key k1 --time-limit 500  | 0    | caller-keys |
+            | failed      |                            | 1    | issued-ids  |
+            | refused     |                            | 1    | issued-ids  |
+            | unreachable |                            | 3    | issued-ids  |
+            | unknown     | --key k1                   | 3    | caller-keys |
+            | unknown     | --json                     | 3    | issued-ids  |
+
+    Scenario: A job comes from standard input
+        Given the client will end jobs as "complete"
+        And the operator's file "-" with the line "{ "team": 7 }"
+        When the operator runs "submit -s examples/cooperative/operator.jsonc"
+        Then the command's exit code is 1
+        And the command's error names "standard input:1:3: team: wrong type"
+
+    Scenario Outline: The status of a deployment becomes an exit code
+        Given version 1 of the manifest was applied by "bola"
+        And an entry at "http://127.0.0.1:8100" that is "<entry>"
+        And an entry at "http://127.0.0.1:8101" that is "in force"
+        And a registered agent at "127.0.0.1:7110" that is "<agent>"
+        When the operator runs "status -s examples/cooperative/operator.jsonc"
+        Then the command's exit code is <code>
+        When the operator runs "status -s examples/cooperative/operator.jsonc --json"
+        Then the command's exit code is <code>
+        And the JSON status shows states "<states>"
+
+        Examples:
+            | entry     | agent       | code | states                           |
+            | in force  | in force    | 0    | in-force, in-force, in-force     |
+            | behind    | in force    | 1    | behind, in-force, in-force       |
+            | in force  | not ready   | 1    | in-force, in-force, not-ready    |
+            | silent    | in force    | 3    | unreachable, in-force, in-force  |
+            | in force  | silent      | 3    | in-force, in-force, unreachable  |
+            | in force  | gone        | 0    | in-force, in-force               |
+
+    Scenario: Statuses are read over HTTP
+        Given a process that answers GET /status on a port of its own
+        Then the command line reads its status
+        And reads none from a process that answers with "not JSON", "[]" or nothing
--- /dev/null
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
@@ -0,0 +1,187 @@
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import type { JobResult } from "@lovagepitch/client/jobResult";
+import { digestManifest } from "@lovagepitch/configuration/digestManifest";
+import { parseManifest } from "@lovagepitch/configuration/loadManifest";
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { ProcessReport } from "../commands/showStatus.js";
+import type { ExitCode } from "../exitCode.js";
+import type { ProcessStatus } from "../processStatus.js";
+import { runCommandLine } from "../runCommandLine.js";
+import { SystemEnvironment } from "../systemEnvironment.js";
+import type { TableFault } from "./memoryTable.js";
+import { TestEnvironment } from "./testEnvironment.js";
+
+let environment: TestEnvironment;
+let exitCode: ExitCode;
+let statusServer: Server | undefined;
+let statusBody = "";
+
+const agentIncarnation = "00ff00ff00ff00ff";
+const identity = { kind: "issued-id", submission: "s1" } as const;
+const answer = {
+    submission: "s1",
+    configurationVersion: 1,
+    tasks: [{ index: 0, state: "succeeded", output: 1, worker: "worker-1", availabilityZone: "dehiwala" }],
+} as const;
+
+const jobResults: Readonly<Record<string, JobResult>> = {
+    complete: { kind: "complete", identity, answer: { ...answer, state: "complete" } },
+    failed: { kind: "failed", identity, answer: { ...answer, state: "failed", reason: "task 0 failed", tasks: [] } },
+    refused: { kind: "refused", identity, problem: createProblem("overloaded") },
+    unreachable: { kind: "refused", identity, problem: createProblem("unreachable") },
+    unknown: { kind: "unknown", identity, reason: "the connection was cut" },
+};
+
+function createProblem(kind: "overloaded" | "unreachable") {
+    return { kind, status: 503, detail: "d", remedy: "r", execution: "not-run" } as const;
+}
+
+function createStatus(role: "entry" | "agent", address: string, state: string): ProcessStatus | undefined {
+    if (state === "silent") {
+        return undefined;
+    }
+    return {
+        role,
+        address,
+        availabilityZone: "kolonnawa",
+        configurationVersion: state === "behind" ? 0 : 1,
+        ready: state !== "not ready",
+        storeHealthy: true,
+    };
+}
+
+Before(() => {
+    environment = new TestEnvironment();
+});
+
+After(() => {
+    statusServer?.close();
+    statusServer?.closeAllConnections();
+    statusServer = undefined;
+});
+
+When(/^the operator runs "(.*)"$/, async (command: string) => {
+    environment.output.length = 0;
+    environment.errors.length = 0;
+    exitCode = await runCommandLine(command.split(" ").filter(word => word !== ""), environment);
+});
+
+Then("the command's exit code is {int}", (expected: number) => {
+    assert.equal(exitCode, expected, environment.errors.join("\n"));
+    assert.equal(environment.errors.length > 0, expected !== 0);
+});
+
+Then("the command's error names {string}", (text: string) => {
+    assert.ok(environment.errors.join("\n").includes(text), environment.errors.join("\n"));
+});
+
+Then("the command's output names {string}", (text: string) => {
+    assert.ok(environment.output.join("\n").includes(text), environment.output.join("\n"));
+});
+
+Then(/^the command's JSON output has "(.*)" (.*)$/, (name: string, value: string) => {
+    const output = JSON.parse(environment.output.join("")) as Readonly<Record<string, unknown>>;
+    assert.deepEqual(output[name], JSON.parse(value));
+});
+
+Then("the entry was run with {string}", (path: string) => {
+    assert.deepEqual(environment.startedEntries, [path]);
+});
+
+Given("version 1 of the manifest was applied by {string}", async (appliedBy: string) => {
+    const text = readFileSync("examples/association/manifest.jsonc", "utf8");
+    const manifest = parseManifest(text, "manifest.jsonc").unwrap();
+    const digest = digestManifest(manifest);
+    const applied = await environment.openManifestStore().apply({ baseVersion: 0, manifest, digest, appliedBy });
+    assert.ok(applied.ok);
+});
+
+Given("the table of the command line is {string}", (fault: TableFault) => {
+    environment.table.fault = fault;
+});
+
+Given(/^the operator's file "(.*?)" with the line "(.*)"$/, (name: string, line: string) => {
+    environment.files.set(name, line);
+});
+
+Given("the operator has no name", () => {
+    environment.userName = undefined;
+});
+
+Given("the client will end jobs as {string}", (result: string) => {
+    environment.jobResult = jobResults[result];
+});
+
+Then("one job was submitted with {string}", (kind: string) => {
+    assert.deepEqual(environment.submitted.map(submitted => submitted.identity), [kind]);
+    assert.equal(environment.submitted[0]?.job.idempotent, false);
+});
+
+Given("an entry at {string} that is {string}", (url: string, state: string) => {
+    const status = createStatus("entry", "127.0.0.1:7100", state);
+    if (status !== undefined) {
+        environment.statuses.set(url, status);
+    }
+});
+
+Given("a registered agent at {string} that is {string}", async (address: string, state: string) => {
+    const registered = await environment.registry.registerAgent({
+        address,
+        incarnation: agentIncarnation,
+        worker: "worker-1",
+        rack: "rack-1",
+        availabilityZone: "kolonnawa",
+        cores: 16,
+        memoryMegabytes: 32768,
+        state: "serving",
+        renewedAtMilliseconds: 1_700_000_000_000,
+    });
+    assert.ok(registered.ok);
+    if (state === "gone") {
+        assert.ok((await environment.registry.markAgentLeft(agentIncarnation)).ok);
+    }
+    const status = createStatus("agent", address, state);
+    if (status !== undefined) {
+        environment.statuses.set(`http://${address}`, status);
+    }
+});
+
+Then("the JSON status shows states {string}", (expected: string) => {
+    const report = JSON.parse(environment.output.join("")) as { readonly processes: readonly ProcessReport[] };
+    assert.equal(report.processes.map(process => process.state).join(", "), expected);
+});
+
+Given("a process that answers GET \\/status on a port of its own", async () => {
+    statusBody = JSON.stringify(createStatus("entry", "127.0.0.1:7100", "in force"));
+    const server = createServer((request, response) => {
+        response.statusCode = request.url === "/status" ? 200 : 404;
+        response.end(statusBody);
+    });
+    statusServer = server;
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+});
+
+Then("the command line reads its status", async () => {
+    const { port } = statusServer?.address() as AddressInfo;
+    const status = await new SystemEnvironment().readStatus(`http://127.0.0.1:${port}`);
+    assert.deepEqual(status, JSON.parse(statusBody));
+});
+
+Then(
+    "reads none from a process that answers with {string}, {string} or nothing",
+    async (text: string, json: string) => {
+        const { port } = statusServer?.address() as AddressInfo;
+        const url = `http://127.0.0.1:${port}`;
+        for (const body of [text, json]) {
+            statusBody = body;
+            assert.equal(await new SystemEnvironment().readStatus(url), undefined);
+        }
+        statusServer?.closeAllConnections();
+        await new Promise(resolve => statusServer?.close(resolve));
+        statusServer = undefined;
+        assert.equal(await new SystemEnvironment().readStatus(url), undefined);
+    },
+);
--- /dev/null
+++ b/packages/lovagepitch-cli/src/__tests__/testEnvironment.ts
@@ -0,0 +1,95 @@
+/** Files, terminal and network in memory; the platform's repositories are the real ones. */
+import type { RunJobOptions, SubmissionIdentityKind } from "@lovagepitch/client/clientOptions";
+import type { JobResult } from "@lovagepitch/client/jobResult";
+import { Delay } from "@lovagepitch/platform/delay";
+import { ManifestRepository } from "@lovagepitch/platform/manifestRepository";
+import { RegistryRepository } from "@lovagepitch/platform/registryRepository";
+import { RetryPolicy } from "@lovagepitch/platform/retryPolicy";
+import type { JobRequest } from "@lovagepitch/types/job";
+import type { OperatorSettings } from "@lovagepitch/types/settings";
+import { ManualClock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import { readFileSync } from "node:fs";
+import type { AgentDirectory } from "../agentDirectory.js";
+import { CommandEnvironment } from "../commandEnvironment.js";
+import { CommandFailure, exitCodes } from "../exitCode.js";
+import type { ManifestStore } from "../manifestStore.js";
+import { PlatformAgentDirectory, PlatformManifestStore } from "../platformStores.js";
+import type { ProcessStatus } from "../processStatus.js";
+import { MemoryTable } from "./memoryTable.js";
+
+class NoDelay extends Delay {
+    public override async wait(): Promise<void> {
+        await Promise.resolve();
+    }
+}
+
+/** One call of the client. */
+export interface SubmittedJob {
+    readonly identity: SubmissionIdentityKind;
+    readonly job: JobRequest;
+    readonly options: RunJobOptions;
+}
+
+export class TestEnvironment extends CommandEnvironment {
+    public override userName: string | undefined = "amara";
+    public readonly output: string[] = [];
+    public readonly errors: string[] = [];
+    public readonly files = new Map<string, string>();
+    public readonly table = new MemoryTable();
+    public readonly statuses = new Map<string, ProcessStatus>();
+    public readonly submitted: SubmittedJob[] = [];
+    public readonly startedEntries: string[] = [];
+    public jobResult: JobResult | undefined;
+    private readonly retries = new RetryPolicy(new RandomSource(1), new NoDelay());
+    public readonly registry = new RegistryRepository(this.table, this.retries, new ManualClock(1_700_000_000_000));
+
+    public override writeLine(line: string): void {
+        this.output.push(line);
+    }
+
+    public override writeErrorLine(line: string): void {
+        this.errors.push(line);
+    }
+
+    public override async readText(fileName: string): Promise<Result<string, CommandFailure>> {
+        await Promise.resolve();
+        const text = this.files.get(fileName) ?? readExample(fileName);
+        return text === undefined ? Err(new CommandFailure(exitCodes.refused, `${fileName}: missing`)) : Ok(text);
+    }
+
+    public override openManifestStore(): ManifestStore {
+        return new PlatformManifestStore(new ManifestRepository(this.table, this.retries));
+    }
+
+    public override openAgentDirectory(): AgentDirectory {
+        return new PlatformAgentDirectory(this.registry);
+    }
+
+    public override async readStatus(url: string): Promise<ProcessStatus | undefined> {
+        await Promise.resolve();
+        return this.statuses.get(url);
+    }
+
+    public override async runJob(
+        _settings: OperatorSettings,
+        identity: SubmissionIdentityKind,
+        job: JobRequest,
+        options: RunJobOptions,
+    ): Promise<JobResult> {
+        await Promise.resolve();
+        this.submitted.push({ identity, job, options });
+        return this.jobResult as JobResult;
+    }
+
+    public override async runEntry(settingsPath: string): Promise<Result<void, CommandFailure>> {
+        await Promise.resolve();
+        this.startedEntries.push(settingsPath);
+        return Ok(undefined);
+    }
+}
+
+function readExample(fileName: string): string | undefined {
+    return fileName.startsWith("examples/") ? readFileSync(fileName, "utf8") : undefined;
+}
--- /dev/null
+++ b/packages/lovagepitch-cli/src/platformStores.ts
@@ -0,0 +1,52 @@
+/**
+ * The platform's repositories, as the commands see them.
+ */
+import type { ManifestRepository } from "@lovagepitch/platform/manifestRepository";
+import type { RegistryRepository } from "@lovagepitch/platform/registryRepository";
+import type { VersionedManifest } from "@lovagepitch/types/manifest";
+import type { AgentRegistration } from "@lovagepitch/types/registry";
+import type { Result } from "@lovagepitch/utils/result";
+import { AgentDirectory } from "./agentDirectory.js";
+import type { CommandFailure } from "./exitCode.js";
+import { type ManifestProposal, ManifestStore } from "./manifestStore.js";
+import { createPlatformFailure } from "./platformFailure.js";
+
+/** The manifest in the platform's table. */
+export class PlatformManifestStore extends ManifestStore {
+    /**
+     * @param repository - the table's manifest
+     */
+    public constructor(private readonly repository: ManifestRepository) {
+        super();
+    }
+
+    /** {@inheritDoc ManifestStore.read} */
+    public override async read(): Promise<Result<VersionedManifest | undefined, CommandFailure>> {
+        const manifest = await this.repository.read();
+        return manifest.mapErr(createPlatformFailure);
+    }
+
+    /** {@inheritDoc ManifestStore.apply} */
+    public override async apply(proposal: ManifestProposal): Promise<Result<VersionedManifest, CommandFailure>> {
+        const accepted = await this.repository.apply(proposal);
+        return accepted.mapErr(createPlatformFailure);
+    }
+}
+
+/** The agents in the platform's table. */
+export class PlatformAgentDirectory extends AgentDirectory {
+    /**
+     * @param repository - the table's registry
+     */
+    public constructor(private readonly repository: RegistryRepository) {
+        super();
+    }
+
+    /** {@inheritDoc AgentDirectory.listServing} */
+    public override async listServing(): Promise<Result<readonly AgentRegistration[], CommandFailure>> {
+        const registry = await this.repository.read();
+        return registry
+            .map(({ agents }) => agents.filter(agent => agent.state === "serving"))
+            .mapErr(createPlatformFailure);
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-cli/src/runCommandLine.ts
@@ -0,0 +1,188 @@
+/**
+ * The command line of `lovagepitch`.
+ */
+import type { Result } from "@lovagepitch/utils/result";
+import yargs, { type Argv } from "yargs";
+import type { CommandEnvironment } from "./commandEnvironment.js";
+import { applyManifestFile, diffManifestFile, showManifest, validateManifestFile } from "./commands/manifestActions.js";
+import { showStatus } from "./commands/showStatus.js";
+import { submitJob } from "./commands/submitJob.js";
+import { CommandFailure, type ExitCode, exitCodes } from "./exitCode.js";
+
+const helpWidth = 100;
+const exitCodeHelp = "Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 unreachable, 4 conflict.";
+
+const settingsOption = {
+    type: "string",
+    alias: "s",
+    describe: "File with the operator's settings",
+    requiresArg: true,
+} as const;
+
+type Run = (action: Promise<Result<void, CommandFailure>>) => Promise<void>;
+
+/**
+ * Runs one command.
+ *
+ * @param commandArguments - arguments after the program's name
+ * @param environment - files, terminal and network
+ * @returns the exit code
+ */
+export async function runCommandLine(
+    commandArguments: readonly string[],
+    environment: CommandEnvironment,
+): Promise<ExitCode> {
+    let exitCode: ExitCode = exitCodes.done;
+    const run: Run = async action => {
+        const result = await action;
+        if (result.err) {
+            environment.writeErrorLine(result.val.message);
+            exitCode = result.val.exitCode;
+        }
+    };
+    const parser = createParser(environment, run);
+    try {
+        await parser.parseAsync([...commandArguments], {}, (_error, _argv, output) => {
+            if (output !== "") {
+                environment.writeLine(output);
+            }
+        });
+    }
+    catch (error) {
+        if (!(error instanceof CommandFailure)) {
+            throw error;
+        }
+        environment.writeErrorLine(error.message);
+        exitCode = error.exitCode;
+    }
+    return exitCode;
+}
+
+function createParser(environment: CommandEnvironment, run: Run): Argv {
+    const parser = yargs()
+        .scriptName("lovagepitch")
+        .usage("$0 <command>\n\nDispatcher for sub-second tasks.")
+        .command(
+            "entry",
+            "Run an entry instance until SIGTERM",
+            command =>
+                command
+                    .option("settings", {
+                        ...settingsOption,
+                        describe: "File with the entry's settings",
+                        demandOption: true,
+                    })
+                    .example("$0 entry --settings entry.jsonc", "Run an entry"),
+            argv => run(environment.runEntry(argv.settings)),
+        )
+        .command(
+            "manifest",
+            "Check, compare, apply or show the manifest",
+            command => addManifestCommands(command, environment, run),
+        )
+        .demandCommand(1, "Name a command; lovagepitch --help lists them")
+        .strict()
+        .help()
+        .version(false)
+        .wrap(helpWidth)
+        .epilogue(exitCodeHelp)
+        .exitProcess(false)
+        .fail((message: string | undefined, error: Error | undefined) => {
+            throw createUsageFailure(message, error);
+        });
+    return addStatusCommand(addSubmitCommand(parser, environment, run), environment, run);
+}
+
+function addManifestCommands(parent: Argv, environment: CommandEnvironment, run: Run): Argv {
+    const json = { type: "boolean", default: false, describe: "Write JSON" } as const;
+    const file = { type: "string", demandOption: true, describe: "Manifest file; - reads standard input" } as const;
+    return parent
+        .command(
+            "validate <file>",
+            "Check a manifest file",
+            command =>
+                command.positional("file", file).option("json", json)
+                    .example("$0 manifest validate manifest.jsonc", "Check a file in a pipeline"),
+            argv => run(validateManifestFile(environment, argv.file, argv)),
+        )
+        .command(
+            "diff <file>",
+            "Show what a manifest file would change",
+            command =>
+                command.positional("file", file).option("json", json)
+                    .option("settings", settingsOption)
+                    .option("against", { type: "string", describe: "Manifest file to compare with", requiresArg: true })
+                    .conflicts("settings", "against")
+                    .example("$0 manifest diff new.jsonc -s operator.jsonc", "Compare with the accepted manifest")
+                    .example("$0 manifest diff new.jsonc --against old.jsonc", "Compare two files"),
+            argv => run(diffManifestFile(environment, argv.file, argv)),
+        )
+        .command(
+            "apply <file>",
+            "Have a manifest accepted; applying the same again is safe",
+            command =>
+                command.positional("file", file).option("json", json)
+                    .option("settings", { ...settingsOption, demandOption: true })
+                    .option("base", {
+                        type: "number",
+                        describe: "Version that the change was made from; 0 for the first manifest",
+                        demandOption: true,
+                        requiresArg: true,
+                    })
+                    .option("applied-by", { type: "string", describe: "Name of the operator", requiresArg: true })
+                    .example("$0 manifest apply manifest.jsonc -s operator.jsonc --base 7", "Change version 7"),
+            argv => run(applyManifestFile(environment, argv.file, argv)),
+        )
+        .command(
+            "show",
+            "Show the accepted manifest",
+            command =>
+                command.option("json", json).option("settings", { ...settingsOption, demandOption: true })
+                    .example("$0 manifest show -s operator.jsonc", "Show version and content"),
+            argv => run(showManifest(environment, argv)),
+        )
+        .demandCommand(1, "Name an action: validate, diff, apply or show");
+}
+
+function addSubmitCommand(parser: Argv, environment: CommandEnvironment, run: Run): Argv {
+    return parser.command(
+        "submit [file]",
+        "Submit a job and wait for its answer",
+        command =>
+            command
+                .positional("file", { type: "string", default: "-", describe: "Job file; - reads standard input" })
+                .option("settings", { ...settingsOption, demandOption: true })
+                .option("key", { type: "string", describe: "Idempotency key of the job", requiresArg: true })
+                .option("time-limit", {
+                    type: "number",
+                    describe: "Milliseconds after which to give up",
+                    requiresArg: true,
+                })
+                .option("json", { type: "boolean", default: false, describe: "Write JSON" })
+                .example("$0 submit job.jsonc -s operator.jsonc", "Submit a file under an issued id")
+                .example("$0 submit -s operator.jsonc --key dawn-17 < job.json", "Submit under a key of one's own"),
+        argv => run(submitJob(environment, argv.file, argv)),
+    );
+}
+
+function addStatusCommand(parser: Argv, environment: CommandEnvironment, run: Run): Argv {
+    return parser.command(
+        "status",
+        "Show each process's configuration version, readiness and store health",
+        command =>
+            command
+                .option("settings", { ...settingsOption, demandOption: true })
+                .option("json", { type: "boolean", default: false, describe: "Write JSON" })
+                .example("$0 status -s operator.jsonc --json", "Check a roll-out in a pipeline"),
+        argv => run(showStatus(environment, argv)),
+    );
+}
+
+/** Errors of the parser itself are wrong usage; all others are passed on. */
+function createUsageFailure(message: string | undefined, error: Error | undefined): Error {
+    if (error !== undefined && error.name !== "YError") {
+        return error;
+    }
+    const text = message ?? error?.message ?? "wrong usage";
+    return new CommandFailure(exitCodes.usage, `${text}; lovagepitch --help shows the usage`);
+}
--- /dev/null
+++ b/packages/lovagepitch-cli/src/systemEnvironment.ts
@@ -0,0 +1,144 @@
+/**
+ * Files, terminal and network of the machine.
+ */
+import type { RunJobOptions, SubmissionIdentityKind } from "@lovagepitch/client/clientOptions";
+import type { JobResult } from "@lovagepitch/client/jobResult";
+import { LovagepitchClient } from "@lovagepitch/client/lovagepitchClient";
+import { SystemDelay } from "@lovagepitch/platform/delay";
+import { HttpTable } from "@lovagepitch/platform/httpTable";
+import { ManifestRepository } from "@lovagepitch/platform/manifestRepository";
+import { PlatformConnection } from "@lovagepitch/platform/platformConnection";
+import { RegistryRepository } from "@lovagepitch/platform/registryRepository";
+import { RetryPolicy } from "@lovagepitch/platform/retryPolicy";
+import type { JobRequest } from "@lovagepitch/types/job";
+import type { OperatorSettings } from "@lovagepitch/types/settings";
+import { SystemClock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import { randomInt } from "node:crypto";
+import { readFile } from "node:fs/promises";
+import { text as readStream } from "node:stream/consumers";
+import { request } from "undici";
+import type { AgentDirectory } from "./agentDirectory.js";
+import { CommandEnvironment } from "./commandEnvironment.js";
+import { CommandFailure, exitCodes } from "./exitCode.js";
+import type { ManifestStore } from "./manifestStore.js";
+import { PlatformAgentDirectory, PlatformManifestStore } from "./platformStores.js";
+import { parseProcessStatus, type ProcessStatus } from "./processStatus.js";
+
+const statusTimeoutMilliseconds = 2000;
+const maximumStatusCharacters = 65_536;
+const largestSeed = 0x7fff_ffff;
+const entryModule = "@lovagepitch/entry/process/runEntry";
+
+/** What the entry's module offers. */
+interface EntryModule {
+    readonly runEntry: (settingsPath: string) => Promise<void>;
+}
+
+/** The machine that the command runs on. */
+export class SystemEnvironment extends CommandEnvironment {
+    /** {@inheritDoc CommandEnvironment.userName} */
+    public override readonly userName = process.env["USER"];
+
+    private readonly clock = new SystemClock();
+    private readonly delay = new SystemDelay();
+    private readonly random = new RandomSource(randomInt(largestSeed));
+    private readonly connections = new Map<string, PlatformConnection>();
+
+    /** {@inheritDoc CommandEnvironment.writeLine} */
+    public override writeLine(line: string): void {
+        process.stdout.write(`${line}\n`);
+    }
+
+    /** {@inheritDoc CommandEnvironment.writeErrorLine} */
+    public override writeErrorLine(line: string): void {
+        process.stderr.write(`${line}\n`);
+    }
+
+    /** {@inheritDoc CommandEnvironment.readText} */
+    public override async readText(fileName: string): Promise<Result<string, CommandFailure>> {
+        try {
+            return Ok(fileName === "-" ? await readStream(process.stdin) : await readFile(fileName, "utf8"));
+        }
+        catch (error) {
+            const reason = error instanceof Error ? error.message : String(error);
+            const message = `${fileName}: cannot be read (${reason}); check the name and the permissions`;
+            return Err(new CommandFailure(exitCodes.refused, message));
+        }
+    }
+
+    /** {@inheritDoc CommandEnvironment.openManifestStore} */
+    public override openManifestStore(settings: OperatorSettings): ManifestStore {
+        return new PlatformManifestStore(new ManifestRepository(this.openTable(settings), this.createRetries()));
+    }
+
+    /** {@inheritDoc CommandEnvironment.openAgentDirectory} */
+    public override openAgentDirectory(settings: OperatorSettings): AgentDirectory {
+        const registry = new RegistryRepository(this.openTable(settings), this.createRetries(), this.clock);
+        return new PlatformAgentDirectory(registry);
+    }
+
+    /** {@inheritDoc CommandEnvironment.readStatus} */
+    public override async readStatus(url: string): Promise<ProcessStatus | undefined> {
+        try {
+            const response = await request(`${url}/status`, { signal: AbortSignal.timeout(statusTimeoutMilliseconds) });
+            const body = await response.body.text();
+            if (response.statusCode !== 200 || body.length > maximumStatusCharacters) {
+                return undefined;
+            }
+            return parseProcessStatus(JSON.parse(body));
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    /** {@inheritDoc CommandEnvironment.runJob} */
+    public override async runJob(
+        settings: OperatorSettings,
+        identity: SubmissionIdentityKind,
+        job: JobRequest,
+        options: RunJobOptions,
+    ): Promise<JobResult> {
+        const client = new LovagepitchClient({ entries: settings.entries, identity, idBatchSize: 1 });
+        const result = await client.runJob(job, options);
+        await client.close();
+        return result;
+    }
+
+    /** {@inheritDoc CommandEnvironment.runEntry} */
+    public override async runEntry(settingsPath: string): Promise<Result<void, CommandFailure>> {
+        try {
+            // Loaded only here, so that the other commands start quickly.
+            const { runEntry } = await import(entryModule) as EntryModule;
+            await runEntry(settingsPath);
+            return Ok(undefined);
+        }
+        catch (error) {
+            const reason = error instanceof Error ? error.message : String(error);
+            return Err(new CommandFailure(exitCodes.refused, `The entry cannot run: ${reason}`));
+        }
+    }
+
+    /**
+     * Closes the connections to the platform.
+     *
+     * @returns a promise that resolves when they are closed
+     */
+    public async close(): Promise<void> {
+        await Promise.all([...this.connections.values()].map(connection => connection.close()));
+    }
+
+    private openTable(settings: OperatorSettings): HttpTable {
+        const url = settings.platform.url;
+        const connection = this.connections.get(url)
+            ?? new PlatformConnection(settings.platform, this.clock, this.random, this.delay);
+        this.connections.set(url, connection);
+        return new HttpTable(connection);
+    }
+
+    private createRetries(): RetryPolicy {
+        return new RetryPolicy(this.random, this.delay);
+    }
+}
