feat(cli): bind the entry's process and its status; refusals of a body by the client

Change: runEntry is imported where it is used; a status is version, readiness and store health; the client calls a job refused when its only attempt was refused for its body, which entries restate as unknown-yet.

--- a/packages/lovagepitch-cli/src/commands/showStatus.ts
+++ b/packages/lovagepitch-cli/src/commands/showStatus.ts
@@ -111,10 +111,10 @@
     if (status === undefined) {
         return { role, url, ...place, state: "unreachable" };
     }
-    const { availabilityZone, configurationVersion, ready, storeHealthy } = status;
+    const { configurationVersion, ready, storeHealthy } = status;
     const isBehind = configurationVersion < newestVersion;
     const state = isBehind ? "behind" : ready ? "in-force" : "not-ready";
-    return { role, url, ...place, availabilityZone, configurationVersion, ready, storeHealthy, state };
+    return { role, url, ...place, configurationVersion, ready, storeHealthy, state };
 }
 
 function writeReport(environment: CommandEnvironment, report: StatusReport, json: boolean): void {
--- a/packages/lovagepitch-cli/src/processStatus.ts
+++ b/packages/lovagepitch-cli/src/processStatus.ts
@@ -4,10 +4,6 @@
 
 /** One process's own view. */
 export interface ProcessStatus {
-    readonly role: "entry" | "agent";
-    /** IP number and port for the system's other processes. */
-    readonly address: string;
-    readonly availabilityZone: string;
     /** Configuration version in force; 0 before there is one. */
     readonly configurationVersion: number;
     /** It takes requests or tasks. */
@@ -26,12 +22,11 @@
     if (typeof value !== "object" || value === null) {
         return undefined;
     }
-    const fields = value as Readonly<Record<string, unknown>>;
-    const { role, address, availabilityZone, configurationVersion, ready, storeHealthy } = fields;
-    const hasTexts = typeof address === "string" && typeof availabilityZone === "string";
-    const hasFlags = typeof ready === "boolean" && typeof storeHealthy === "boolean";
-    if ((role !== "entry" && role !== "agent") || !hasTexts || !hasFlags || !Number.isInteger(configurationVersion)) {
+    const { configurationVersion, ready, storeHealthy } = value as Readonly<Record<string, unknown>>;
+    if (
+        !Number.isSafeInteger(configurationVersion) || typeof ready !== "boolean" || typeof storeHealthy !== "boolean"
+    ) {
         return undefined;
     }
-    return { role, address, availabilityZone, configurationVersion: Number(configurationVersion), ready, storeHealthy };
+    return { configurationVersion: Number(configurationVersion), ready, storeHealthy };
 }
--- a/packages/lovagepitch-cli/src/systemEnvironment.ts
+++ b/packages/lovagepitch-cli/src/systemEnvironment.ts
@@ -29,12 +29,6 @@
 const statusTimeoutMilliseconds = 2000;
 const maximumStatusCharacters = 65_536;
 const largestSeed = 0x7fff_ffff;
-const entryModule = "@lovagepitch/entry/process/runEntry";
-
-/** What the entry's module offers. */
-interface EntryModule {
-    readonly runEntry: (settingsPath: string) => Promise<void>;
-}
 
 /** The machine that the command runs on. */
 export class SystemEnvironment extends CommandEnvironment {
@@ -111,7 +105,7 @@
     public override async runEntry(settingsPath: string): Promise<Result<void, CommandFailure>> {
         try {
             // Loaded only here, so that the other commands start quickly.
-            const { runEntry } = await import(entryModule) as EntryModule;
+            const { runEntry } = await import("@lovagepitch/entry/process/runEntry");
             await runEntry(settingsPath);
             return Ok(undefined);
         }
--- a/packages/lovagepitch-client/src/__tests__/lovagepitchClient.feature
+++ b/packages/lovagepitch-client/src/__tests__/lovagepitchClient.feature
@@ -32,6 +32,9 @@
             | ids 1; 503 outcome-unknown may-have-run next               | unknown  | ids A, s1 A             |
             | ids 1; 422 submission-mismatch unknown-yet next            | unknown  | ids A, s1 A             |
             | ids 1; 400 malformed-request not-run next                  | refused  | ids A, s1 A             |
+            | ids 1; 400 malformed-request unknown-yet                   | refused  | ids A, s1 A             |
+            | ids 1; 413 body-too-large unknown-yet                      | refused  | ids A, s1 A             |
+            | ids 1; cut; 413 body-too-large unknown-yet                 | unknown  | ids A, s1 A, s1 B       |
             | ids 1; 422 task-too-large not-run next                     | refused  | ids A, s1 A             |
             | ids 1; 503 overloaded not-run after=60 next                | refused  | ids A, s1 A             |
 
@@ -49,6 +52,7 @@
             | 503 overloaded not-run after=1 next; complete       | the key "k1"    | complete | key A, key B |
             | 503 keeper-unreachable not-run next                 | the key "k1"    | refused  | key A        |
             | 503 keeper-unreachable not-run next; complete       | a key of its own | complete | key A, s1 A |
+            | 400 malformed-request unknown-yet                   | the key "k1"    | unknown  | key A        |
             | 422 submission-mismatch unknown-yet                 | the key "k1"    | unknown  | key A        |
 
     Scenario Outline: A job ends when its time is up, with what is true then
--- a/packages/lovagepitch-client/src/jobRun.ts
+++ b/packages/lovagepitch-client/src/jobRun.ts
@@ -10,6 +10,13 @@
 import { parseAnswer, parseNextSubmission, parseProblem, type TransportResponse } from "./parseResponse.js";
 import type { SubmissionPool } from "./submissionPool.js";
 
+/** Refusals of a body that no core has seen. */
+const bodyRefusals: ReadonlySet<ReceivedProblem["kind"]> = new Set([
+    "malformed-request",
+    "body-too-large",
+    "too-many-tasks",
+]);
+
 /** What a job is submitted under. */
 export interface RunIdentity {
     readonly identity: Exclude<JobIdentity, { readonly kind: "none" }>;
@@ -146,6 +153,10 @@
         response: TransportResponse,
         entry: string,
     ): Promise<Step> {
+        if (this.isRefusalOfBody(problem)) {
+            this.carryOver(response, entry);
+            return { kind: "end", outcome: { kind: "refused", problem: { ...problem, execution: "not-run" } } };
+        }
         const isNotRun = problem.execution === "not-run";
         this.lastProblem = problem;
         this.lastReason = problem.detail;
@@ -166,6 +177,11 @@
         }
     }
 
+    /** Entries do not know that no other body was ever sent under the identity; the client does. */
+    private isRefusalOfBody(problem: ReceivedProblem): boolean {
+        return bodyRefusals.has(problem.kind) && this.current.isPrivate && !this.mayHaveArrived;
+    }
+
     private async changeIdentity(problem: ReceivedProblem, entry: string): Promise<Step> {
         const waited = this.backoff.next(problem.retryAfterMilliseconds);
         if (problem.kind !== "stopping") {
