--- a/packages/lovagepitch-client/src/__tests__/lovagepitchClient.feature
+++ b/packages/lovagepitch-client/src/__tests__/lovagepitchClient.feature
@@ -49,7 +49,8 @@
             | complete                                            | the key "k1"    | complete | key A        |
             | cut; complete                                       | the key "k1"    | complete | key A, key B |
             | 503 platform-unavailable unknown-yet after=1; complete | the key "k1" | complete | key A, key B |
-            | 503 overloaded not-run after=1 next; complete       | the key "k1"    | complete | key A, key B |
+            | 503 overloaded not-run after=1 next                 | the key "k1"    | refused  | key A        |
+            | 503 overloaded not-run after=1 next; complete       | a key of its own | complete | key A, s1 A |
             | 503 keeper-unreachable not-run next                 | the key "k1"    | refused  | key A        |
             | 503 keeper-unreachable not-run next; complete       | a key of its own | complete | key A, s1 A |
             | 400 malformed-request unknown-yet                   | the key "k1"    | unknown  | key A        |
@@ -72,7 +73,8 @@
             | caller-keys | unsent                                              | the key "k1"     | 3000  | unknown |
             | caller-keys | unsent                                              | a key of its own | 3000  | refused |
             | caller-keys | 503 platform-unavailable unknown-yet after=1        | the key "k1"     | 3000  | unknown |
-            | caller-keys | 503 overloaded not-run after=1; 503 overloaded not-run after=1; cut; unsent | the key "k1" | 3000 | unknown |
+            | caller-keys | 503 platform-unavailable unknown-yet after=1; cut; unsent | the key "k1" | 3000 | unknown |
+            | issued-ids  | ids 1; 503 overloaded not-run after=1; cut; unsent  | a key of its own | 4000  | unknown |
 
     Scenario: Retry-After is obeyed, with jitter on top
         Given a client with "issued-ids" at two entries that answer "ids 1; 503 keeper-unreachable unknown-yet after=2; complete"
@@ -84,6 +86,13 @@
         When the client runs a job under a key of its own for at most 60000 ms
         Then no wait of the client is over 2000 ms and their bound doubled from 50 ms
 
+    Scenario: A silent connection is given up after the time for an attempt
+        Given a client with "issued-ids" at two entries that answer "ids 1; silent; complete"
+        And the client gives an attempt 400 ms
+        When the client runs a job
+        Then the client's result is "complete"
+        And the client's clock is at most 450 ms further
+
     Scenario: Ids carried over from answers cost no message
         Given a client with "issued-ids" at two entries that answer "ids 1; complete next; complete next; complete next"
         When the client runs 3 jobs one after another
--- a/packages/lovagepitch-client/src/__tests__/lovagepitchClient.steps.ts
+++ b/packages/lovagepitch-client/src/__tests__/lovagepitchClient.steps.ts
@@ -29,6 +29,11 @@
     },
 );
 
+Given("the client gives an attempt {int} ms", (attemptTimeoutMilliseconds: number) => {
+    const environment = { transport, clock, delay, random: new RandomSource(1) };
+    client = new LovagepitchClient({ entries, identity: "issued-ids", attemptTimeoutMilliseconds }, environment);
+});
+
 When("the client runs a job", async () => {
     result = await client.runJob(sampleJob);
 });
--- a/packages/lovagepitch-client/src/clientOptions.ts
+++ b/packages/lovagepitch-client/src/clientOptions.ts
@@ -18,6 +18,11 @@
     readonly idBatchSize: number;
     /** Age at which an unused id is dropped; well under the deployment's resubmission window. */
     readonly maximumIdAgeMilliseconds: number;
+    /**
+     * Time after which an attempt without an answer is given up and repeated on another connection. A shorter time
+     * finds silent connections sooner and costs a message each time that it passes; the job's deadline when absent.
+     */
+    readonly attemptTimeoutMilliseconds?: number;
     /** Time beyond a job's deadline within which its answer has to arrive at one attempt. */
     readonly answerMarginMilliseconds: number;
     /** Time beyond a job's deadline that resubmissions may take, unless the job names a limit of its own. */
--- a/packages/lovagepitch-client/src/decideNextStep.ts
+++ b/packages/lovagepitch-client/src/decideNextStep.ts
@@ -31,10 +31,12 @@
     if (!invited && !retryableStatuses.has(problem.status)) {
         return problem.execution === "not-run" ? "refuse" : "unknown";
     }
-    if (problem.execution === "not-run" && problem.nextSubmission !== undefined && mayChangeIdentity) {
-        return "submit-under-next-id";
+    if (problem.execution !== "not-run") {
+        return "resubmit";
     }
-    // Without an invitation to come back, the same identity would be refused again.
-    const isFinal = problem.execution === "not-run" && !invited;
-    return isFinal ? "refuse" : "resubmit";
+    if (!mayChangeIdentity) {
+        // The refusal holds for this identity for good, and only the caller knows who else may send it.
+        return "refuse";
+    }
+    return problem.nextSubmission === undefined ? "resubmit" : "submit-under-next-id";
 }
--- a/packages/lovagepitch-client/src/jobRun.ts
+++ b/packages/lovagepitch-client/src/jobRun.ts
@@ -91,7 +91,8 @@
     private async submit(entry: string, remainingMilliseconds: number): Promise<TransportOutcome> {
         const { options, transport, messages } = this.parts;
         const { identity } = this.current;
-        const answerTime = this.job.deadlineMilliseconds + options.answerMarginMilliseconds;
+        const answerTime = options.attemptTimeoutMilliseconds
+            ?? this.job.deadlineMilliseconds + options.answerMarginMilliseconds;
         const headers = { "content-type": "application/json" };
         const outcome = await transport.send({
             entry,
