feat(agent): run the core as a process beside its backend server

Cause: the core needs links, a local port, a backend server client and the platform around it. The core no longer asks to mark the row when it is drained: a row that left before its ledger was written would hide what ran.

--- a/packages/lovagepitch-agent/src/__tests__/agentMembership.feature
+++ b/packages/lovagepitch-agent/src/__tests__/agentMembership.feature
@@ -117,6 +117,14 @@
         Then the agent is drained
         And the agent's handover lists "0 succeeded"
 
+    Scenario: A row that became durable after the stop is marked as left
+        Given an agent that has not registered
+        When the agent is stopped
+        Then the agent is drained
+        And the agent has asked 0 times to mark its row as left
+        When the agent is registered with number 4
+        Then the agent has asked 1 time to mark its row as left
+
     Scenario: A late message of a replaced incarnation is ignored
         Given an agent with 1 slot and 0 places to stand by
         When a start of A1 arrives at the agent after its keeper was replaced
--- /dev/null
+++ b/packages/lovagepitch-agent/src/__tests__/backendServerClient.steps.ts
@@ -0,0 +1,132 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { TaskOutcome } from "../core/agentInput.js";
+import type { TaskDispatch } from "../core/agentOutput.js";
+import { BackendServerClient } from "../http/backendServerClient.js";
+
+let server: Server | undefined;
+let client: BackendServerClient | undefined;
+let url = "";
+let keys: (string | undefined)[] = [];
+let outcome: TaskOutcome | undefined;
+let outcomes: readonly TaskOutcome[] = [];
+let mostConnections = 0;
+
+async function serve(answer: RequestListener, connections = 64): Promise<void> {
+    keys = [];
+    mostConnections = 0;
+    let open = 0;
+    const backend = createServer((request, response) => {
+        keys.push(request.headers["idempotency-key"] as string | undefined);
+        request.resume();
+        request.on("end", () => answer(request, response));
+    });
+    backend.on("connection", socket => {
+        open += 1;
+        mostConnections = Math.max(mostConnections, open);
+        socket.on("close", () => {
+            open -= 1;
+        });
+    });
+    backend.listen(0, "127.0.0.1");
+    await once(backend, "listening");
+    server = backend;
+    url = `http://127.0.0.1:${(backend.address() as AddressInfo).port}`;
+    client = new BackendServerClient();
+    client.configure({ url, connections });
+}
+
+function makeBody(text: string): string {
+    switch (text) {
+        case "no JSON":
+            return "{";
+        case "a nested output":
+            return `{"output":${"[".repeat(100)}${"]".repeat(100)}}`;
+        case "5000000 bytes":
+            return `{"output":"${"x".repeat(5_000_000)}"}`;
+        default:
+            return text;
+    }
+}
+
+function makeTask(index: number, timeoutMilliseconds: number): TaskDispatch {
+    const place = { url, team: "gardeners", service: "alerts", kind: "thirst" };
+    return { ...place, submission: "A1", index, payload: { plant: "curry leaf" }, timeoutMilliseconds };
+}
+
+Given(/^a backend server that answers (\d+) with (.+)$/, async (status: string, body: string) => {
+    await serve((_request, response) => {
+        response.writeHead(Number(status), { "content-type": "application/json" });
+        response.end(makeBody(body));
+    });
+});
+
+Given("a backend server that cuts the connection", async () => {
+    await serve(request => request.socket.destroy());
+});
+
+Given("a backend server that never answers", async () => {
+    await serve(() => undefined);
+});
+
+Given("a backend server that is gone", async () => {
+    await serve(() => undefined);
+    server?.close();
+    await once(server as Server, "close");
+});
+
+Given(
+    "a backend server that answers when {int} requests have come, of {int} connections",
+    async (count: number, connections: number) => {
+        const waiting: ServerResponse[] = [];
+        await serve((_request: IncomingMessage, response) => {
+            waiting.push(response);
+            if (waiting.length === count) {
+                for (const each of waiting.splice(0)) {
+                    each.end("{\"output\":1}");
+                }
+            }
+        }, connections);
+    },
+);
+
+When("the agent hands over a task of {int} ms", async (timeoutMilliseconds: number) => {
+    outcome = await client?.run(makeTask(0, timeoutMilliseconds));
+});
+
+When("the agent hands over {int} tasks at once", async (count: number) => {
+    const present = client;
+    assert.ok(present);
+    outcomes = await Promise.all(Array.from({ length: count }, (_, index) => present.run(makeTask(index, 5_000))));
+});
+
+Then("the task {string}", (expected: string) => {
+    assert.equal(outcome?.kind, expected);
+});
+
+Then("the task {string} because {string}", (expected: string, reason: string) => {
+    assert.deepEqual(outcome, { kind: expected, reason });
+});
+
+Then("the backend server got {int} request(s) with the key {string}", (count: number, key: string) => {
+    assert.deepEqual(keys, Array.from({ length: count }, () => key));
+});
+
+Then(
+    "all tasks succeed and the backend server saw at most {int} connections at once",
+    (connections: number) => {
+        assert.ok(outcomes.length > 0 && outcomes.every(each => each.kind === "succeeded"));
+        assert.ok(mostConnections <= connections, `${mostConnections} connections`);
+    },
+);
+
+After(async () => {
+    server?.closeAllConnections();
+    server?.close();
+    server = undefined;
+    await client?.close();
+    client = undefined;
+});
--- /dev/null
+++ b/packages/lovagepitch-agent/src/__tests__/localServer.steps.ts
@@ -0,0 +1,143 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createLinkCounters } from "@lovagepitch/links/linkCounters";
+import type { BackendServerOffer } from "@lovagepitch/types/registry";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { request } from "undici";
+import { LocalServer, LocalService } from "../http/localServer.js";
+import { AgentCounters } from "../process/agentCounters.js";
+import { AgentMetrics } from "../process/agentMetrics.js";
+import { AgentHarness } from "./agentHarness.js";
+
+/** Remembers what the local port asks of the agent. */
+class RecordingService extends LocalService {
+    public readonly heard: (BackendServerOffer | "leaving")[] = [];
+
+    public override announce(offer: BackendServerOffer): void {
+        this.heard.push(offer);
+    }
+
+    public override leave(): void {
+        this.heard.push("leaving");
+    }
+
+    public override findMissingConditions(): readonly string[] {
+        return ["configuration"];
+    }
+
+    public override describe(): Readonly<Record<string, unknown>> {
+        return {};
+    }
+
+    public override readMetrics(): Promise<{ readonly text: string; readonly contentType: string }> {
+        return Promise.resolve({ text: "", contentType: "text/plain" });
+    }
+}
+
+let service = new RecordingService();
+let server: LocalServer | undefined;
+let baseUrl = "";
+let status = 0;
+
+async function call(method: "GET" | "PUT" | "DELETE", path: string, body?: string): Promise<number> {
+    const response = await request(baseUrl + path, { method, body });
+    await response.body.dump();
+    return response.statusCode;
+}
+
+function describeOffer(slots: number): string {
+    return JSON.stringify({ url: "http://127.0.0.1:9", slots, connections: 64, services: ["alerts"] });
+}
+
+Given("the agent's local port", async () => {
+    service = new RecordingService();
+    server = new LocalServer(service);
+    const port = await server.listen(0);
+    baseUrl = `http://127.0.0.1:${port.unwrap()}`;
+});
+
+When("the backend server puts its offer of {int} slots", async (slots: number) => {
+    status = await call("PUT", "/v1/backend-server", describeOffer(slots));
+});
+
+When("the backend server deletes its offer", async () => {
+    status = await call("DELETE", "/v1/backend-server");
+});
+
+When("the backend server puts no JSON", async () => {
+    status = await call("PUT", "/v1/backend-server", "{");
+});
+
+When("the backend server puts an empty body", async () => {
+    status = await call("PUT", "/v1/backend-server");
+});
+
+When("the backend server puts a body of {int} bytes", async (bytes: number) => {
+    status = await call("PUT", "/v1/backend-server", JSON.stringify("x".repeat(bytes)));
+});
+
+When(/^the backend server puts ([{[].*)$/, async (body: string) => {
+    status = await call("PUT", "/v1/backend-server", body);
+});
+
+Then("the local port answers {int}", (expected: number) => {
+    assert.equal(status, expected);
+});
+
+Then("the local port answers {int} to {string}", async (expected: number, path: string) => {
+    assert.equal(await call("GET", path), expected);
+});
+
+Then("the agent has heard of {int} slots", (slots: number) => {
+    const last = service.heard.at(-1);
+    assert.ok(last !== undefined && last !== "leaving");
+    assert.equal(last.slots, slots);
+});
+
+Then("the agent has heard that the backend server leaves", () => {
+    assert.equal(service.heard.at(-1), "leaving");
+});
+
+Then("the agent has heard nothing", () => {
+    assert.deepEqual(service.heard, []);
+});
+
+Then("{int} random bodies from seed {int} are answered by the local port", async (numRuns: number, seed: number) => {
+    const body = fc.oneof(fc.json(), fc.string(), fc.json().map(text => `{"url":${text},"slots":${text}}`));
+    const property = fc.asyncProperty(body, async text => {
+        assert.equal(await call("PUT", "/v1/backend-server", text), 400);
+    });
+    await fc.assert(property, { numRuns, seed });
+    assert.equal(await call("PUT", "/v1/backend-server", describeOffer(8)), 200);
+});
+
+Then("the agent's metrics have {string}", async (expected: string) => {
+    await assertMetric(expected);
+});
+
+Then(/^the agent's metrics have "(.*\{.*\}.*)"$/, async (expected: string) => {
+    await assertMetric(expected);
+});
+
+async function assertMetric(expected: string): Promise<void> {
+    const agent = new AgentHarness();
+    agent.serve(1);
+    agent.start("A", "A1", [0, 1, 2]);
+    const counters = new AgentCounters();
+    for (const output of agent.outputs) {
+        counters.countOutput(output);
+    }
+    const metrics = new AgentMetrics({
+        counters,
+        status: () => agent.core.status(),
+        linkCounters: () => createLinkCounters(),
+        isStoreHealthy: () => true,
+    });
+    const { text } = await metrics.read();
+    assert.ok(text.split("\n").includes(expected), text);
+}
+
+After(async () => {
+    await server?.close();
+    server = undefined;
+});
--- a/packages/lovagepitch-agent/src/core/systems/deliverOutcomes.ts
+++ b/packages/lovagepitch-agent/src/core/systems/deliverOutcomes.ts
@@ -13,7 +13,7 @@
 /** Pause between attempts while the receiver cannot be reached, in milliseconds. */
 const unreachablePauseMilliseconds = 10_000;
 /** Times that a refusal, or an outcome for an entry that only sealed, is sent at most. */
-const maximumAttempts = 5;
+const maximumAttempts = 3;
 /** Most outcomes that are sent again in one tick. */
 const maximumResendsPerTick = 500;
 
--- a/packages/lovagepitch-agent/src/core/systems/plannedStop.ts
+++ b/packages/lovagepitch-agent/src/core/systems/plannedStop.ts
@@ -33,6 +33,6 @@
             return;
         }
     }
+    // The process deregisters once the ledger is handed over; a row that left without one would hide what ran.
     tables.agent = agentLifecycle.next(tables.agent, "drained");
-    context.outputs.push({ type: "deregister" });
 }
--- /dev/null
+++ b/packages/lovagepitch-agent/src/http/backendServerClient.ts
@@ -0,0 +1,155 @@
+/**
+ * Hands tasks to the backend server, each at most once.
+ */
+import { measureJson } from "@lovagepitch/configuration/measureJson";
+import type { JsonValue } from "@lovagepitch/types/job";
+import type { BackendServerOffer } from "@lovagepitch/types/registry";
+import { type Dispatcher, Pool } from "undici";
+import type { TaskOutcome } from "../core/agentInput.js";
+import type { TaskDispatch } from "../core/agentOutput.js";
+
+const tasksPath = "/v1/tasks";
+const successStatus = 200;
+const connectTimeoutMilliseconds = 1_000;
+const outputBounds = { maximumDepth: 64, maximumBytes: 4 * 1024 * 1024 };
+const maximumAnswerBytes = outputBounds.maximumBytes;
+
+/** An answer that cannot be used; its message is the reason that the caller reads. */
+class UnusableAnswerError extends Error {}
+
+/** The connections to one backend server. */
+export class BackendServerClient {
+    private pool: Pool | undefined;
+    private offer: Pick<BackendServerOffer, "url" | "connections"> | undefined;
+
+    /**
+     * Points the client at a backend server; tasks under way finish on their old connections.
+     *
+     * @param offer - the backend server's address and its number of connections
+     */
+    public configure(offer: Pick<BackendServerOffer, "url" | "connections">): void {
+        if (this.offer?.url === offer.url && this.offer.connections === offer.connections) {
+            return;
+        }
+        const earlier = this.pool;
+        this.offer = offer;
+        this.pool = new Pool(offer.url, {
+            connections: offer.connections,
+            // A new connection for each task, because a kept one may be reset, or silent for good, when it is used.
+            pipelining: 0,
+            connect: { timeout: connectTimeoutMilliseconds },
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+        void earlier?.close();
+    }
+
+    /**
+     * Hands over one task; the request is sent once at most.
+     *
+     * @param task - the task
+     * @returns how it ended
+     */
+    public async run(task: TaskDispatch): Promise<TaskOutcome> {
+        const { pool } = this;
+        if (pool === undefined || this.offer?.url !== task.url) {
+            return { kind: "not-delivered", reason: "the backend server has another address now" };
+        }
+        const signal = AbortSignal.timeout(task.timeoutMilliseconds);
+        try {
+            const response = await pool.request(createRequest(task, signal));
+            return await readAnswer(response);
+        }
+        catch (error) {
+            return describeFailure(error, task);
+        }
+    }
+
+    /**
+     * Closes the connections once the tasks under way have ended.
+     *
+     * @returns when they are closed
+     */
+    public async close(): Promise<void> {
+        await this.pool?.close();
+    }
+}
+
+function createRequest(task: TaskDispatch, signal: AbortSignal): Dispatcher.RequestOptions {
+    const { submission, index, team, service, kind, payload } = task;
+    return {
+        method: "POST",
+        path: tasksPath,
+        headers: { "content-type": "application/json", "idempotency-key": `${submission}/${index}` },
+        body: JSON.stringify({ submission, index, team, service, kind, payload }),
+        // The client would otherwise count the request as one that may be repeated.
+        idempotent: false,
+        signal,
+    };
+}
+
+async function readAnswer(response: Dispatcher.ResponseData): Promise<TaskOutcome> {
+    if (response.statusCode !== successStatus) {
+        discard(response.body);
+        return { kind: "failed", reason: `the backend server answered with status ${response.statusCode}` };
+    }
+    const output = readOutput(parseJson(await readBody(response.body)));
+    return { kind: "succeeded", output };
+}
+
+function discard(body: Dispatcher.ResponseData["body"]): void {
+    // Destroying an unread body reports that as an error, which would end the process when nobody listens.
+    body.on("error", () => undefined);
+    body.destroy();
+}
+
+async function readBody(body: AsyncIterable<Uint8Array>): Promise<Buffer> {
+    const chunks: Uint8Array[] = [];
+    let bytes = 0;
+    for await (const chunk of body) {
+        bytes += chunk.length;
+        if (bytes > maximumAnswerBytes) {
+            throw new UnusableAnswerError(`the backend server's answer is over ${maximumAnswerBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
+
+function parseJson(body: Buffer): unknown {
+    try {
+        return JSON.parse(body.toString("utf8"));
+    }
+    catch {
+        throw new UnusableAnswerError("the backend server's answer is no JSON");
+    }
+}
+
+function readOutput(answer: unknown): JsonValue {
+    if (typeof answer !== "object" || !answer || !("output" in answer)) {
+        throw new UnusableAnswerError("the backend server's answer has no output");
+    }
+    const measure = measureJson(answer.output, outputBounds);
+    if (measure !== "fits") {
+        throw new UnusableAnswerError(`the backend server's output is ${measure.replace("-", " ")}`);
+    }
+    return answer.output as JsonValue;
+}
+
+function describeFailure(error: unknown, task: TaskDispatch): TaskOutcome {
+    if (error instanceof UnusableAnswerError) {
+        return { kind: "failed", reason: error.message };
+    }
+    const code = findCode(error);
+    if (code === "ECONNREFUSED") {
+        return { kind: "not-delivered", reason: "the backend server refused the connection" };
+    }
+    if (error instanceof Error && error.name === "TimeoutError") {
+        return { kind: "failed", reason: `the task did not end within ${task.timeoutMilliseconds} ms` };
+    }
+    return { kind: "failed", reason: `the connection to the backend server failed (${code ?? "unknown cause"})` };
+}
+
+function findCode(error: unknown): string | undefined {
+    return error instanceof Error && "code" in error && typeof error.code === "string" ? error.code : undefined;
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/main.ts
@@ -0,0 +1,21 @@
+#!/usr/bin/env node
+/**
+ * The command line of an agent.
+ */
+import { limitHeapGrowth } from "./process/heapLimits.js";
+import { readCommandLine } from "./readCommandLine.js";
+
+const failureExitCode = 1;
+
+limitHeapGrowth();
+
+try {
+    const settingsPath = await readCommandLine(process.argv.slice(2));
+    const { runAgent } = await import("./process/runAgent.js");
+    const end = await runAgent(settingsPath);
+    process.exitCode = end === "stopped" ? 0 : failureExitCode;
+}
+catch (error) {
+    process.stderr.write(`lovagepitch-agent: ${error instanceof Error ? error.message : String(error)}\n`);
+    process.exitCode = failureExitCode;
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/process/agentMetrics.ts
@@ -0,0 +1,117 @@
+/**
+ * The agent's metrics. The library is loaded when they are first read, for an agent has little memory.
+ */
+import type { LinkCounters } from "@lovagepitch/links/linkCounters";
+import type { AgentStatus } from "../core/agentStatus.js";
+import type { AgentCounters } from "./agentCounters.js";
+
+/** What the metrics are read from. */
+export interface AgentMetricsSource {
+    readonly counters: AgentCounters;
+    readonly status: () => AgentStatus;
+    readonly linkCounters: () => LinkCounters;
+    readonly isStoreHealthy: () => boolean;
+}
+
+interface Sample {
+    readonly name: string;
+    readonly help: string;
+    readonly type: "counter" | "gauge";
+    /** Values by label, or one value without a label. */
+    readonly value: number | ReadonlyMap<string, number>;
+    readonly label?: string;
+}
+
+/** Reads the metrics of one agent. */
+export class AgentMetrics {
+    /**
+     * @param source - what the metrics are read from
+     */
+    public constructor(private readonly source: AgentMetricsSource) {}
+
+    /**
+     * Reads all metrics.
+     *
+     * @returns their text and its content type
+     */
+    public async read(): Promise<{ readonly text: string; readonly contentType: string }> {
+        const client = await import("prom-client");
+        const registry = new client.Registry();
+        for (const { name, help, type, value, label } of this.sample()) {
+            const settings = { name: `lovagepitch_agent_${name}`, help, registers: [registry] };
+            const labelNames = label === undefined ? [] : [label];
+            const metric = type === "counter"
+                ? new client.Counter({ ...settings, labelNames })
+                : new client.Gauge({ ...settings, labelNames });
+            if (typeof value === "number") {
+                metric.inc(value);
+                continue;
+            }
+            for (const [labelValue, count] of value) {
+                metric.inc({ [String(label)]: labelValue }, count);
+            }
+        }
+        return { text: await registry.metrics(), contentType: registry.contentType };
+    }
+
+    private sample(): readonly Sample[] {
+        return [...this.sampleStatus(), ...this.sampleCounters(), ...this.sampleLinks()];
+    }
+
+    private sampleStatus(): readonly Sample[] {
+        const status = this.source.status();
+        const gauge = (name: string, help: string, value: number): Sample => ({ name, help, type: "gauge", value });
+        return [
+            gauge("slots", "Slots that the backend server offers now.", status.slots),
+            gauge("running_tasks", "Tasks that run now.", status.runningTasks),
+            gauge("standing_by_tasks", "Tasks that stand by for a slot.", status.standingByTasks),
+            gauge("bids", "Bids of entries for a slot.", status.bids),
+            gauge("ledger_bytes", "Estimated size of the ledger, in bytes.", status.ledgerBytes),
+            gauge("ledger_submissions", "Submissions in the ledger.", status.ledgerSubmissions),
+            gauge(
+                "undelivered_submissions",
+                "Submissions with unacknowledged outcomes.",
+                status.undeliveredSubmissions,
+            ),
+            gauge("configuration_version", "Configuration version in force; 0 for none.", status.configurationVersion),
+            gauge("registration_number", "Number of the registration row; 0 for none.", status.registrationNumber),
+            gauge("suspect", "1 when the backend server failed several submissions in a row.", Number(status.suspect)),
+            gauge("store_healthy", "1 when the platform answered last time.", Number(this.source.isStoreHealthy())),
+        ];
+    }
+
+    private sampleCounters(): readonly Sample[] {
+        const { counters } = this.source;
+        const counter = (name: string, help: string, value: Sample["value"], label?: string): Sample => ({
+            name,
+            help,
+            type: "counter",
+            value,
+            ...label === undefined ? {} : { label },
+        });
+        return [
+            counter("starts_total", "Tasks handed to the backend server.", counters.starts),
+            counter("outcomes_total", "Ended tasks by outcome.", counters.outcomes, "outcome"),
+            counter("refusals_total", "Refused tasks by reason.", counters.refusals, "reason"),
+            counter("offered_slots_total", "Slots and places offered to entries.", counters.offeredSlots),
+            counter("declined_offers_total", "Offered slots that entries declined.", counters.declinedOffers),
+            counter("ticks_total", "Ticks of the core.", counters.ticks),
+            counter("tick_seconds_total", "Time spent in ticks, in seconds.", counters.tickSeconds),
+            {
+                name: "longest_tick_seconds",
+                help: "Longest tick so far, in seconds.",
+                type: "gauge",
+                value: counters.longestTickSeconds,
+            },
+        ];
+    }
+
+    private sampleLinks(): readonly Sample[] {
+        return Object.entries(this.source.linkCounters()).map(([name, value]) => ({
+            name: `links_${name.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`)}_total`,
+            help: "Counter of the links to entries; see the operators' guide.",
+            type: "counter",
+            value: Number(value),
+        }));
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/process/agentProcess.ts
@@ -0,0 +1,274 @@
+/**
+ * An agent: its core, its links, its local port, its backend server and its dealings with the platform.
+ */
+import { PeerLinks } from "@lovagepitch/links/peerLinks";
+import type { OutgoingMessage } from "@lovagepitch/types/peerMessage";
+import type { BackendServerOffer } from "@lovagepitch/types/registry";
+import type { AgentSettings } from "@lovagepitch/types/settings";
+import { type Clock, SystemClock } from "@lovagepitch/utils/clock";
+import { createIncarnation } from "@lovagepitch/utils/incarnation";
+import { type EventLog, JsonEventLog } from "@lovagepitch/utils/logger";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
+import { TickLoop } from "@lovagepitch/utils/tickLoop";
+import { randomInt } from "node:crypto";
+import { AgentCore } from "../core/agentCore.js";
+import type { AgentInput } from "../core/agentInput.js";
+import type { AgentOutput, TaskDispatch } from "../core/agentOutput.js";
+import { BackendServerClient } from "../http/backendServerClient.js";
+import { LocalServer, LocalService } from "../http/localServer.js";
+import { AgentCounters } from "./agentCounters.js";
+import { AgentMetrics } from "./agentMetrics.js";
+import { AgentPlatform } from "./agentPlatform.js";
+
+const largestSeed = 0x7fff_ffff;
+
+/** Ports that an agent has bound. */
+export interface AgentPorts {
+    readonly peerPort: number;
+    readonly localPort: number;
+}
+
+/** What exists once the links listen. */
+interface RunningParts {
+    readonly core: AgentCore;
+    readonly loop: TickLoop<AgentInput, AgentOutput>;
+}
+
+/** Runs one agent. */
+export class AgentProcess extends LocalService {
+    private readonly clock: Clock = new SystemClock();
+    private readonly incarnation = createIncarnation();
+    private readonly log: EventLog;
+    private readonly counters = new AgentCounters();
+    private readonly metrics: AgentMetrics;
+    private readonly platform: AgentPlatform;
+    private readonly links: PeerLinks;
+    private readonly localServer = new LocalServer(this);
+    private readonly backendServer = new BackendServerClient();
+    private running: RunningParts | undefined;
+    private stopping: Promise<void> | undefined;
+    private resolveDrained: () => void = () => undefined;
+    private reportLostRegistration: () => void = () => undefined;
+
+    /** Resolves when the agent's row is gone, so that the process has to be replaced. */
+    public readonly whenRegistrationLost = new Promise<void>(resolve => {
+        this.reportLostRegistration = resolve;
+    });
+
+    /**
+     * @param settings - the agent's settings
+     */
+    public constructor(private readonly settings: AgentSettings) {
+        super();
+        this.log = new JsonEventLog("lovagepitch-agent", settings.logLevel);
+        this.links = this.createLinks();
+        this.platform = new AgentPlatform({
+            settings,
+            clock: this.clock,
+            random: new RandomSource(randomInt(largestSeed)),
+            log: this.log,
+            accept: input => this.accept(input),
+            configurationVersion: () => this.configurationVersion(),
+            lostRegistration: () => this.loseRegistration(),
+        });
+        this.metrics = new AgentMetrics({
+            counters: this.counters,
+            status: () => this.requireRunning().core.status(),
+            linkCounters: () => this.links.counters,
+            isStoreHealthy: () => this.platform.isStoreHealthy,
+        });
+    }
+
+    /**
+     * Binds the ports and starts to serve.
+     *
+     * @returns the bound ports
+     * @throws LinkError or LocalServerError when a port cannot be bound
+     */
+    public async start(): Promise<AgentPorts> {
+        const peerPort = unwrap(await this.links.listen());
+        this.running = this.createParts();
+        const localPort = unwrap(await this.localServer.listen(this.settings.localPort));
+        this.platform.readManifest();
+        this.running.loop.schedule();
+        const { worker, availabilityZone } = this.settings;
+        this.log.event("info", "the agent serves", { ...this.links.identity, localPort, worker, availabilityZone });
+        return { peerPort, localPort };
+    }
+
+    /**
+     * Stops without cutting off a task: refuses starts, finishes what runs, delivers the outcomes, and leaves the
+     * ledger in the object store.
+     *
+     * @returns when the process may end
+     */
+    public stop(): Promise<void> {
+        this.stopping ??= this.finish();
+        return this.stopping;
+    }
+
+    /** {@inheritDoc LocalService.announce} */
+    public override announce(offer: BackendServerOffer): void {
+        this.backendServer.configure(offer);
+        this.accept({ type: "backendAnnounced", offer });
+    }
+
+    /** {@inheritDoc LocalService.leave} */
+    public override leave(): void {
+        this.accept({ type: "backendLeaving" });
+    }
+
+    /** {@inheritDoc LocalService.findMissingConditions} */
+    public override findMissingConditions(): readonly string[] {
+        const status = this.requireRunning().core.status();
+        const conditions: readonly (readonly [string, boolean])[] = [
+            ["configuration", status.configurationVersion === 0],
+            ["backend server", status.backendServer !== "present"],
+            ["registration", status.registrationNumber === 0],
+            ["stopping", this.stopping !== undefined],
+        ];
+        return conditions.filter(([, isMissing]) => isMissing).map(([condition]) => condition);
+    }
+
+    /** {@inheritDoc LocalService.describe} */
+    public override describe(): Readonly<Record<string, unknown>> {
+        const { worker, availabilityZone } = this.settings;
+        return {
+            incarnation: this.incarnation,
+            worker,
+            availabilityZone,
+            ready: this.findMissingConditions().length === 0,
+            storeHealthy: this.platform.isStoreHealthy,
+            ...this.requireRunning().core.status(),
+        };
+    }
+
+    /** {@inheritDoc LocalService.readMetrics} */
+    public override readMetrics(): Promise<{ readonly text: string; readonly contentType: string }> {
+        return this.metrics.read();
+    }
+
+    private createLinks(): PeerLinks {
+        const { address, port } = this.settings;
+        return new PeerLinks({
+            identity: { address: `${address}:${port}`, incarnation: this.incarnation },
+            role: "agent",
+            address,
+            port,
+            clock: this.clock,
+            receive: batch => this.accept({ type: "peerBatch", batch }),
+            unreachable: peer => this.accept({ type: "peerUnreachable", address: peer }),
+            configurationVersion: () => this.configurationVersion(),
+        });
+    }
+
+    private createParts(): RunningParts {
+        const core = new AgentCore({
+            identity: this.links.identity,
+            settings: this.settings,
+            codec: new SubmissionCodec(this.settings.submissionKey),
+            clock: this.clock,
+        });
+        const loop = new TickLoop(
+            core,
+            this.clock,
+            outputs => this.perform(outputs),
+            milliseconds => this.counters.countTick(milliseconds),
+        );
+        return { core, loop };
+    }
+
+    private accept(input: AgentInput): void {
+        this.counters.countInput(input);
+        this.running?.loop.accept(input);
+    }
+
+    private perform(outputs: readonly AgentOutput[]): void {
+        const messages: OutgoingMessage[] = [];
+        for (const output of outputs) {
+            this.counters.countOutput(output);
+            if (output.type === "send") {
+                messages.push({ destination: output.destination, message: output.message });
+            }
+            else {
+                this.performOther(output);
+            }
+        }
+        this.links.send(messages);
+        if (this.running?.core.isDrained() === true) {
+            this.resolveDrained();
+        }
+    }
+
+    private performOther(output: Exclude<AgentOutput, { readonly type: "send" }>): void {
+        switch (output.type) {
+            case "dispatch":
+                void this.runTask(output.task);
+                return;
+            case "register":
+                void this.platform.register(this.links.identity);
+                return;
+            case "deregister":
+                void this.platform.deregister();
+                return;
+            case "readManifest":
+                this.platform.readManifest();
+                return;
+            case "decision":
+                this.log.decision(output.decision);
+                return;
+        }
+    }
+
+    private async runTask(task: TaskDispatch): Promise<void> {
+        const outcome = await this.backendServer.run(task);
+        const { submission, index } = task;
+        this.accept({ type: "taskEnded", submission, index, outcome });
+    }
+
+    private async finish(): Promise<void> {
+        const { core, loop } = this.requireRunning();
+        this.log.event("info", "the agent stops; running tasks finish first", {
+            runningTasks: core.status().runningTasks,
+        });
+        const drained = new Promise<void>(resolve => {
+            this.resolveDrained = resolve;
+        });
+        this.accept({ type: "stop" });
+        await drained;
+        const handover = core.ledgerHandover();
+        const isHandedOver = await this.platform.handOver(handover);
+        await this.localServer.close();
+        await this.links.close();
+        loop.stop();
+        await this.backendServer.close();
+        await this.platform.close();
+        this.log.event("info", "the agent has stopped", { submissions: handover.submissions.length, isHandedOver });
+    }
+
+    private loseRegistration(): void {
+        this.log.event("error", "the agent's registration row is gone; it stops, and has to be started again", {});
+        this.reportLostRegistration();
+    }
+
+    private configurationVersion(): number {
+        return this.running?.core.status().configurationVersion ?? 0;
+    }
+
+    private requireRunning(): RunningParts {
+        if (this.running === undefined) {
+            throw new Error("The agent has not started; call start() first");
+        }
+        return this.running;
+    }
+}
+
+function unwrap<Value>(
+    result: { readonly ok: true; readonly val: Value } | { readonly ok: false; readonly val: Error },
+): Value {
+    if (!result.ok) {
+        throw result.val;
+    }
+    return result.val;
+}
--- /dev/null
+++ b/packages/lovagepitch-agent/src/process/runAgent.ts
@@ -0,0 +1,38 @@
+/**
+ * Runs an agent from its settings file until it is told to stop.
+ */
+import { loadAgentSettings } from "@lovagepitch/configuration/loadAgentSettings";
+import { readFile } from "node:fs/promises";
+import { AgentProcess } from "./agentProcess.js";
+import { scheduleHeapTrim } from "./heapLimits.js";
+
+const stopSignals = ["SIGTERM", "SIGINT"] as const;
+
+/** Why an agent has ended. */
+export type AgentEnd = "stopped" | "registration-lost";
+
+/**
+ * Runs an agent.
+ *
+ * @param settingsPath - path of the settings file, JSON with comments
+ * @returns why it ended, once a planned stop has finished
+ * @throws ConfigurationError, LinkError or LocalServerError, whose messages name the remedy
+ */
+export async function runAgent(settingsPath: string): Promise<AgentEnd> {
+    const settings = loadAgentSettings(await readFile(settingsPath, "utf8"), settingsPath);
+    if (settings.err) {
+        throw settings.val;
+    }
+    const agent = new AgentProcess(settings.val);
+    const stopRequested = new Promise<AgentEnd>(resolve => {
+        for (const signal of stopSignals) {
+            process.on(signal, () => resolve("stopped"));
+        }
+    });
+    await agent.start();
+    scheduleHeapTrim();
+    const lost = agent.whenRegistrationLost.then((): AgentEnd => "registration-lost");
+    const end = await Promise.race([stopRequested, lost]);
+    await agent.stop();
+    return end;
+}
