test(testing): end a planned stop in the deployment only when nothing came meanwhile

A request that reached a stopping entry while its answers were written was cut off by the fake process, not by the core. The host now asks the core again before it ends.

--- a/packages/lovagepitch-testing/src/harness/agentHost.ts
+++ b/packages/lovagepitch-testing/src/harness/agentHost.ts
@@ -235,8 +235,13 @@
         this.context.platform.deregisterAgent(
             this.identity.incarnation,
             this.ofThisLife(() => {
-                this.context.recordStopEnd(this.name);
-                this.crash();
+                if (this.core?.isDrained() === true) {
+                    this.context.recordStopEnd(this.name);
+                    this.crash();
+                    return;
+                }
+                // Work came while the platform was written to, so the handover is written again later.
+                this.isHandingOver = false;
             }),
         );
     }
--- a/packages/lovagepitch-testing/src/harness/entryHost.ts
+++ b/packages/lovagepitch-testing/src/harness/entryHost.ts
@@ -160,8 +160,13 @@
         this.context.platform.registerEntry(
             this.row("left"),
             this.ofThisLife(() => {
-                this.context.recordStopEnd(this.name);
-                this.crash();
+                if (this.core?.isDrained() === true) {
+                    this.context.recordStopEnd(this.name);
+                    this.crash();
+                    return;
+                }
+                // Work came while the platform was written to, so the handover is written again later.
+                this.isHandingOver = false;
             }),
         );
     }
