--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/faultMatrix.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/faultMatrix.steps.ts
@@ -5,6 +5,7 @@
 import { MatrixRun } from "./matrixRun.js";
 import { processSteps } from "./processSteps.js";
 import { requestSteps } from "./requestSteps.js";
+import { specialCases } from "./specialCases.js";
 
 const seeds = [1, 2, 3];
 const stepsThatEndTheJob = ["the job is being cancelled", "the deadline passes"];
@@ -54,10 +55,29 @@
     }
 });
 
-When("{string} and every other fault strike while {string}", { timeout: 120_000 }, (fault: string, step: string) => {
+When(
+    "{string} and each fault from it on strike while {string}",
+    { timeout: 120_000 },
+    (fault: string, step: string) => {
+        findings = [];
+        const names = Object.keys(matrixFaults);
+        for (const other of names.slice(names.indexOf(fault))) {
+            strikeAt(1, step, [fault, other]);
+        }
+    },
+);
+
+When("the special case {string} runs", (name: string) => {
     findings = [];
-    for (const other of Object.keys(matrixFaults)) {
-        strikeAt(1, step, [fault, other]);
+    const special = specialCases[name];
+    assert.ok(special, `no special case is named "${name}"`);
+    for (const seed of seeds) {
+        const run = special(seed);
+        run.settle();
+        const problems = run.judge();
+        if (problems.length > 0) {
+            findings.push({ title: `${name}, seed ${seed}`, problems, trace: run.traceText });
+        }
     }
 });
 
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/faults.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/faults.ts
@@ -244,6 +244,12 @@
         killEntry(run);
         after(run, 60, () => run.deployment.agents[3]?.start());
     }),
+    "agent registers while the entry is paused": define(run => {
+        const entry = struckEntry(run);
+        entry.freezeBetweenTickAndOutputs();
+        after(run, 60, () => run.deployment.agents[3]?.start());
+        after(run, pause, () => entry.resume());
+    }, { heldBackMilliseconds: pause }),
     "backend server leaves": define(run => {
         const agent = struckAgent(run);
         agent.leaveBackendServer();
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/matrixRun.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/matrixRun.ts
@@ -107,15 +107,43 @@
      *
      * @param job - the job
      * @param firstEntry - position of the entry
+     * @param key - the caller's key, or undefined for an issued id
      * @returns its caller
      */
-    public submitOther(job: JobRequest, firstEntry: number): PersistentCaller {
-        const caller = this.createCaller(job, firstEntry, undefined);
+    public submitOther(job: JobRequest, firstEntry: number, key?: string): PersistentCaller {
+        const caller = this.createCaller(job, firstEntry, key);
         this.others.push(caller);
         caller.start();
         return caller;
     }
 
+    /**
+     * Resubmits some job at every entry.
+     *
+     * @param choice - which job, counted round
+     */
+    public resubmitAny(choice: number): void {
+        const caller = this.others[choice % this.others.length];
+        if (caller?.submission === undefined) {
+            return;
+        }
+        for (const index of this.deployment.entries.keys()) {
+            this.deployment.submit(index, caller.job, caller.submission);
+        }
+    }
+
+    /**
+     * Cancels some job.
+     *
+     * @param choice - which job, counted round
+     */
+    public cancelAny(choice: number): void {
+        const caller = this.others[choice % this.others.length];
+        if (caller?.submission !== undefined) {
+            this.deployment.callers.ask(choice % this.deployment.entries.length, "cancel", caller.submission);
+        }
+    }
+
     /**
      * Runs until something holds.
      *
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestSteps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestSteps.ts
@@ -1,10 +1,11 @@
 /**
  * Steps of a request at which faults strike.
  */
+import { healthyLink } from "../../harness/network.js";
 import { createMatrixJob } from "./matrixJobs.js";
 import type { MatrixRun } from "./matrixRun.js";
 
-const lostLink = { lossShare: 1, extraMilliseconds: 0, jitterMilliseconds: 0, copies: 1 };
+const lostLink = { ...healthyLink, lossShare: 1 };
 const shortDeadline = 400;
 
 /** Brings a run to a step; what it returns runs right after the faults struck. */
--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
@@ -0,0 +1,208 @@
+/**
+ * Cases of the fault matrix that need settings or an order of their own.
+ */
+import { healthyLink, type LinkFault } from "../../harness/network.js";
+import { createMatrixJob, createMatrixManifest } from "./matrixJobs.js";
+import { MatrixRun } from "./matrixRun.js";
+import { runUntilStarted } from "./requestSteps.js";
+
+const shortWindow = 4000;
+const pastWindow = 3 * shortWindow;
+const spareAgent = 3;
+
+/** Sets a run up, strikes and heals; settling and judging follow. */
+export type SpecialCase = (seed: number) => MatrixRun;
+
+function faultStarts(run: MatrixRun, fault: Partial<LinkFault>): void {
+    const [entry] = run.deployment.entries;
+    for (const agent of run.deployment.agents) {
+        run.deployment.network.setFault(entry?.address ?? "", agent.address, { ...healthyLink, ...fault });
+    }
+}
+
+function healStarts(run: MatrixRun): void {
+    const [entry] = run.deployment.entries;
+    for (const agent of run.deployment.agents) {
+        run.deployment.network.setFault(entry?.address ?? "", agent.address, undefined);
+    }
+}
+
+function submitLate(run: MatrixRun, extraMilliseconds: number): void {
+    faultStarts(run, { extraMilliseconds });
+    run.submitJob();
+    run.reach(() => run.events.startSent);
+    run.deployment.advance(1);
+    healStarts(run);
+}
+
+function keepBusy(run: MatrixRun, milliseconds: number): void {
+    const step = 500;
+    for (let passed = 0; passed < milliseconds; passed += step) {
+        run.submitOther(createMatrixJob({ tasks: 2, milliseconds: 50 }), 1);
+        run.deployment.advance(step);
+    }
+}
+
+function withShortWindow(seed: number): MatrixRun {
+    return new MatrixRun(seed, { resubmissionWindowMilliseconds: shortWindow });
+}
+
+function pauseBeforeStart(run: MatrixRun): void {
+    run.submitJob();
+    run.reach(() => run.events.jobArrived);
+    run.deployment.entries[0]?.freezeBetweenTickAndOutputs();
+    run.deployment.advance(1);
+}
+
+function sweepElsewhere(run: MatrixRun): void {
+    const submission = run.caller?.submission;
+    if (submission !== undefined) {
+        run.deployment.submit(1, run.job, submission);
+    }
+    run.deployment.advance(1500);
+}
+
+/** The cases by name. */
+export const specialCases: { readonly [name: string]: SpecialCase } = {
+    "a doubled start arrives after the ledger's window": seed => {
+        const run = withShortWindow(seed);
+        faultStarts(run, { copies: 2, copyGapMilliseconds: pastWindow });
+        run.submitJob();
+        run.reach(() => run.caller?.result !== undefined);
+        healStarts(run);
+        keepBusy(run, pastWindow + shortWindow);
+        return run;
+    },
+    "a start arrives after the window and the deadline": seed => {
+        const run = withShortWindow(seed);
+        run.job = createMatrixJob({ deadlineMilliseconds: 2000 });
+        submitLate(run, pastWindow);
+        keepBusy(run, pastWindow + shortWindow);
+        return run;
+    },
+    "a start arrives after a sweep said not run": seed => {
+        const run = new MatrixRun(seed);
+        submitLate(run, 2500);
+        run.deployment.entries[0]?.crash();
+        sweepElsewhere(run);
+        run.deployment.entries[0]?.start();
+        return run;
+    },
+    "a start arrives after a sweep and the window": seed => {
+        const run = withShortWindow(seed);
+        run.job = createMatrixJob({ deadlineMilliseconds: 30_000 });
+        submitLate(run, pastWindow);
+        run.deployment.entries[0]?.crash();
+        sweepElsewhere(run);
+        run.deployment.entries[0]?.start();
+        keepBusy(run, pastWindow + shortWindow);
+        return run;
+    },
+    "an id is used after its keeper was replaced": seed => {
+        const run = new MatrixRun(seed);
+        const caller = run.prepareCaller();
+        caller.obtainId();
+        run.reach(() => caller.submission !== undefined);
+        run.deployment.entries[0]?.crash();
+        run.deployment.entries[0]?.start();
+        caller.start();
+        return run;
+    },
+    "an id is used after it expired": seed => {
+        const run = withShortWindow(seed);
+        const caller = run.prepareCaller();
+        caller.obtainId();
+        run.reach(() => caller.submission !== undefined);
+        keepBusy(run, pastWindow);
+        caller.start();
+        return run;
+    },
+    "a key is used for another job": seed => {
+        const run = new MatrixRun(seed);
+        run.submitJob("dawn reading");
+        run.deployment.callers.submitWithKey(1, createMatrixJob(), "dawn reading");
+        run.deployment.advance(1000);
+        run.deployment.callers.submitWithKey(0, createMatrixJob(), "dawn reading");
+        return run;
+    },
+    "a paused keeper resumes after a sweep said not run": seed => {
+        const run = new MatrixRun(seed);
+        pauseBeforeStart(run);
+        sweepElsewhere(run);
+        run.deployment.entries[0]?.resume();
+        return run;
+    },
+    "an agent registers after a sweep and the keeper resumes": seed => {
+        const run = new MatrixRun(seed);
+        pauseBeforeStart(run);
+        sweepElsewhere(run);
+        run.deployment.agents[spareAgent]?.start();
+        run.deployment.advance(500);
+        run.deployment.entries[0]?.resume();
+        return run;
+    },
+    "an agent restarts at its address while starts are late": seed => {
+        const run = new MatrixRun(seed);
+        submitLate(run, 300);
+        for (const agent of run.deployment.agents.slice(0, spareAgent)) {
+            agent.crash();
+            agent.start();
+        }
+        return run;
+    },
+    "an answer is asked for at every entry after a planned stop": seed => {
+        const run = new MatrixRun(seed);
+        run.submitJob();
+        run.reach(() => run.caller?.result !== undefined);
+        run.deployment.entries[0]?.stop();
+        run.reach(() => run.deployment.entries[0]?.state === "stopped");
+        return run;
+    },
+    "an agent's ledger is read after its planned stop": seed => {
+        const run = new MatrixRun(seed);
+        runUntilStarted(run);
+        run.deployment.agents[run.agentIndex]?.stop();
+        run.reach(() => run.deployment.agents[run.agentIndex]?.state === "stopped");
+        run.deployment.entries[0]?.crash();
+        run.deployment.entries[0]?.start();
+        return run;
+    },
+    "every entry is replaced while tasks run": seed => {
+        const run = new MatrixRun(seed);
+        runUntilStarted(run);
+        for (const entry of run.deployment.entries) {
+            entry.crash();
+            entry.start();
+        }
+        return run;
+    },
+    "every agent is replaced while tasks run": seed => {
+        const run = new MatrixRun(seed);
+        runUntilStarted(run);
+        for (const agent of run.deployment.agents.slice(0, spareAgent)) {
+            agent.crash();
+            agent.start();
+        }
+        return run;
+    },
+    "a task fails and the others are dropped": seed => {
+        const run = new MatrixRun(seed);
+        const tasks = run.job.tasks.map((task, index) => ({
+            ...task,
+            payload: { ...task.payload as { readonly echo: string }, fail: index === 1 },
+        }));
+        run.job = { ...run.job, tasks };
+        run.submitJob();
+        return run;
+    },
+    "the platform is down from the submission on": seed => {
+        const run = new MatrixRun(seed);
+        run.deployment.platform.setFault("down");
+        run.submitJob();
+        run.submitOther(createMatrixJob(), 1);
+        run.deployment.applyManifest(createMatrixManifest(), 1, "operator-1", () => undefined);
+        run.deployment.advance(pastWindow);
+        run.deployment.platform.setFault("none");
+        return run;
+    },
+};
--- a/packages/lovagepitch-testing/src/checker/configurationRules.ts
+++ b/packages/lovagepitch-testing/src/checker/configurationRules.ts
@@ -3,7 +3,7 @@
  */
 import type { AnswerRecord } from "./answerRecord.js";
 import { findSpreadStart } from "./configurationStart.js";
-import type { AcceptedManifest, DeploymentRecord, ProcessLife } from "./deploymentRecord.js";
+import { type AcceptedManifest, type DeploymentRecord, type ProcessLife, wasSilent } from "./deploymentRecord.js";
 import type { CheckerLimits, Violation } from "./violation.js";
 
 /**
@@ -74,7 +74,8 @@
     const violations: Violation[] = [];
     for (const stop of deployment.plannedStops) {
         for (const request of answers.requests) {
-            const wasBroken = request.entry === stop.process && request.end?.kind === "connection-lost";
+            const wasBroken = request.entry === stop.process && request.end?.kind === "connection-lost"
+                && !wasSilent(deployment, request.entry, request.sentAtMilliseconds, request.end.atMilliseconds);
             const stoppedAt = stop.untilMilliseconds ?? Number.POSITIVE_INFINITY;
             if (wasBroken && request.sentAtMilliseconds < stoppedAt) {
                 const name = request.submission ?? request.key ?? "a request without an id";
--- a/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
+++ b/packages/lovagepitch-testing/src/checker/deploymentRecord.ts
@@ -35,7 +35,8 @@
 
 /** A stretch of time in which callers could not reach an entry, though it ran. */
 export interface CallerSilence {
-    readonly process: string;
+    /** Address of the entry, whatever its incarnation. */
+    readonly address: string;
     readonly fromMilliseconds: number;
     /** Undefined while it lasts. */
     readonly untilMilliseconds: number | undefined;
@@ -75,3 +76,25 @@
     /** Planned stops; one whose process was killed meanwhile is none. */
     public readonly plannedStops: PlannedStop[] = [];
 }
+
+/**
+ * Tells whether callers could not reach an entry at some time.
+ *
+ * @param deployment - the silences
+ * @param entry - address and incarnation of the entry
+ * @param fromMilliseconds - start of the time
+ * @param untilMilliseconds - its end
+ * @returns true when a silence overlaps the time
+ */
+export function wasSilent(
+    deployment: DeploymentRecord,
+    entry: string,
+    fromMilliseconds: number,
+    untilMilliseconds: number,
+): boolean {
+    return deployment.callerSilences.some(silence =>
+        entry.startsWith(`${silence.address}/`)
+        && silence.fromMilliseconds <= untilMilliseconds
+        && (silence.untilMilliseconds ?? Number.POSITIVE_INFINITY) >= fromMilliseconds
+    );
+}
--- a/packages/lovagepitch-testing/src/harness/agentHost.ts
+++ b/packages/lovagepitch-testing/src/harness/agentHost.ts
@@ -53,15 +53,22 @@
             fromMilliseconds: this.context.clock.nowMilliseconds(),
             untilMilliseconds: undefined,
         });
-        this.recordDeparture();
-        this.accept({ type: "stop" });
+        this.act(() => {
+            this.recordDeparture();
+            this.accept({ type: "stop" });
+        });
     }
 
     /** Lets the backend server say that it is leaving. */
     public leaveBackendServer(): void {
-        this.recordDeparture();
         this.backendServer.isServing = false;
-        this.accept({ type: "backendLeaving" });
+        if (this.state !== "stopped") {
+            // Only an agent that runs can hear of it and answer.
+            this.act(() => {
+                this.recordDeparture();
+                this.accept({ type: "backendLeaving" });
+            });
+        }
     }
 
     /** {@inheritDoc ProcessHost.acceptBatch} */
--- a/packages/lovagepitch-testing/src/harness/network.ts
+++ b/packages/lovagepitch-testing/src/harness/network.ts
@@ -42,13 +42,18 @@
     readonly jitterMilliseconds: number;
     /** How often each batch arrives. */
     readonly copies: number;
+    /** Time between two copies in milliseconds. */
+    readonly copyGapMilliseconds: number;
 }
 
 /** A link without a fault; a scenario replaces what it needs. */
-export const healthyLink: LinkFault = { lossShare: 0, extraMilliseconds: 0, jitterMilliseconds: 0, copies: 1 };
-
-/** Time between two copies of a doubled batch, in milliseconds. */
-const copyGapMilliseconds = 5;
+export const healthyLink: LinkFault = {
+    lossShare: 0,
+    extraMilliseconds: 0,
+    jitterMilliseconds: 0,
+    copies: 1,
+    copyGapMilliseconds: 5,
+};
 
 /** A notice that an address did not answer. */
 interface UnreachableNotice {
@@ -152,7 +157,7 @@
         }
         for (let copy = 0; copy < fault.copies; copy += 1) {
             const jitter = this.random.nextFraction() * fault.jitterMilliseconds;
-            const delay = latency + fault.extraMilliseconds + jitter + copy * copyGapMilliseconds;
+            const delay = latency + fault.extraMilliseconds + jitter + copy * fault.copyGapMilliseconds;
             this.queue.schedule(this.clock.nowMilliseconds() + delay, this.deliver, { sender, endpoint, batch });
         }
     }
--- a/packages/lovagepitch-testing/src/harness/pendingRequest.ts
+++ b/packages/lovagepitch-testing/src/harness/pendingRequest.ts
@@ -13,6 +13,8 @@
     public submission: SubmissionKey | undefined;
     /** {@inheritDoc CallerRequest.end} */
     public end: RequestEnd | undefined;
+    /** The entry has it. */
+    public hasArrived = false;
     /** Called once with the request when it has ended. */
     public onEnd: ((request: PendingRequest) => void) | undefined;
 
