--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/interleaving.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/interleaving.ts
@@ -49,6 +49,9 @@
 const mostTargets = 12;
 const mostEvents = 25;
 const firstJobs = 3;
+const startedAgents = 3;
+const revivals = 60;
+const revivalGap = 500;
 
 /** Sequences that fast-check draws and shrinks. */
 export const interleavings = fc.array(
@@ -80,14 +83,25 @@
         perform(run, event);
     }
     run.deployment.advance(longestDuration);
-    for (const host of [...run.deployment.entries, ...run.deployment.agents.slice(0, 3)]) {
+    for (const host of [...run.deployment.entries, ...run.deployment.agents]) {
         host.resume();
-        host.start();
     }
+    keepStarted(run, revivals);
     run.settle();
     return run;
 }
 
+/** Starts whatever has stopped, again and again, for a planned stop may end late. */
+function keepStarted(run: MatrixRun, times: number): void {
+    for (const host of [...run.deployment.entries, ...run.deployment.agents.slice(0, startedAgents)]) {
+        host.start();
+    }
+    if (times > 0) {
+        const at = run.deployment.clock.nowMilliseconds() + revivalGap;
+        run.deployment.queue.schedule(at, () => keepStarted(run, times - 1), undefined);
+    }
+}
+
 function perform(run: MatrixRun, event: InterleavingEvent): void {
     const handlers = { ...callerActions, ...processActions, ...linkActions, ...platformActions };
     handlers[event.action](run, event);
