--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
@@ -2,13 +2,14 @@
  * Cases of the fault matrix that need settings or an order of their own.
  */
 import { healthyLink, type LinkFault } from "../../harness/network.js";
-import { createMatrixJob, createMatrixManifest } from "./matrixJobs.js";
+import { createMatrixJob, createMatrixManifest, matrixZones } from "./matrixJobs.js";
 import { MatrixRun } from "./matrixRun.js";
 import { runUntilStarted } from "./requestSteps.js";
 
 const shortWindow = 4000;
 const pastWindow = 3 * shortWindow;
 const spareAgent = 3;
+const contendingJobs = 12;
 
 /** Sets a run up, strikes and heals; settling and judging follow. */
 export type SpecialCase = (seed: number) => MatrixRun;
@@ -20,6 +21,13 @@
     }
 }
 
+function faultReports(run: MatrixRun, fault: LinkFault | undefined): void {
+    const [entry] = run.deployment.entries;
+    for (const agent of run.deployment.agents) {
+        run.deployment.network.setFault(agent.address, entry?.address ?? "", fault);
+    }
+}
+
 function healStarts(run: MatrixRun): void {
     const [entry] = run.deployment.entries;
     for (const agent of run.deployment.agents) {
@@ -185,6 +193,74 @@
         }
         return run;
     },
+    "a refused start arrives again after its task went elsewhere": seed => {
+        const run = new MatrixRun(seed);
+        for (let position = 0; position < contendingJobs; position += 1) {
+            run.submitOther(createMatrixJob({ milliseconds: 100 + 10 * position }), position % 2);
+        }
+        const repeated = { ...healthyLink, copies: 4, copyGapMilliseconds: 230, jitterMilliseconds: 40 };
+        run.deployment.network.setFaultEverywhere(repeated);
+        run.submitJob();
+        run.deployment.advance(pastWindow);
+        run.deployment.network.setFaultEverywhere(undefined);
+        return run;
+    },
+    "a keeper paused past the window sends its start again": seed => {
+        const run = withShortWindow(seed);
+        run.job = createMatrixJob({ deadlineMilliseconds: 60_000 });
+        faultReports(run, { ...healthyLink, lossShare: 1 });
+        runUntilStarted(run);
+        run.deployment.advance(10);
+        run.deployment.entries[0]?.freezeBetweenTickAndOutputs();
+        keepBusy(run, pastWindow + shortWindow);
+        faultReports(run, undefined);
+        run.deployment.entries[0]?.resume();
+        return run;
+    },
+    "a start is held back until a narrower manifest is in force": seed => {
+        const run = new MatrixRun(seed);
+        run.job = createMatrixJob({ tasks: 6, deadlineMilliseconds: 60_000 });
+        pauseBeforeStart(run);
+        run.deployment.applyManifest(createMatrixManifest([matrixZones[0]]), 1, "operator-1", () => undefined);
+        run.deployment.advance(7000);
+        run.deployment.entries[0]?.resume();
+        return run;
+    },
+    "a start is on its way until a narrower manifest is in force": seed => {
+        const run = new MatrixRun(seed);
+        run.job = createMatrixJob({ tasks: 6, deadlineMilliseconds: 60_000 });
+        submitLate(run, 7000);
+        run.deployment.applyManifest(createMatrixManifest([matrixZones[0]]), 1, "operator-1", () => undefined);
+        run.deployment.advance(7500);
+        return run;
+    },
+    "a start arrives while its agent is leaving": seed => {
+        const run = new MatrixRun(seed);
+        run.job = createMatrixJob({ tasks: 6, deadlineMilliseconds: 60_000 });
+        submitLate(run, 1500);
+        for (const agent of run.deployment.agents.slice(0, spareAgent)) {
+            agent.leaveBackendServer();
+        }
+        run.deployment.advance(4000);
+        for (const agent of run.deployment.agents.slice(0, spareAgent)) {
+            agent.backendServer.restart();
+        }
+        return run;
+    },
+    "an older manifest arrives after a newer one": seed => {
+        const run = new MatrixRun(seed);
+        for (const version of [1, 2, 3]) {
+            run.deployment.applyManifest(createMatrixManifest(), version, "operator-1", () => undefined);
+            run.deployment.advance(2100);
+            run.deployment.network.setFaultEverywhere({ ...healthyLink, copies: 3, copyGapMilliseconds: 2500 });
+            run.submitOther(createMatrixJob(), 0);
+        }
+        run.deployment.network.setFaultEverywhere(undefined);
+        run.deployment.platform.replayManifestReads();
+        run.submitJob();
+        run.deployment.advance(pastWindow);
+        return run;
+    },
     "a task fails and the others are dropped": seed => {
         const run = new MatrixRun(seed);
         const tasks = run.job.tasks.map((task, index) => ({
--- a/packages/lovagepitch-testing/src/harness/fakePlatform.ts
+++ b/packages/lovagepitch-testing/src/harness/fakePlatform.ts
@@ -36,6 +36,9 @@
     | { readonly kind: "accepted"; readonly manifest: VersionedManifest }
     | { readonly kind: "conflict"; readonly winner: VersionedManifest };
 
+/** Readings of the manifest that can be answered again. */
+const keptManifestReads = 100;
+
 /** Rows and objects in memory. */
 export class FakePlatform {
     /** Duration of every request while the platform is slow, in milliseconds. */
@@ -46,6 +49,7 @@
     private readonly entries = new Map<Incarnation, EntryRegistration>();
     private readonly claims = new Map<string, KeyClaim>();
     private readonly objects = new Map<string, AnswersHandover | LedgerHandover>();
+    private readonly manifestReads: (readonly [PlatformReply<VersionedManifest | undefined>, VersionedManifest])[] = [];
     private accepted: VersionedManifest | undefined;
 
     /**
@@ -194,7 +198,17 @@
      * @param reply - gets the manifest, or undefined when none was accepted
      */
     public readManifest(reply: PlatformReply<VersionedManifest | undefined>): void {
-        this.request("readManifest", false, () => this.accepted, reply);
+        this.request("readManifest", false, () => {
+            this.keepRead(reply, this.accepted);
+            return this.accepted;
+        }, reply);
+    }
+
+    /** Answers every earlier reading of the manifest again, with what it was then. */
+    public replayManifestReads(): void {
+        for (const [reply, manifest] of this.manifestReads) {
+            this.queue.schedule(this.clock.nowMilliseconds(), reply, { value: manifest });
+        }
     }
 
     /**
@@ -255,6 +269,15 @@
         return { kind: "accepted", manifest: next };
     }
 
+    private keepRead(
+        reply: PlatformReply<VersionedManifest | undefined>,
+        manifest: VersionedManifest | undefined,
+    ): void {
+        if (manifest !== undefined && this.manifestReads.length < keptManifestReads) {
+            this.manifestReads.push([reply, manifest]);
+        }
+    }
+
     private request<Value>(
         operation: string,
         isWrite: boolean,
