--- a/packages/lovagepitch-testing/src/harness/agentHost.ts
+++ b/packages/lovagepitch-testing/src/harness/agentHost.ts
@@ -53,15 +53,22 @@
             fromMilliseconds: this.context.clock.nowMilliseconds(),
             untilMilliseconds: undefined,
         });
-        this.recordDeparture();
-        this.accept({ type: "stop" });
+        this.act(() => {
+            this.recordDeparture();
+            this.accept({ type: "stop" });
+        });
     }
 
     /** Lets the backend server say that it is leaving. */
     public leaveBackendServer(): void {
-        this.recordDeparture();
         this.backendServer.isServing = false;
-        this.accept({ type: "backendLeaving" });
+        if (this.state !== "stopped") {
+            // Only an agent that runs can hear of it and answer.
+            this.act(() => {
+                this.recordDeparture();
+                this.accept({ type: "backendLeaving" });
+            });
+        }
     }
 
     /** {@inheritDoc ProcessHost.acceptBatch} */
@@ -235,8 +242,13 @@
         this.context.platform.deregisterAgent(
             this.identity.incarnation,
             this.ofThisLife(() => {
-                this.context.recordStopEnd(this.name);
-                this.crash();
+                if (this.core?.isDrained() === true) {
+                    this.context.recordStopEnd(this.name);
+                    this.crash();
+                    return;
+                }
+                // Work came while the platform was written to, so the handover is written again later.
+                this.isHandingOver = false;
             }),
         );
     }
