fix(entry): learn from the ledger of an agent that is gone, and answer cancels within a second

An agent in a planned stop whose outcomes were lost left with its ledger written, and its keeper failed the job as may-have-run ("half of the messages lost while an agent is stopping" and 2 more). Ruled out: agents waiting longer for keepers that may be dead. Change: a keeper reads the ledger before it gives tasks up, places again what the ledger proves unstarted, and waits 300 ms at most; checks fall on the times they are for. Also: a new configuration is told to all by pings, status lists the agents, log lines are flat.

--- a/packages/lovagepitch-entry/src/core/entryCore.ts
+++ b/packages/lovagepitch-entry/src/core/entryCore.ts
@@ -16,12 +16,14 @@
 import { createStopping, forgetCaller, issueSubmissions } from "./systems/callerRequests.js";
 import { claimKey, refuseBeforeClaim, resolveClaim } from "./systems/claims.js";
 import { acceptLedger, checkCollection, endCollection, resumeCollections } from "./systems/collecting.js";
+import { acceptDepartedLedger, loseDeparted } from "./systems/departedAgents.js";
 import { dropResult, failSubmission } from "./systems/finishing.js";
 import { checkForward } from "./systems/forwarding.js";
 import { acceptBatch } from "./systems/messages.js";
 import { placeTasks } from "./systems/placement.js";
 import { routeRequest } from "./systems/routing.js";
 import { acceptManifest, refreshCandidates } from "./systems/workClasses.js";
+import type { AgentRow } from "./tables/agentRow.js";
 
 /** What an entry tells of itself. */
 export interface EntryStatus {
@@ -34,6 +36,20 @@
     readonly starts: number;
     readonly wastedMessages: number;
     readonly refusals: ReadonlyMap<ProblemKind, number>;
+    /** Agents as this entry knows them. */
+    readonly agentList: readonly AgentStatusLine[];
+}
+
+/** One agent as an entry knows it. */
+export interface AgentStatusLine {
+    readonly address: string;
+    readonly worker: string;
+    readonly availabilityZone: string;
+    /** Configuration version of the agent's latest message. */
+    readonly configurationVersion: number;
+    readonly state: "serving" | "leaving" | "ejected" | "silent";
+    readonly slots: number;
+    readonly runningTasks: number;
 }
 
 /** The core of an entry process. */
@@ -117,6 +133,7 @@
             starts: this.state.counters.starts,
             wastedMessages: this.state.counters.wastedMessages,
             refusals: this.state.counters.refusals,
+            agentList: [...this.state.agents.values()].map(describeAgent),
         };
     }
 
@@ -197,6 +214,7 @@
             }
         }
         if (outcome.kind === "ledger") {
+            acceptDepartedLedger(state, incarnation, outcome.handover);
             acceptLedger(state, incarnation, outcome.handover);
         }
         for (const row of [...state.collections.values()]) {
@@ -204,6 +222,9 @@
                 state.collections.update(row.submission, { readingAnswers: false });
             }
         }
+        if (outcome.kind === "absent" || outcome.kind === "unavailable") {
+            loseDeparted(state, incarnation);
+        }
         if (outcome.kind === "absent") {
             acceptLedger(state, incarnation, undefined);
         }
@@ -236,6 +257,9 @@
             case "collection":
                 checkCollection(state, key);
                 return;
+            case "ledger":
+                loseDeparted(state, key);
+                return;
             case "retention":
                 dropResult(state, key);
                 return;
@@ -254,3 +278,19 @@
         bids: new RandomBids(policy.bids, parts.random),
     };
 }
+
+function describeAgent(agent: AgentRow): AgentStatusLine {
+    const { address, worker, availabilityZone, configurationVersion, load } = agent;
+    const { slots, runningTasks } = load;
+    return { address, worker, availabilityZone, configurationVersion, state: stateOf(agent), slots, runningTasks };
+}
+
+function stateOf(agent: AgentRow): AgentStatusLine["state"] {
+    if (agent.silent) {
+        return "silent";
+    }
+    if (agent.load.leaving) {
+        return "leaving";
+    }
+    return agent.ejected ? "ejected" : "serving";
+}
--- a/packages/lovagepitch-entry/src/core/entryState.ts
+++ b/packages/lovagepitch-entry/src/core/entryState.ts
@@ -21,6 +21,7 @@
 import type { StartOrderPolicy } from "./policies/startOrderPolicy.js";
 import type { AgentRow } from "./tables/agentRow.js";
 import type { CollectionRow } from "./tables/collectionRow.js";
+import type { DepartedAgent } from "./tables/departedAgent.js";
 import type { ForwardRow } from "./tables/forwardRow.js";
 import type { SubmissionRow } from "./tables/submissionRow.js";
 import type { TaskReference, TaskRow } from "./tables/taskRow.js";
@@ -52,7 +53,7 @@
 
 /** What a timer is for. */
 export interface TimerKey {
-    readonly purpose: "deadline" | "agent" | "forward" | "collection" | "retention" | "place";
+    readonly purpose: "deadline" | "agent" | "forward" | "collection" | "ledger" | "retention" | "place";
     readonly key: string;
 }
 
@@ -86,6 +87,8 @@
     public readonly agents = new Table<PeerAddress, AgentRow>();
     /** Tasks that each agent has been sent and has not finished. */
     public readonly outstanding = new Map<PeerAddress, Map<string, TaskReference>>();
+    /** Agents that are gone and whose ledger is being read. */
+    public readonly departed = new Table<Incarnation, DepartedAgent>();
     public readonly forwards = new Table<SubmissionKey, ForwardRow>();
     public readonly collections = new Table<SubmissionKey, CollectionRow>();
     public readonly claims = new Table<RequestNumber, ClaimRow>();
--- a/packages/lovagepitch-entry/src/core/systems/agentLiveness.ts
+++ b/packages/lovagepitch-entry/src/core/systems/agentLiveness.ts
@@ -7,7 +7,8 @@
 import type { LiveSubmission } from "../tables/submissionRow.js";
 import { taskLifecycle } from "../tables/taskLifecycle.js";
 import type { TaskReference } from "../tables/taskRow.js";
-import { isUnfinished, loseTask } from "./finishing.js";
+import { giveUpAgent } from "./departedAgents.js";
+import { isUnfinished } from "./finishing.js";
 import { start } from "./placement.js";
 
 /** Time between checks of an agent that holds tasks. */
@@ -54,6 +55,7 @@
     const awaiting = agent.awaitingSinceMilliseconds;
     if (awaiting !== undefined && state.now - awaiting >= goneMilliseconds) {
         giveUpAgent(state, agent, "no sign of life");
+        scheduleAgentCheck(state, address);
         return;
     }
     resendStarts(state, agent, [...outstanding.values()]);
@@ -63,30 +65,6 @@
     scheduleAgentCheck(state, address);
 }
 
-/**
- * Counts an agent's incarnation as gone: what it may have started can be neither placed again nor awaited.
- *
- * @param state - the entry's state
- * @param agent - the agent
- * @param reason - why it counts as gone
- */
-export function giveUpAgent(state: EntryState, agent: AgentRow, reason: string): void {
-    const held = [...state.outstanding.get(agent.address)?.values() ?? []];
-    state.outstanding.delete(agent.address);
-    state.bids.delete(agent.address);
-    state.agents.update(agent.address, {
-        silent: true,
-        unacknowledgedTasks: 0,
-        offeredSlots: 0,
-        awaitingSinceMilliseconds: undefined,
-    });
-    scheduleAgentCheck(state, agent.address);
-    state.decide("ejected", reason, { worker: agent.worker, availabilityZone: agent.availabilityZone });
-    for (const reference of held) {
-        loseTask(state, reference, `worker ${agent.worker} was lost: ${reason}`);
-    }
-}
-
 /**
  * Notes that a message needs a sign of life.
  *
--- a/packages/lovagepitch-entry/src/core/systems/agentRegistry.ts
+++ b/packages/lovagepitch-entry/src/core/systems/agentRegistry.ts
@@ -6,7 +6,7 @@
 import type { Registry } from "@lovagepitch/types/registry";
 import type { EntryState } from "../entryState.js";
 import type { AgentRow } from "../tables/agentRow.js";
-import { giveUpAgent } from "./agentLiveness.js";
+import { giveUpAgent } from "./departedAgents.js";
 
 /** Time between the tries of an agent that was taken out. */
 const probeMilliseconds = 1_000;
@@ -28,6 +28,7 @@
         blockedUntilMilliseconds: 0,
         ejected: false,
         probeAtMilliseconds: 0,
+        configurationVersion: 0,
         ...known,
         address: sender.address,
         incarnation: sender.incarnation,
--- a/packages/lovagepitch-entry/src/core/systems/collecting.ts
+++ b/packages/lovagepitch-entry/src/core/systems/collecting.ts
@@ -16,7 +16,7 @@
 import { respond } from "./respond.js";
 
 /** Time between checks of a collection. */
-const checkMilliseconds = 200;
+const checkMilliseconds = 250;
 /** Time that a waiting caller is kept before it is told that the outcome is not known yet. */
 const replyMilliseconds = 400;
 /** When callers come back to ask for an outcome that is not known yet. */
@@ -162,7 +162,15 @@
     if (state.now >= row.replyByMilliseconds) {
         tellCallers(state, row);
     }
-    state.wakeAt(state.now + checkMilliseconds, "collection", submission);
+    scheduleCheck(state, submission);
+}
+
+function scheduleCheck(state: EntryState, submission: SubmissionKey): void {
+    const row = state.collections.get(submission);
+    const replyBy = row === undefined || row.callers.length === 0 ? undefined : row.replyByMilliseconds;
+    const next = state.now + checkMilliseconds;
+    const isReplyNext = replyBy !== undefined && replyBy > state.now && replyBy < next;
+    state.wakeAt(isReplyNext ? replyBy : next, "collection", submission);
 }
 
 function begin(state: EntryState, row: CollectionRow, reason: string): void {
@@ -178,7 +186,7 @@
     else {
         state.emit({ type: "readRegistry" });
     }
-    state.wakeAt(state.now + checkMilliseconds, "collection", row.submission);
+    scheduleCheck(state, row.submission);
 }
 
 function sealAgents(state: EntryState, row: CollectionRow): void {
--- a/packages/lovagepitch-entry/src/core/systems/forwarding.ts
+++ b/packages/lovagepitch-entry/src/core/systems/forwarding.ts
@@ -11,8 +11,10 @@
 import { collect } from "./collecting.js";
 import { respond } from "./respond.js";
 
-/** Time between checks of a keeper while callers wait. */
-const checkMilliseconds = 200;
+/** Time between checks of a keeper that has not answered. */
+const checkMilliseconds = 250;
+/** Time between checks of a keeper that has the job. */
+const acceptedCheckMilliseconds = 400;
 /** Time without any answer after which the keeper counts as gone. */
 const goneMilliseconds = 500;
 
@@ -89,7 +91,8 @@
     const operation = row.accepted ? "query" : row.callers.at(-1)?.operation ?? "query";
     state.forwards.set(submission, { ...row, awaitingSinceMilliseconds: awaiting ?? state.now });
     ask(state, row, operation);
-    state.wakeAt(state.now + checkMilliseconds, "forward", submission);
+    const nextCheck = row.accepted ? acceptedCheckMilliseconds : checkMilliseconds;
+    state.wakeAt(state.now + nextCheck, "forward", submission);
 }
 
 /**
--- a/packages/lovagepitch-entry/src/core/systems/taskReports.ts
+++ b/packages/lovagepitch-entry/src/core/systems/taskReports.ts
@@ -32,24 +32,51 @@
             state.acknowledge(sender.address, message.submission, report.index);
         }
         const live = state.submissions.get(message.submission);
-        const row = state.tasks.get(message.submission)?.[report.index];
-        if (live?.state === "live" && row !== undefined && isHeldBy(row, sender)) {
-            acceptReport(state, sender, live, row, report);
+        if (live?.state === "live") {
+            acceptReport(state, sender, live, report);
         }
     }
 }
 
+/**
+ * Makes a task that an agent provably has not started free again.
+ *
+ * @param state - the entry's state
+ * @param sender - the agent that held it
+ * @param live - the task's submission
+ * @param index - the task
+ */
+export function releaseTask(state: EntryState, sender: PeerIdentity, live: LiveSubmission, index: number): void {
+    const row = state.tasks.get(live.submission)?.[index];
+    if (row === undefined || !taskLifecycle.allows(row.state, "refuse")) {
+        return;
+    }
+    moveTask(state, sender, live, index, row, "refuse");
+    requeue(state, live, index);
+}
+
 function isHeldBy(row: TaskRow, sender: PeerIdentity): boolean {
     return isUnfinished(row) && row.agent === sender.address && row.agentIncarnation === sender.incarnation;
 }
 
-function acceptReport(
+/**
+ * Takes in what an agent reports of one task; a report of a task that it does not hold changes nothing.
+ *
+ * @param state - the entry's state
+ * @param sender - the agent
+ * @param live - the task's submission
+ * @param taskReport - the report
+ */
+export function acceptReport(
     state: EntryState,
     sender: PeerIdentity,
     live: LiveSubmission,
-    row: TaskRow,
     { index, report }: TaskReport,
 ): void {
+    const row = state.tasks.get(live.submission)?.[index];
+    if (row === undefined || !isHeldBy(row, sender)) {
+        return;
+    }
     switch (report.state) {
         case "standing-by":
             moveTask(state, sender, live, index, row, "standBy");
@@ -95,9 +122,7 @@
     const next = { ...row, state: taskLifecycle.next(row.state, event) };
     rows[index] = next;
     if (row.state === "sent") {
-        const agent = state.agents.get(sender.address);
-        const unacknowledgedTasks = Math.max(0, (agent?.unacknowledgedTasks ?? 0) - 1);
-        state.agents.update(sender.address, { unacknowledgedTasks });
+        countAcknowledged(state, sender);
     }
     if (!isUnfinished(next)) {
         state.outstanding.get(sender.address)?.delete(`${live.submission} ${index}`);
@@ -105,6 +130,13 @@
     }
 }
 
+function countAcknowledged(state: EntryState, sender: PeerIdentity): void {
+    const agent = state.agents.get(sender.address);
+    if (agent !== undefined && agent.incarnation === sender.incarnation) {
+        state.agents.update(sender.address, { unacknowledgedTasks: Math.max(0, agent.unacknowledgedTasks - 1) });
+    }
+}
+
 function acceptSuccess(state: EntryState, live: LiveSubmission, row: TaskRow): void {
     const updated = { ...live, succeededTasks: live.succeededTasks + 1 };
     state.submissions.set(live.submission, updated);
--- a/packages/lovagepitch-entry/src/core/systems/workClasses.ts
+++ b/packages/lovagepitch-entry/src/core/systems/workClasses.ts
@@ -27,6 +27,7 @@
     }
     rebuildClasses(state, manifest);
     failWithdrawnJobs(state);
+    tellOthers(state);
     state.decide("configured", `version ${manifest.version} is in force`);
 }
 
@@ -53,6 +54,15 @@
     }
 }
 
+/** Every batch carries the version, so a ping makes whoever is behind ask for the manifest, with the store down too. */
+function tellOthers(state: EntryState): void {
+    const own = state.parts.identity.address;
+    const entries = state.registry.entries.filter(entry => entry.state === "serving" && entry.address !== own);
+    for (const { address } of [...entries, ...state.agents.values()]) {
+        state.send(address, { type: "ping" });
+    }
+}
+
 function rebuildClasses(state: EntryState, manifest: VersionedManifest): void {
     const kept = new Set<string>();
     for (const service of manifest.manifest.services) {
--- a/packages/lovagepitch-utils/src/logger.ts
+++ b/packages/lovagepitch-utils/src/logger.ts
@@ -2,7 +2,7 @@
  * Structured logs: one JSON line per event on standard output.
  */
 import type { Decision } from "@lovagepitch/types/decision";
-import { Logger } from "tslog";
+import { type ILogObj, type ILogObjMeta, Logger } from "tslog";
 
 const levels = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
@@ -39,12 +39,18 @@
      */
     public constructor(name: string, level: keyof typeof levels) {
         super();
-        this.logger = new Logger({ name, type: "json", minLevel: levels[level], hideLogPositionForProduction: true });
+        this.logger = new Logger({
+            name,
+            type: "json",
+            minLevel: levels[level],
+            hideLogPositionForProduction: true,
+            overwrite: { addMeta: (line, _levelId, levelName) => createLine(name, line as object, levelName) },
+        });
     }
 
     /** {@inheritDoc EventLog.decision} */
     public override decision(decision: Decision): void {
-        this.logger.info("decision", decision);
+        this.logger.info({ event: "decision", ...decision });
     }
 
     /** {@inheritDoc EventLog.event} */
@@ -53,6 +59,12 @@
         message: string,
         fields: Readonly<Record<string, unknown>> = {},
     ): void {
-        this.logger[level](message, fields);
+        this.logger[level]({ event: message, ...fields });
     }
 }
+
+/** Time, level and process come first; the fields of the event follow at the same depth. */
+function createLine(process: string, line: object, levelName: string): ILogObj & ILogObjMeta {
+    const head = { time: new Date().toISOString(), level: levelName.toLowerCase(), process };
+    return { ...head, ...line } as unknown as ILogObj & ILogObjMeta;
+}
