feat(links): the peer port answers the status command; refusals of malformed bodies under a key say unknown-yet

Cause: the status command could not reach agents, whose status was on their loopback port only. A malformed body under a key was refused as not-run although an earlier body under that key may have run; the two table rows of the test now ask for unknown-yet, as PUT has it. A team that a kind no longer permits fails at once.

--- a/packages/lovagepitch-agent/src/process/agentProcess.ts
+++ b/packages/lovagepitch-agent/src/process/agentProcess.ts
@@ -160,6 +160,7 @@
             receive: batch => this.accept({ type: "peerBatch", batch }),
             unreachable: peer => this.accept({ type: "peerUnreachable", address: peer }),
             configurationVersion: () => this.configurationVersion(),
+            describe: () => this.describe(),
         });
     }
 
--- a/packages/lovagepitch-entry/src/__tests__/httpCallers.feature
+++ b/packages/lovagepitch-entry/src/__tests__/httpCallers.feature
@@ -107,8 +107,8 @@
             | PUT of a deep body        | 400    | malformed-request | unknown-yet |
             | PUT of a large body       | 413    | body-too-large    | unknown-yet |
             | PUT of a declared flood   | 413    | body-too-large    | unknown-yet |
-            | POST of bad JSON          | 400    | malformed-request | not-run     |
-            | POST of a large body      | 413    | body-too-large    | not-run     |
+            | POST of bad JSON          | 400    | malformed-request | unknown-yet |
+            | POST of a large body      | 413    | body-too-large    | unknown-yet |
             | POST without a key        | 400    | malformed-request | not-run     |
             | POST with a long key      | 400    | malformed-request | not-run     |
             | POST with a spaced key    | 400    | malformed-request | not-run     |
--- a/packages/lovagepitch-entry/src/core/systems/workClasses.ts
+++ b/packages/lovagepitch-entry/src/core/systems/workClasses.ts
@@ -98,7 +98,11 @@
         if (row.state !== "live") {
             continue;
         }
-        if (!state.workClasses.has(row.workClass) || !teams.has(row.job.team)) {
+        const permittedTeams = state.workClasses.get(row.workClass)?.kind.teams ?? teams;
+        if (
+            !state.workClasses.has(row.workClass) || !teams.has(row.job.team)
+            || !new Set(permittedTeams).has(row.job.team)
+        ) {
             failSubmission(state, row, "the configuration in force no longer permits this kind of work for the team");
         }
     }
--- a/packages/lovagepitch-entry/src/http/callerRoutes.ts
+++ b/packages/lovagepitch-entry/src/http/callerRoutes.ts
@@ -91,7 +91,7 @@
             return;
         }
         if (job.err) {
-            this.refuseBody(response, job.val, problem => problem);
+            this.refuseBody(response, job.val, restateForSubmission);
             return;
         }
         const { team, service } = job.val;
--- a/packages/lovagepitch-entry/src/http/requestProblems.ts
+++ b/packages/lovagepitch-entry/src/http/requestProblems.ts
@@ -73,8 +73,7 @@
 export function restateForSubmission(problem: Problem): Problem {
     return {
         ...problem,
-        detail:
-            `${problem.detail}. This body starts nothing; GET tells what became of an earlier one under the same id`,
+        detail: `${problem.detail}. This body starts nothing; an earlier one under the same id or key may have run`,
         execution: "unknown-yet",
     };
 }
--- a/packages/lovagepitch-links/src/peerLinks.ts
+++ b/packages/lovagepitch-links/src/peerLinks.ts
@@ -13,7 +13,7 @@
 import { defaultLinkLimits, type LinkLimits } from "./linkLimits.js";
 import { peerBatchSchema } from "./peerBatchSchema.js";
 import { type ConnectionEnd, type ConnectionListener, PeerConnection } from "./peerConnection.js";
-import { PeerListener } from "./peerListener.js";
+import { type DescribeProcess, PeerListener } from "./peerListener.js";
 import { createPeerRouter } from "./peerRouter.js";
 import { PendingReplies } from "./pendingReplies.js";
 import { UnreachablePeers } from "./unreachablePeers.js";
@@ -35,6 +35,8 @@
     /** Newest configuration version in force. */
     readonly configurationVersion: () => number;
     readonly limits?: Partial<LinkLimits>;
+    /** Makes the document that `GET /status` on the peer port answers; without it the port serves peers only. */
+    readonly describe?: DescribeProcess;
     /** Encoding of the frames, the same in every process; JSON when absent. */
     readonly codec?: FrameCodec;
 }
@@ -64,7 +66,7 @@
             value => this.parseBatch(value),
             (batch, socket) => this.accept(batch, socket),
         );
-        this.listener = new PeerListener(router, this.codec, this.limits);
+        this.listener = new PeerListener(router, this.codec, this.limits, options.describe);
         this.unreachablePeers = new UnreachablePeers(
             options.clock,
             this.limits.unreachableRepeatMilliseconds,
--- a/packages/lovagepitch-links/src/peerListener.ts
+++ b/packages/lovagepitch-links/src/peerListener.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, type Result } from "@lovagepitch/utils/result";
 import { applyWSSHandler } from "@trpc/server/adapters/ws";
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { FrameCodec } from "./frameCodec.js";
@@ -20,6 +20,9 @@
 /** How often handshakes are checked for their time. */
 const handshakeCheckMilliseconds = 500;
 
+/** Makes the status document of a process. */
+export type DescribeProcess = () => Readonly<Record<string, unknown>>;
+
 /** Accepts connections of peers. */
 export class PeerListener {
     private readonly server: Server;
@@ -29,16 +32,20 @@
      * @param router - answers the calls
      * @param codec - encodes the frames
      * @param limits - bounds of connections, frames and idle time
+     * @param describe - makes the status document, when the process serves one here
      */
-    public constructor(router: PeerRouter, codec: FrameCodec, private readonly limits: LinkLimits) {
+    public constructor(
+        router: PeerRouter,
+        codec: FrameCodec,
+        private readonly limits: LinkLimits,
+        describe: DescribeProcess | undefined,
+    ) {
         this.server = createServer({
             headersTimeout: handshakeTimeoutMilliseconds,
             requestTimeout: handshakeTimeoutMilliseconds,
             connectionsCheckingInterval: handshakeCheckMilliseconds,
             noDelay: true,
-        }, (_request, response) => {
-            response.writeHead(426, { "connection": "close" }).end();
-        });
+        }, (request, response) => answerPlainRequest(request, response, describe));
         this.server.maxConnections = limits.maximumConnections;
         const socketOptions = {
             server: this.server,
@@ -111,3 +118,17 @@
         socket.on("error", () => socket.terminate());
     }
 }
+
+/** Only the operator's status command speaks plain HTTP here. */
+function answerPlainRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    describe: DescribeProcess | undefined,
+): void {
+    if (describe === undefined || request.method !== "GET" || request.url !== "/status") {
+        response.writeHead(426, { "connection": "close" }).end();
+        return;
+    }
+    response.writeHead(200, { "content-type": "application/json", "connection": "close" });
+    response.end(JSON.stringify(describe()));
+}
