fix(agent): try an unreachable keeper for a while before a planned stop ends

Cause: a stopping agent whose connection to a keeper fell silent ended at once, so that the keeper found nobody on its next connection and failed the job. Change: the stop waits up to 5 s for such a keeper and sends outcomes again twice a second meanwhile; the scenario that let it end at once is replaced by one with that time and one in which the keeper comes back.

--- a/packages/lovagepitch-agent/src/__tests__/agentMembership.feature
+++ b/packages/lovagepitch-agent/src/__tests__/agentMembership.feature
@@ -108,15 +108,29 @@
         And the agent has dispatched "A1/0"
         And the agent's handover lists "0 succeeded"
 
-    Scenario: A stopping agent does not wait for an unreachable keeper
+    Scenario: A stopping agent tries an unreachable keeper for a while
         Given an agent with 1 slot and 0 places to stand by
         When entry A starts task "0" of A1 at the agent
         And the agent is stopped
         And task 0 of A1 ends as "succeeded"
         And entry A cannot be reached by the agent
+        And 4900 ms pass at the agent
+        Then the agent isn't drained
+        When 100 ms pass at the agent
         Then the agent is drained
         And the agent's handover lists "0 succeeded"
 
+    Scenario: A stopping agent delivers to a keeper that can be reached again
+        Given an agent with 1 slot and 0 places to stand by
+        When entry A starts task "0" of A1 at the agent
+        And the agent is stopped
+        And task 0 of A1 ends as "succeeded"
+        And entry A cannot be reached by the agent
+        And 1000 ms pass at the agent
+        Then the agent told entry A the outcome of task 0 of A1 3 times
+        When entry A acknowledges task 0 of A1
+        Then the agent is drained
+
     Scenario: A row that became durable after the stop is marked as left
         Given an agent that has not registered
         When the agent is stopped
--- a/packages/lovagepitch-agent/src/core/entities/agentTables.ts
+++ b/packages/lovagepitch-agent/src/core/entities/agentTables.ts
@@ -50,6 +50,8 @@
 export class AgentTables {
     /** State of the process. */
     public agent: AgentState = "registering";
+    /** Instant at which a planned stop began; 0 before. */
+    public leavingSinceMilliseconds = 0;
     public registration: RegistrationProgress = {
         number: undefined,
         requested: false,
--- a/packages/lovagepitch-agent/src/core/entities/rows.ts
+++ b/packages/lovagepitch-agent/src/core/entities/rows.ts
@@ -68,7 +68,8 @@
     readonly incarnation: Incarnation | undefined;
     /** Earlier incarnations at the address; their late messages are ignored. */
     readonly replaced: readonly Incarnation[];
-    readonly unreachable: boolean;
+    /** Instant at which the entry became unreachable; undefined while it can be reached. */
+    readonly unreachableSinceMilliseconds: number | undefined;
     /** Instant of the last batch from the entry; 0 when there was none. */
     readonly heardAtMilliseconds: number;
     /** What the entry was last told of this agent; undefined when nothing. */
--- a/packages/lovagepitch-agent/src/core/systems/announceAgent.ts
+++ b/packages/lovagepitch-agent/src/core/systems/announceAgent.ts
@@ -60,7 +60,7 @@
     context.send(entry.address, announcement);
     // An entry with nothing to say answers the ping, which ends the repetition.
     context.send(entry.address, { type: "ping" });
-    const pause = entry.unreachable ? unreachableRepeatMilliseconds : repeatMilliseconds;
+    const pause = entry.unreachableSinceMilliseconds !== undefined ? unreachableRepeatMilliseconds : repeatMilliseconds;
     context.tables.entries.set(entry.address, {
         ...entry,
         announced: signature,
--- a/packages/lovagepitch-agent/src/core/systems/deliverOutcomes.ts
+++ b/packages/lovagepitch-agent/src/core/systems/deliverOutcomes.ts
@@ -10,6 +10,8 @@
 
 const firstPauseMilliseconds = 300;
 const longestPauseMilliseconds = 5_000;
+/** Longest pause between attempts of a stopping agent, which has little time left, in milliseconds. */
+const longestStoppingPauseMilliseconds = 500;
 /** Pause between attempts while the receiver cannot be reached, in milliseconds. */
 const unreachablePauseMilliseconds = 10_000;
 /** Times that a refusal, or an outcome for an entry that only sealed, is sent at most. */
@@ -78,10 +80,30 @@
 }
 
 function findPause(context: TickContext, delivery: DeliveryRow): number {
-    if (context.tables.entries.get(delivery.receiver)?.unreachable === true) {
+    const backoff = firstPauseMilliseconds * 2 ** delivery.attempts;
+    if (context.tables.agent === "leaving") {
+        return Math.min(longestStoppingPauseMilliseconds, backoff);
+    }
+    const entry = context.tables.entries.get(delivery.receiver);
+    if (entry?.unreachableSinceMilliseconds !== undefined) {
         return unreachablePauseMilliseconds;
     }
-    return Math.min(longestPauseMilliseconds, firstPauseMilliseconds * 2 ** delivery.attempts);
+    return Math.min(longestPauseMilliseconds, backoff);
+}
+
+/**
+ * Makes every delivery due, for a receiver that is back or an agent that stops.
+ *
+ * @param context - the tick
+ * @param receiver - the receiver; undefined for all
+ */
+export function hastenDeliveries(context: TickContext, receiver?: PeerAddress): void {
+    for (const [key, delivery] of [...context.tables.deliveries.entries()]) {
+        if (receiver === undefined || delivery.receiver === receiver) {
+            const nextAtMilliseconds = Math.min(delivery.nextAtMilliseconds, context.now);
+            context.tables.deliveries.set(key, { ...delivery, attempts: 0, nextAtMilliseconds });
+        }
+    }
 }
 
 /**
--- a/packages/lovagepitch-agent/src/core/systems/entries.ts
+++ b/packages/lovagepitch-agent/src/core/systems/entries.ts
@@ -4,7 +4,7 @@
 import type { PeerAddress, PeerIdentity } from "@lovagepitch/types/identity";
 import type { EntryRegistration } from "@lovagepitch/types/registry";
 import { maximumEntries } from "../entities/agentTables.js";
-import type { EntryRow } from "../entities/rows.js";
+import { hastenDeliveries } from "./deliverOutcomes.js";
 import { dropBids } from "./reservations.js";
 import type { TickContext } from "./tickContext.js";
 
@@ -27,14 +27,16 @@
     if (known.replaced.includes(sender.incarnation)) {
         return false;
     }
-    const heard = { ...known, unreachable: false, heardAtMilliseconds: context.now };
+    const heard = { ...known, unreachableSinceMilliseconds: undefined, heardAtMilliseconds: context.now };
     if (known.incarnation === undefined || known.incarnation === sender.incarnation) {
         context.tables.entries.set(sender.address, {
             ...heard,
             incarnation: sender.incarnation,
             announceAtMilliseconds: known.announced === undefined ? known.announceAtMilliseconds : undefined,
         });
-        hastenDeliveries(context, known);
+        if (known.unreachableSinceMilliseconds !== undefined) {
+            hastenDeliveries(context, known.address);
+        }
         return true;
     }
     context.tables.entries.set(sender.address, {
@@ -57,24 +59,13 @@
         address: sender.address,
         incarnation: sender.incarnation,
         replaced: [],
-        unreachable: false,
+        unreachableSinceMilliseconds: undefined,
         heardAtMilliseconds: context.now,
         announced: undefined,
         announceAtMilliseconds: undefined,
     });
 }
 
-function hastenDeliveries(context: TickContext, entry: EntryRow): void {
-    if (!entry.unreachable) {
-        return;
-    }
-    for (const [key, delivery] of [...context.tables.deliveries.entries()]) {
-        if (delivery.receiver === entry.address) {
-            context.tables.deliveries.set(key, { ...delivery, attempts: 0, nextAtMilliseconds: context.now });
-        }
-    }
-}
-
 function dropDeliveries(context: TickContext, address: PeerAddress): void {
     for (const [key, delivery] of [...context.tables.deliveries.entries()]) {
         if (delivery.receiver === address) {
@@ -90,7 +81,11 @@
  * @param address - the entry
  */
 export function loseEntry(context: TickContext, address: PeerAddress): void {
-    context.tables.entries.update(address, { unreachable: true });
+    const known = context.tables.entries.get(address);
+    if (known !== undefined) {
+        const unreachableSinceMilliseconds = known.unreachableSinceMilliseconds ?? context.now;
+        context.tables.entries.set(address, { ...known, unreachableSinceMilliseconds });
+    }
     dropBids(context, address);
 }
 
@@ -103,7 +98,7 @@
 export function readEntries(context: TickContext, entries: readonly EntryRegistration[]): void {
     const serving = new Map(entries.filter(entry => entry.state === "serving").map(entry => [entry.address, entry]));
     for (const known of [...context.tables.entries.values()]) {
-        const isSilent = known.unreachable || known.heardAtMilliseconds === 0;
+        const isSilent = known.unreachableSinceMilliseconds !== undefined || known.heardAtMilliseconds === 0;
         if (isSilent && !serving.has(known.address)) {
             context.tables.entries.delete(known.address);
         }
@@ -115,7 +110,7 @@
                 // The row may be older than what the entry itself will say.
                 incarnation: undefined,
                 replaced: [],
-                unreachable: false,
+                unreachableSinceMilliseconds: undefined,
                 heardAtMilliseconds: 0,
                 announced: undefined,
                 announceAtMilliseconds: undefined,
