test(testing): times to reach, and processes that do not poll together

Polling in step had hidden that a version known to one process does not reach processes without traffic to it while the store is down.

--- a/packages/lovagepitch-testing/src/harness/agentHost.ts
+++ b/packages/lovagepitch-testing/src/harness/agentHost.ts
@@ -90,7 +90,10 @@
     protected override started(): void {
         this.isStopping = false;
         this.isHandingOver = false;
-        this.pollManifest();
+        this.readManifest();
+        // Processes that start together must not poll together.
+        const firstPoll = this.context.random.nextFraction() * this.context.settings.intervals.manifestPoll;
+        this.runLater(firstPoll, () => this.pollManifest());
         this.pollEntries();
         this.announceBackendServer();
     }
--- a/packages/lovagepitch-testing/src/harness/entryHost.ts
+++ b/packages/lovagepitch-testing/src/harness/entryHost.ts
@@ -90,7 +90,10 @@
         this.isStopping = false;
         this.isHandingOver = false;
         this.register();
-        this.pollManifest();
+        this.readManifest();
+        // Processes that start together must not poll together.
+        const firstPoll = this.context.random.nextFraction() * this.context.settings.intervals.manifestPoll;
+        this.runLater(firstPoll, () => this.pollManifest());
         this.pollRegistry();
     }
 
