feat(testing): demo with real processes

npm run demo starts the stand-ins, two entries and four agents in two zones, runs jobs under issued ids and keys, submits one again at both entries, kills an entry while jobs run and reports.

--- /dev/null
+++ b/packages/lovagepitch-testing/src/demo/runDemo.ts
@@ -0,0 +1,105 @@
+/**
+ * Shows the system at work: real processes in two availability zones, real jobs, and an entry killed while jobs run.
+ */
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { RealDeployment } from "../launcher/realDeployment.js";
+import { RecordedClient } from "../launcher/recordedClient.js";
+import { submitAt } from "../launcher/submitAt.js";
+import { describeAnswers, describePlaces, describeStarts, describeTimes } from "./demoReport.js";
+import { judgeDemo } from "./judgeDemo.js";
+
+const manifestFile = join(
+    fileURLToPath(new URL("../../../..", import.meta.url)),
+    "examples/cooperative/manifest.jsonc",
+);
+const work = {
+    team: "member-phones",
+    service: "plant-alerts",
+    kind: "thirst-alert",
+    deadlineMilliseconds: 10_000,
+} as const;
+const steadyJobs = 12;
+const jobGapMilliseconds = 40;
+const killJobs = 8;
+const shortTasks = [60, 120, 200];
+const longTasks = [500, 700];
+
+const deployment = new RealDeployment({
+    example: "cooperative",
+    entryZones: ["kolonnawa", "dehiwala"],
+    agentZones: ["kolonnawa", "kolonnawa", "dehiwala", "dehiwala"],
+    services: ["plant-alerts"],
+    slots: 8,
+});
+
+async function runSteadyJobs(client: RecordedClient): Promise<void> {
+    const running = [];
+    for (let position = 0; position < steadyJobs; position += 1) {
+        running.push(client.run(client.createJob(work, shortTasks)));
+        await sleep(jobGapMilliseconds);
+    }
+    await Promise.all(running);
+}
+
+async function runJobsWhileEntryDies(client: RecordedClient): Promise<void> {
+    const running = Array.from({ length: killJobs }, () => client.run(client.createJob(work, longTasks)));
+    await sleep(200);
+    deployment.entries[0]?.process.signal("SIGKILL");
+    await Promise.all(running);
+}
+
+async function resubmitElsewhere(client: RecordedClient): Promise<string> {
+    const first = client.jobs[0];
+    if (first?.result.kind !== "complete") {
+        return "resubmission at the other entry: not shown, for the first job was not completed";
+    }
+    const { submission } = first.result.answer;
+    const startsBefore = (await deployment.collectStarts()).starts.length;
+    const answers = await Promise.all(deployment.entries.map(entry => submitAt(entry.url, submission, first.job)));
+    const startsAfter = (await deployment.collectStarts()).starts.length;
+    const same = answers.every(answer => answer !== undefined && answer === answers[0]);
+    return `resubmission at both entries: ${same ? "the same answer" : "DIFFERENT ANSWERS"}, `
+        + `${startsAfter - startsBefore} more starts`;
+}
+
+async function runDemo(): Promise<number> {
+    const startedAt = Date.now();
+    await deployment.start(manifestFile);
+    console.log(`started 2 entries, 4 agents and the stand-ins in ${Date.now() - startedAt} ms`);
+    const client = new RecordedClient(deployment.entries.map(entry => entry.url), "issued-ids");
+    const keyed = new RecordedClient(deployment.entries.map(entry => entry.url), "caller-keys");
+    await runSteadyJobs(client);
+    await runSteadyJobs(keyed);
+    const resubmission = await resubmitElsewhere(client);
+    console.log(`killed the entry in ${deployment.entries[0]?.availabilityZone ?? ""} while ${killJobs} jobs ran`);
+    await runJobsWhileEntryDies(client);
+    const starts = await deployment.collectStarts();
+    for (
+        const line of [
+            ...describeAnswers("issued ids", client),
+            ...describeAnswers("caller's keys", keyed),
+            ...describePlaces(starts),
+            ...describeStarts(starts),
+            resubmission,
+            ...describeTimes([...client.jobs, ...keyed.jobs]),
+        ]
+    ) {
+        console.log(line);
+    }
+    const violations = judgeDemo(starts, [client, keyed]);
+    console.log(`violations: ${violations.length}`);
+    for (const violation of violations) {
+        console.log(`  ${violation.rule}: ${violation.message}`);
+    }
+    await Promise.all([client.close(), keyed.close()]);
+    return violations.length === 0 && !resubmission.includes("DIFFERENT") ? 0 : 1;
+}
+
+try {
+    process.exitCode = await runDemo();
+}
+finally {
+    await deployment.stop();
+}
