--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestSteps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestSteps.ts
@@ -11,7 +11,12 @@
 /** Brings a run to a step; what it returns runs right after the faults struck. */
 export type MatrixStep = (run: MatrixRun) => (() => void) | undefined;
 
-function fillAllSlots(run: MatrixRun): void {
+/**
+ * Occupies every slot and every stand-by place with other callers' jobs.
+ *
+ * @param run - the run
+ */
+export function fillAllSlots(run: MatrixRun): void {
     for (const entry of [0, 1, 0, 1]) {
         run.submitOther(createMatrixJob({ tasks: 4, milliseconds: 600 }), entry);
     }
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
@@ -4,12 +4,14 @@
 import { healthyLink, type LinkFault } from "../../harness/network.js";
 import { createMatrixJob, createMatrixManifest, matrixZones } from "./matrixJobs.js";
 import { MatrixRun } from "./matrixRun.js";
-import { runUntilStarted } from "./requestSteps.js";
+import { fillAllSlots, runUntilStarted } from "./requestSteps.js";
 
 const shortWindow = 4000;
 const pastWindow = 3 * shortWindow;
 const spareAgent = 3;
 const contendingJobs = 12;
+/** Time after a start at which the keeper has asked for it and not yet sent it again. */
+const beforeResend = 250;
 
 /** Sets a run up, strikes and heals; settling and judging follow. */
 export type SpecialCase = (seed: number) => MatrixRun;
@@ -21,6 +23,15 @@
     }
 }
 
+function cutFromKeeper(run: MatrixRun, fault: LinkFault | undefined): void {
+    const [keeper, other] = run.deployment.entries;
+    const others = [other, ...run.deployment.agents.slice(0, spareAgent)];
+    for (const host of others) {
+        run.deployment.network.setFault(keeper?.address ?? "", host?.address ?? "", fault);
+        run.deployment.network.setFault(host?.address ?? "", keeper?.address ?? "", fault);
+    }
+}
+
 function faultReports(run: MatrixRun, fault: LinkFault | undefined): void {
     const [entry] = run.deployment.entries;
     for (const agent of run.deployment.agents) {
@@ -149,6 +160,46 @@
         run.deployment.entries[0]?.resume();
         return run;
     },
+    "an agent registers after a sweep that its keeper does not hear of": seed => {
+        const run = new MatrixRun(seed);
+        fillAllSlots(run);
+        run.job = createMatrixJob({ deadlineMilliseconds: 20_000 });
+        run.submitJob();
+        run.reach(() => run.events.jobAdmitted);
+        run.deployment.advance(1);
+        cutFromKeeper(run, { ...healthyLink, lossShare: 1 });
+        sweepElsewhere(run);
+        run.deployment.agents[spareAgent]?.start();
+        run.deployment.advance(shortWindow);
+        cutFromKeeper(run, undefined);
+        return run;
+    },
+    "the only worker of a job and its keeper are lost": seed => {
+        const run = new MatrixRun(seed);
+        run.job = createMatrixJob({ tasks: 1, milliseconds: 500 });
+        runUntilStarted(run);
+        const worker = run.deployment.starts.starts.at(-1)?.worker;
+        const agent = run.deployment.agents.find(candidate => candidate.worker === worker);
+        agent?.crash();
+        run.deployment.entries[0]?.crash();
+        sweepElsewhere(run);
+        agent?.start();
+        run.deployment.entries[0]?.start();
+        return run;
+    },
+    "the only worker of a job is frozen and its keeper lost": seed => {
+        const run = new MatrixRun(seed);
+        run.job = createMatrixJob({ tasks: 1, milliseconds: 500 });
+        runUntilStarted(run);
+        const worker = run.deployment.starts.starts.at(-1)?.worker;
+        const agent = run.deployment.agents.find(candidate => candidate.worker === worker);
+        agent?.freeze();
+        run.deployment.entries[0]?.crash();
+        sweepElsewhere(run);
+        agent?.resume();
+        run.deployment.entries[0]?.start();
+        return run;
+    },
     "an agent restarts at its address while starts are late": seed => {
         const run = new MatrixRun(seed);
         submitLate(run, 300);
@@ -210,7 +261,7 @@
         run.job = createMatrixJob({ deadlineMilliseconds: 60_000 });
         faultReports(run, { ...healthyLink, lossShare: 1 });
         runUntilStarted(run);
-        run.deployment.advance(10);
+        run.deployment.advance(beforeResend);
         run.deployment.entries[0]?.freezeBetweenTickAndOutputs();
         keepBusy(run, pastWindow + shortWindow);
         faultReports(run, undefined);
--- a/packages/lovagepitch-testing/src/demo/runDemo.ts
+++ b/packages/lovagepitch-testing/src/demo/runDemo.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { RealDeployment } from "../launcher/realDeployment.js";
+import { readMetric } from "../launcher/realProcesses.js";
 import { RecordedClient } from "../launcher/recordedClient.js";
 import { submitAt } from "../launcher/submitAt.js";
 import { describeAnswers, describePlaces, describeStarts, describeTimes } from "./demoReport.js";
@@ -64,6 +65,13 @@
         + `${startsAfter - startsBefore} more starts`;
 }
 
+async function readMessages(url: string): Promise<string> {
+    const sent = await readMetric(url, "lovagepitch_entry_messages_sent_total");
+    const received = await readMetric(url, "lovagepitch_entry_messages_received_total");
+    const wasted = await readMetric(url, "lovagepitch_entry_wasted_messages_total");
+    return `${sent} sent, ${received} received (${wasted} wasted)`;
+}
+
 async function runDemo(): Promise<number> {
     const startedAt = Date.now();
     await deployment.start(manifestFile);
@@ -73,6 +81,8 @@
     await runSteadyJobs(client);
     await runSteadyJobs(keyed);
     const resubmission = await resubmitElsewhere(client);
+    const messages = await Promise.all(deployment.entries.map(entry => readMessages(entry.url)));
+    const tasks = (await deployment.collectStarts()).starts.length;
     console.log(`killed the entry in ${deployment.entries[0]?.availabilityZone ?? ""} while ${killJobs} jobs ran`);
     await runJobsWhileEntryDies(client);
     const starts = await deployment.collectStarts();
@@ -82,6 +92,7 @@
             ...describeAnswers("caller's keys", keyed),
             ...describePlaces(starts),
             ...describeStarts(starts),
+            `messages at the entries before the kill: ${messages.join(" and ")}, for ${tasks} tasks`,
             resubmission,
             ...describeTimes([...client.jobs, ...keyed.jobs]),
         ]
