feat(entry): admit by learned run times, drop what is hopeless before it starts, bound overtaking

Also: a silent keeper counts as gone after 750 ms, so that a request on the connection that replaces a silent one is answered ("entry and entry silent while the tasks wait").

--- a/packages/lovagepitch-entry/src/core/policies/startOrderPolicy.ts
+++ b/packages/lovagepitch-entry/src/core/policies/startOrderPolicy.ts
@@ -2,16 +2,18 @@
  * Which waiting job starts next.
  */
 
-/** Share of a job's expected work by which it starts later than its arrival; bounds how long any job is overtaken. */
+/** Share of a job's expected work by which it starts later than its arrival. */
 const workWeight = 0.5;
+/** Longest time by which any job is overtaken. */
+const ageLimitMilliseconds = 2_000;
 
 /** Order of start among jobs. */
 export abstract class StartOrderPolicy {
     /**
-     * Ranks a job once, when it arrives.
+     * Ranks a job, when it arrives and whenever one of its tasks has started.
      *
      * @param arrivedAtMilliseconds - arrival, in milliseconds since the epoch
-     * @param expectedWorkMilliseconds - expected run times of all its tasks together
+     * @param expectedWorkMilliseconds - expected run times of all its waiting tasks together
      * @returns its priority; lower starts first
      */
     public abstract priority(arrivedAtMilliseconds: number, expectedWorkMilliseconds: number): number;
@@ -29,6 +31,6 @@
 export class ShortestWorkWithAgeLimit extends StartOrderPolicy {
     /** {@inheritDoc StartOrderPolicy.priority} */
     public override priority(arrivedAtMilliseconds: number, expectedWorkMilliseconds: number): number {
-        return arrivedAtMilliseconds + workWeight * expectedWorkMilliseconds;
+        return arrivedAtMilliseconds + Math.min(ageLimitMilliseconds, workWeight * expectedWorkMilliseconds);
     }
 }
--- a/packages/lovagepitch-entry/src/core/systems/admission.ts
+++ b/packages/lovagepitch-entry/src/core/systems/admission.ts
@@ -12,7 +12,9 @@
 /** Most tasks of one job. */
 const maximumTasks = 820;
 /** Part of the deadline that the predicted finish may take; the rest covers stragglers. */
-const usableDeadlineShare = 0.8;
+const usableDeadlineShare = 0.9;
+/** Part of the deadline that a job may wait in any case. */
+const leastWaitShare = 0.1;
 /** When to come back after a refusal that passes by itself. */
 const shortRetryMilliseconds = 1_000;
 /** When to come back after a refusal that an operator has to mend. */
@@ -199,19 +201,32 @@
     return Math.max(1, state.servingEntries);
 }
 
+/**
+ * Finds how long a job may wait for its start and still be likely to meet its deadline.
+ *
+ * @param job - the job
+ * @param workClass - its work class
+ * @returns milliseconds
+ */
+export function findUsableWait(job: JobRequest, workClass: WorkClass): number {
+    const declared = Math.max(...job.tasks.map(task => task.expectedMilliseconds));
+    const longest = workClass.runTime.estimateLongest(job.tasks.length, declared);
+    const deadline = job.deadlineMilliseconds;
+    // A caller may know that its tasks are shorter than most of their kind.
+    return Math.max(deadline * usableDeadlineShare - longest, deadline * leastWaitShare);
+}
+
 function checkDeadline(job: JobRequest, workClass: WorkClass): Problem | undefined {
     const rate = workClass.drainRate.startsPerMillisecond();
     const waiting = workClass.queue.size;
     if (rate === undefined || waiting === 0) {
         return undefined;
     }
-    const longest = Math.max(...job.tasks.map(task => workClass.runTime.estimate(task.expectedMilliseconds)));
     const waitMilliseconds = (waiting + job.tasks.length) / Math.max(rate, Number.EPSILON);
-    const usableMilliseconds = job.deadlineMilliseconds * usableDeadlineShare;
-    if (waitMilliseconds + longest <= usableMilliseconds) {
+    const excess = waitMilliseconds - findUsableWait(job, workClass);
+    if (excess <= 0) {
         return undefined;
     }
-    const excess = waitMilliseconds + longest - usableMilliseconds;
     return notRun("deadline-unreachable", {
         status: 503,
         detail: `${waiting} tasks wait, and the measured rate would finish this job too late.`,
--- a/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
+++ b/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
@@ -177,14 +177,15 @@
         deadlineAtMilliseconds: now + job.deadlineMilliseconds,
         configurationVersion: state.configurationVersion,
         succeededTasks: 0,
-        priority: state.policies.startOrder.priority(now, work),
+        taskMilliseconds: work / job.tasks.length,
+        begun: false,
         requesters: [],
     };
     state.submissions.set(submission, live);
     state.tasks.set(submission, job.tasks.map(() => newTask));
     state.countWaiting(job.team, job.tasks.length);
     const indexes = job.tasks.map((_task, index) => index);
-    workClass.queue.add(submission, job.team, live.priority, now, indexes);
+    workClass.queue.add({ ...live, team: job.team }, indexes);
     state.wakeAt(live.deadlineAtMilliseconds, "deadline", submission);
     state.decide("admitted", `${job.tasks.length} tasks`, { submission });
     addRequester(state, live, requester);
--- a/packages/lovagepitch-entry/src/core/systems/collecting.ts
+++ b/packages/lovagepitch-entry/src/core/systems/collecting.ts
@@ -18,7 +18,7 @@
 /** Time between checks of a collection. */
 const checkMilliseconds = 250;
 /** Time that a waiting caller is kept before it is told that the outcome is not known yet. */
-const replyMilliseconds = 400;
+const replyMilliseconds = 200;
 /** When callers come back to ask for an outcome that is not known yet. */
 const retryMilliseconds = 1_000;
 /** Time after which agents that stay unreachable are given up when the job, and so its deadline, is not known. */
--- a/packages/lovagepitch-entry/src/core/systems/forwarding.ts
+++ b/packages/lovagepitch-entry/src/core/systems/forwarding.ts
@@ -16,7 +16,7 @@
 /** Time between checks of a keeper that has the job. */
 const acceptedCheckMilliseconds = 400;
 /** Time without any answer after which the keeper counts as gone. */
-const goneMilliseconds = 500;
+const goneMilliseconds = 750;
 
 /** Time for which a silent keeper is not asked again. */
 const silenceRememberedMilliseconds = 1_000;
--- a/packages/lovagepitch-entry/src/core/systems/placement.ts
+++ b/packages/lovagepitch-entry/src/core/systems/placement.ts
@@ -8,8 +8,9 @@
 import { taskLifecycle } from "../tables/taskLifecycle.js";
 import type { WaitingHead } from "../tables/waitingQueue.js";
 import type { WorkClass } from "../tables/workClass.js";
-import { countEntries, fits } from "./admission.js";
+import { countEntries, findUsableWait, fits } from "./admission.js";
 import { scheduleAgentCheck } from "./agentLiveness.js";
+import { failSubmission } from "./finishing.js";
 
 /** Agents that one placement compares at most. */
 const comparedAgents = 48;
@@ -72,6 +73,10 @@
     if (head === undefined || live?.state !== "live") {
         return false;
     }
+    if (!live.begun && isHopeless(state, workClass, live)) {
+        failSubmission(state, live, "the deadline can no longer be met; nothing was started");
+        return true;
+    }
     const task = live.job.tasks[head.index]!;
     const agents = usableAgents(state, workClass, live.identity.registryVersion).filter(agent => fits(task, agent));
     const offering = agents.find(agent => agent.offeredSlots > 0);
@@ -86,6 +91,11 @@
     return true;
 }
 
+/** Work that would end too late is dropped before it takes a slot. */
+function isHopeless(state: EntryState, workClass: WorkClass, live: LiveSubmission): boolean {
+    return state.now - live.arrivedAtMilliseconds > findUsableWait(live.job, workClass);
+}
+
 /** Teams under their guaranteed slots go first; among equals, the start order decides. */
 function chooseHead(state: EntryState, workClass: WorkClass): WaitingHead | undefined {
     const heads = workClass.queue.heads();
@@ -124,6 +134,9 @@
     const rows = state.tasks.get(live.submission)!;
     const row = rows[index]!;
     const startSequence = state.nextStartSequence(agent, live.submission);
+    if (!live.begun) {
+        state.submissions.set(live.submission, { ...live, begun: true });
+    }
     const now = state.now;
     rows[index] = {
         ...row,
--- a/packages/lovagepitch-entry/src/core/systems/taskReports.ts
+++ b/packages/lovagepitch-entry/src/core/systems/taskReports.ts
@@ -172,7 +172,7 @@
 function requeue(state: EntryState, live: LiveSubmission, index: number): void {
     const workClass = state.workClasses.get(live.workClass);
     state.countWaiting(live.job.team, 1);
-    workClass?.queue.add(live.submission, live.job.team, live.priority, live.arrivedAtMilliseconds, [index]);
+    workClass?.queue.add({ ...live, team: live.job.team }, [index]);
 }
 
 /** The start has not arrived; it goes to the same agent again, which alone may have it. */
--- a/packages/lovagepitch-entry/src/core/systems/workClasses.ts
+++ b/packages/lovagepitch-entry/src/core/systems/workClasses.ts
@@ -69,7 +69,7 @@
         for (const kind of service.kinds) {
             const key = workClassKey(service.name, kind.name);
             kept.add(key);
-            state.workClasses.set(key, createClass(state.workClasses.get(key), service.name, kind));
+            state.workClasses.set(key, createClass(state, service.name, kind));
         }
     }
     for (const key of [...state.workClasses.keys()]) {
@@ -79,13 +79,15 @@
     }
 }
 
-function createClass(earlier: WorkClass | undefined, service: string, kind: KindManifest): WorkClass {
+function createClass(state: EntryState, service: string, kind: KindManifest): WorkClass {
+    const key = workClassKey(service, kind.name);
+    const earlier = state.workClasses.get(key);
     return {
-        key: workClassKey(service, kind.name),
+        key,
         service,
         kind,
         candidates: earlier?.candidates ?? [],
-        queue: earlier?.queue ?? new WaitingQueue(),
+        queue: earlier?.queue ?? new WaitingQueue(state.policies.startOrder),
         drainRate: earlier?.drainRate ?? new DrainRateEstimator(),
         runTime: earlier?.runTime ?? new RunTimeEstimator(),
     };
--- a/packages/lovagepitch-entry/src/core/tables/submissionRow.ts
+++ b/packages/lovagepitch-entry/src/core/tables/submissionRow.ts
@@ -24,8 +24,10 @@
     readonly deadlineAtMilliseconds: number;
     readonly configurationVersion: number;
     readonly succeededTasks: number;
-    /** Start order; lower starts first. */
-    readonly priority: number;
+    /** Expected run time of one of its tasks, in milliseconds. */
+    readonly taskMilliseconds: number;
+    /** A task has been sent to an agent. */
+    readonly begun: boolean;
     readonly requesters: readonly Requester[];
 }
 
--- a/packages/lovagepitch-entry/src/core/tables/waitingQueue.ts
+++ b/packages/lovagepitch-entry/src/core/tables/waitingQueue.ts
@@ -3,12 +3,20 @@
  */
 import type { SubmissionKey } from "@lovagepitch/types/identity";
 import { PriorityQueue } from "@lovagepitch/utils/priorityQueue";
+import type { StartOrderPolicy } from "../policies/startOrderPolicy.js";
 
-interface WaitingJob {
+/** A job as the queue needs to know it. */
+export interface QueuedJob {
     readonly submission: SubmissionKey;
     readonly team: string;
-    readonly priority: number;
+    /** Arrival, in milliseconds since the epoch. */
     readonly arrivedAtMilliseconds: number;
+    /** Expected run time of one of its tasks. */
+    readonly taskMilliseconds: number;
+}
+
+interface WaitingJob extends QueuedJob {
+    priority: number;
     /** Indexes of waiting tasks; the next one is last. */
     readonly indexes: number[];
     queued: boolean;
@@ -34,32 +42,31 @@
         return this.waitingTasks;
     }
 
+    /**
+     * @param startOrder - ranks the jobs
+     */
+    public constructor(private readonly startOrder: StartOrderPolicy) {}
+
     /**
      * Adds waiting tasks of a job.
      *
-     * @param submission - the submission
-     * @param team - its team
-     * @param priority - start order; lower starts first
-     * @param arrivedAtMilliseconds - arrival of the job
+     * @param queued - the job
      * @param indexes - indexes of the tasks
      */
-    public add(
-        submission: SubmissionKey,
-        team: string,
-        priority: number,
-        arrivedAtMilliseconds: number,
-        indexes: readonly number[],
-    ): void {
-        let job = this.jobs.get(submission);
+    public add(queued: QueuedJob, indexes: readonly number[]): void {
+        let job = this.jobs.get(queued.submission);
         if (job === undefined) {
-            job = { submission, team, priority, arrivedAtMilliseconds, indexes: [], queued: false };
-            this.jobs.set(submission, job);
+            job = { ...queued, priority: 0, indexes: [], queued: false };
+            this.jobs.set(queued.submission, job);
         }
         for (let position = indexes.length - 1; position >= 0; position -= 1) {
             job.indexes.push(indexes[position]!);
         }
         this.waitingTasks += indexes.length;
-        this.enqueue(job);
+        if (!job.queued) {
+            job.priority = this.rank(job);
+            this.enqueue(job);
+        }
     }
 
     /**
@@ -106,6 +113,8 @@
         }
         job.indexes.pop();
         this.waitingTasks -= 1;
+        // The job is first of its team, and less work can only keep it there.
+        job.priority = Math.min(job.priority, this.rank(job));
         if (job.indexes.length === 0) {
             this.jobs.delete(head.submission);
         }
@@ -125,9 +134,6 @@
     }
 
     private enqueue(job: WaitingJob): void {
-        if (job.queued) {
-            return;
-        }
         let queue = this.teams.get(job.team);
         if (queue === undefined) {
             queue = new PriorityQueue();
@@ -137,6 +143,10 @@
         queue.push(job.priority, job);
     }
 
+    private rank(job: WaitingJob): number {
+        return this.startOrder.priority(job.arrivedAtMilliseconds, job.indexes.length * job.taskMilliseconds);
+    }
+
     private firstWithTasks(queue: PriorityQueue<WaitingJob>): WaitingJob | undefined {
         for (;;) {
             const job = queue.peek();
