--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/faults.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/faults.ts
@@ -1,12 +1,14 @@
 /**
  * Faults that strike a run of the matrix. Each heals by itself, so that everything can settle.
  */
+import { defaultLinkLimits } from "@lovagepitch/links/linkLimits";
 import { healthyLink, type LinkFault } from "../../harness/network.js";
 import { createMatrixJob, createMatrixManifest } from "./matrixJobs.js";
 import type { MatrixRun } from "./matrixRun.js";
 
-/** Time in which a silent connection is replaced by a new one. */
-const reconnection = 400;
+/** Time in which a silent connection is replaced by a new one, on which everything unacknowledged is sent again. */
+const reconnection = defaultLinkLimits.acknowledgementTimeoutMilliseconds + 50;
+const shortSilence = 400;
 const shortOutage = 1000;
 const pause = 3000;
 const longOutage = 4000;
@@ -69,6 +71,14 @@
     }
 }
 
+function holdLinks(run: MatrixRun, pairs: readonly (readonly [string, string])[], milliseconds: number): void {
+    const heldUntilMilliseconds = run.deployment.clock.nowMilliseconds() + milliseconds;
+    for (const [from, to] of pairs) {
+        run.deployment.network.setFault(from, to, { ...healthyLink, heldUntilMilliseconds });
+        after(run, milliseconds, () => run.deployment.network.setFault(from, to, undefined));
+    }
+}
+
 function entryAgentPairs(run: MatrixRun): readonly (readonly [string, string])[] {
     const { entries, agents } = run.deployment;
     return agents.map(agent => [struckEntryAddress(entries), agent.address] as const);
@@ -174,10 +184,14 @@
         run.deployment.callers.setSilent(0, true);
         after(run, longOutage, () => run.deployment.callers.setSilent(0, false));
     }, { heldBackMilliseconds: longOutage, mustComplete: true }),
-    "entry and entry silent": define(run => {
-        silence(run, entryPairs(run), reconnection);
+    "connection of two entries silent": define(run => {
+        holdLinks(run, entryPairs(run), reconnection);
         resubmitElsewhere(run);
     }, completes),
+    "entry and entry silent": define(run => {
+        silence(run, entryPairs(run), shortSilence);
+        resubmitElsewhere(run);
+    }, { heldBackMilliseconds: shortSilence }),
     "entries cut off from each other": define(run => {
         silence(run, entryPairs(run));
         resubmitElsewhere(run);
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
@@ -272,7 +272,7 @@
         const run = new MatrixRun(seed);
         run.job = createMatrixJob({ tasks: 6, deadlineMilliseconds: 60_000 });
         pauseBeforeStart(run);
-        run.deployment.applyManifest(createMatrixManifest([matrixZones[0]]), 1, "operator-1", () => undefined);
+        run.deployment.applyManifest(createMatrixManifest([matrixZones[1]]), 1, "operator-1", () => undefined);
         run.deployment.advance(7000);
         run.deployment.entries[0]?.resume();
         return run;
@@ -281,7 +281,7 @@
         const run = new MatrixRun(seed);
         run.job = createMatrixJob({ tasks: 6, deadlineMilliseconds: 60_000 });
         submitLate(run, 7000);
-        run.deployment.applyManifest(createMatrixManifest([matrixZones[0]]), 1, "operator-1", () => undefined);
+        run.deployment.applyManifest(createMatrixManifest([matrixZones[1]]), 1, "operator-1", () => undefined);
         run.deployment.advance(7500);
         return run;
     },
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/targets.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/targets.ts
@@ -1,6 +1,7 @@
 /**
  * Measures the times that the system promises after a fault.
  */
+import { healthyLink } from "../../harness/network.js";
 import { createMatrixJob, createMatrixManifest } from "./matrixJobs.js";
 import { MatrixRun } from "./matrixRun.js";
 import { runUntilStarted } from "./requestSteps.js";
@@ -72,7 +73,7 @@
     return run.deployment.clock.nowMilliseconds() - silentFrom;
 }
 
-const lostLink = { lossShare: 1, extraMilliseconds: 0, jitterMilliseconds: 0, copies: 1, copyGapMilliseconds: 0 };
+const lostLink = { ...healthyLink, lossShare: 1 };
 
 function leave(seed: number): number {
     const run = new MatrixRun(seed);
--- a/packages/lovagepitch-testing/src/harness/network.ts
+++ b/packages/lovagepitch-testing/src/harness/network.ts
@@ -44,6 +44,8 @@
     readonly copies: number;
     /** Time between two copies in milliseconds. */
     readonly copyGapMilliseconds: number;
+    /** Instant before which nothing arrives, in milliseconds since the epoch: a silent connection is replaced then. */
+    readonly heldUntilMilliseconds: number;
 }
 
 /** A link without a fault; a scenario replaces what it needs. */
@@ -53,6 +55,7 @@
     jitterMilliseconds: 0,
     copies: 1,
     copyGapMilliseconds: 5,
+    heldUntilMilliseconds: 0,
 };
 
 /** A notice that an address did not answer. */
@@ -158,7 +161,8 @@
         for (let copy = 0; copy < fault.copies; copy += 1) {
             const jitter = this.random.nextFraction() * fault.jitterMilliseconds;
             const delay = latency + fault.extraMilliseconds + jitter + copy * fault.copyGapMilliseconds;
-            this.queue.schedule(this.clock.nowMilliseconds() + delay, this.deliver, { sender, endpoint, batch });
+            const sentAt = Math.max(this.clock.nowMilliseconds(), fault.heldUntilMilliseconds);
+            this.queue.schedule(sentAt + delay, this.deliver, { sender, endpoint, batch });
         }
     }
 
