test(checker): count a process's time to learn a configuration from the end of the outage it started in

A process that had a version before keeps the stated time; both are tested. The feature of process steps is renamed.

--- a/packages/lovagepitch-testing/src/__tests__/checker.feature
+++ b/packages/lovagepitch-testing/src/__tests__/checker.feature
@@ -21,6 +21,7 @@
             | gracefulLeaving      | planned stop that answered everything    |
             | configurationInForce | version in force everywhere in time      |
             | configurationInForce | version that nobody had before an outage |
+            | configurationInForce | process that started in an outage        |
 
     Scenario Outline: Rule <rule>, a record that breaks it: <record>
         Given the checker's record "<record>"
@@ -49,4 +50,5 @@
             | gracefulLeaving      | planned stop that broke a connection  | cut off                       |
             | configurationInForce | version missing in one process        | was not in force              |
             | configurationInForce | version that one process had before an outage | was not in force      |
+            | configurationInForce | process that went on in an outage     | was not in force              |
             | configurationInForce | version that fell                     | went back from version 2 to 1 |
--- a/packages/lovagepitch-testing/src/__tests__/checkerRecords.ts
+++ b/packages/lovagepitch-testing/src/__tests__/checkerRecords.ts
@@ -181,6 +181,13 @@
         spreadAfterOutage(parts);
         parts.deployment.observedVersions.push({ process: "b", version: 1, atMilliseconds: 50 });
     },
+    "process that started in an outage": parts => {
+        startInOutage(parts);
+    },
+    "process that went on in an outage": parts => {
+        parts.deployment.observedVersions.push({ process: "a", version: 1, atMilliseconds: 20 });
+        startInOutage(parts);
+    },
     "one task started at two workers": parts => {
         accept(parts, 1, zone, 0);
         start(parts, 0);
@@ -279,6 +286,15 @@
     parts.deployment.observedVersions.push({ process: "a", version: 1, atMilliseconds: 11_000 });
 }
 
+function startInOutage(parts: Parts): void {
+    accept(parts, 1, zone, 0);
+    accept(parts, 2, zone, 50);
+    parts.deployment.observedVersions.push({ process: "b", version: 2, atMilliseconds: 60 });
+    parts.deployment.platformOutages.push({ fromMilliseconds: 100, untilMilliseconds: 9000 });
+    parts.deployment.lives.push({ process: "a", fromMilliseconds: 200, untilMilliseconds: undefined });
+    parts.deployment.observedVersions.push({ process: "a", version: 2, atMilliseconds: 11_000 });
+}
+
 function plannedStop(parts: Parts): void {
     const stop = { process: "entry-1", worker: undefined, fromMilliseconds: 900, untilMilliseconds: 2000 };
     parts.deployment.plannedStops.push(stop);
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/configurations.feature
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/configurations.feature
@@ -58,6 +58,12 @@
             | caller and entry silent                   | a manifest is accepted and not spread |
             | caller and entry silent                   | a manifest is spread in part          |
 
+        Examples: connection of two entries silent
+            | fault                                     | step                                  |
+            | connection of two entries silent          | a manifest write is sent              |
+            | connection of two entries silent          | a manifest is accepted and not spread |
+            | connection of two entries silent          | a manifest is spread in part          |
+
         Examples: entry and entry silent
             | fault                                     | step                                  |
             | entry and entry silent                    | a manifest write is sent              |
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/processs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/processes.feature
@@ -94,6 +94,16 @@
             | caller and entry silent                   | an entry is stopping        |
             | caller and entry silent                   | an entry writes its answers |
 
+        Examples: connection of two entries silent
+            | fault                                     | step                        |
+            | connection of two entries silent          | an agent is registering     |
+            | connection of two entries silent          | an entry is starting        |
+            | connection of two entries silent          | a backend server is leaving |
+            | connection of two entries silent          | an agent is stopping        |
+            | connection of two entries silent          | an agent writes its ledger  |
+            | connection of two entries silent          | an entry is stopping        |
+            | connection of two entries silent          | an entry writes its answers |
+
         Examples: entry and entry silent
             | fault                                     | step                        |
             | entry and entry silent                    | an agent is registering     |
--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestPairs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/requestPairs.feature
@@ -130,6 +130,20 @@
             | caller and entry silent                   | the job is being cancelled                       |
             | caller and entry silent                   | the deadline passes                              |
 
+        Examples: connection of two entries silent
+            | fault                                     | step                                             |
+            | connection of two entries silent          | the id is issued                                 |
+            | connection of two entries silent          | the job is received and nothing recorded         |
+            | connection of two entries silent          | the key claim is sent                            |
+            | connection of two entries silent          | the tasks wait                                   |
+            | connection of two entries silent          | a start is sent and not answered                 |
+            | connection of two entries silent          | the tasks run                                    |
+            | connection of two entries silent          | the outcomes are at the agents and not delivered |
+            | connection of two entries silent          | the outcomes are delivered and no answer written |
+            | connection of two entries silent          | the answer is written and not read               |
+            | connection of two entries silent          | the job is being cancelled                       |
+            | connection of two entries silent          | the deadline passes                              |
+
         Examples: entry and entry silent
             | fault                                     | step                                             |
             | entry and entry silent                    | the id is issued                                 |
--- a/packages/lovagepitch-testing/src/checker/configurationStart.ts
+++ b/packages/lovagepitch-testing/src/checker/configurationStart.ts
@@ -1,7 +1,7 @@
 /**
- * The instant from which the time to spread a configuration counts.
+ * The instants from which the time to spread a configuration counts.
  */
-import type { AcceptedManifest, DeploymentRecord } from "./deploymentRecord.js";
+import type { AcceptedManifest, DeploymentRecord, ProcessLife } from "./deploymentRecord.js";
 
 /**
  * Finds when a configuration could begin to spread: when it was accepted, or, when the platform went down before any
@@ -26,3 +26,24 @@
     }
     return startsAt;
 }
+
+/**
+ * Finds when a process could begin to learn configurations: at its start, or, when it started during an outage of the
+ * platform and so could find neither a manifest nor a peer, when the platform came back.
+ *
+ * @param life - a life of the process
+ * @param deployment - outages and observed versions
+ * @returns milliseconds since the epoch
+ */
+export function findLearningStart(life: ProcessLife, deployment: DeploymentRecord): number {
+    const knewOne = deployment.observedVersions.some(observed =>
+        observed.process === life.process && observed.atMilliseconds <= life.fromMilliseconds
+    );
+    const outage = deployment.platformOutages.find(candidate =>
+        candidate.fromMilliseconds <= life.fromMilliseconds
+        && (candidate.untilMilliseconds ?? Number.POSITIVE_INFINITY) > life.fromMilliseconds
+    );
+    return knewOne || outage === undefined
+        ? life.fromMilliseconds
+        : outage.untilMilliseconds ?? Number.POSITIVE_INFINITY;
+}
