--- a/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
+++ b/packages/lovagepitch-testing/src/__tests__/faultMatrix/specialCases.ts
@@ -68,6 +68,10 @@
 
 function pauseBeforeStart(run: MatrixRun): void {
     run.submitJob();
+    pauseOnArrival(run);
+}
+
+function pauseOnArrival(run: MatrixRun): void {
     run.reach(() => run.events.jobArrived);
     run.deployment.entries[0]?.freezeBetweenTickAndOutputs();
     run.deployment.advance(1);
@@ -271,7 +275,9 @@
     "a start is held back until a narrower manifest is in force": seed => {
         const run = new MatrixRun(seed);
         run.job = createMatrixJob({ tasks: 6, deadlineMilliseconds: 60_000 });
-        pauseBeforeStart(run);
+        // A caller that came back elsewhere would have the submission sealed.
+        run.deployment.submit(0, run.job);
+        pauseOnArrival(run);
         run.deployment.applyManifest(createMatrixManifest([matrixZones[1]]), 1, "operator-1", () => undefined);
         run.deployment.advance(7000);
         run.deployment.entries[0]?.resume();
