--- a/packages/lovagepitch-agent/src/core/entities/agentTables.ts
+++ b/packages/lovagepitch-agent/src/core/entities/agentTables.ts
@@ -78,6 +78,8 @@
     public readonly deliveries = new Table<PairKey, DeliveryRow>();
     /** Highest start or recall of each keeper that arrived, in the order in which they rose. */
     public readonly startSequences = new Table<Incarnation, number>();
+    /** Instant at which the window is looked at again. */
+    public evictAtMilliseconds = 0;
     public runningTasks = 0;
     public ledgerBytes = 0;
 
--- a/packages/lovagepitch-agent/src/core/systems/evictLedger.ts
+++ b/packages/lovagepitch-agent/src/core/systems/evictLedger.ts
@@ -16,7 +16,21 @@
  * @param context - the tick
  */
 export function evictLedger(context: TickContext): void {
+    const { tables, now } = context;
+    if (tables.evictAtMilliseconds <= now) {
+        const due = evictExpired(context);
+        tables.evictAtMilliseconds = Math.max(due, now + evictionPauseMilliseconds);
+    }
+    if (tables.keepers.size > 0) {
+        context.wakeAt(tables.evictAtMilliseconds);
+    }
+    hasLedgerRoom(context);
+}
+
+/** Drops what the window has passed for; returns the instant at which the next record is due. */
+function evictExpired(context: TickContext): number {
     const window = context.settings.resubmissionWindowMilliseconds;
+    let nextDue = context.now + window;
     for (const [keeper] of [...context.tables.keepers.entries()]) {
         let head = findHead(context, keeper);
         while (head !== undefined && head.unfinished === 0 && head.touchedAtMilliseconds + window <= context.now) {
@@ -24,11 +38,10 @@
             head = findHead(context, keeper);
         }
         if (head !== undefined && head.unfinished === 0) {
-            const due = head.touchedAtMilliseconds + window;
-            context.wakeAt(Math.max(due, context.now + evictionPauseMilliseconds));
+            nextDue = Math.min(nextDue, head.touchedAtMilliseconds + window);
         }
     }
-    hasLedgerRoom(context);
+    return nextDue;
 }
 
 /**
--- a/packages/lovagepitch-agent/src/process/runAgent.ts
+++ b/packages/lovagepitch-agent/src/process/runAgent.ts
@@ -1,6 +1,7 @@
 /**
  * Runs an agent from its settings file until it is told to stop.
  */
+import { ConfigurationError } from "@lovagepitch/configuration/configurationError";
 import { loadAgentSettings } from "@lovagepitch/configuration/loadAgentSettings";
 import { readFile } from "node:fs/promises";
 import { AgentProcess } from "./agentProcess.js";
@@ -19,7 +20,7 @@
  * @throws ConfigurationError, LinkError or LocalServerError, whose messages name the remedy
  */
 export async function runAgent(settingsPath: string): Promise<AgentEnd> {
-    const settings = loadAgentSettings(await readFile(settingsPath, "utf8"), settingsPath);
+    const settings = loadAgentSettings(await readSettings(settingsPath), settingsPath);
     if (settings.err) {
         throw settings.val;
     }
@@ -36,3 +37,14 @@
     await agent.stop();
     return end;
 }
+
+async function readSettings(settingsPath: string): Promise<string> {
+    try {
+        return await readFile(settingsPath, "utf8");
+    }
+    catch (error) {
+        const problem = error instanceof Error ? error.message : String(error);
+        const issue = { path: "", problem, remedy: "name a settings file that this process may read" };
+        throw new ConfigurationError("unreadable", [issue], settingsPath);
+    }
+}
