--- /dev/null
+++ b/packages/lovagepitch-bench/src/capacity/experiments/agentMemory.ts
@@ -0,0 +1,73 @@
+/**
+ * Memory of an agent process at rest, by flags of the engine.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { CapacityRig } from "../capacityRig.js";
+import { Experiment, type ExperimentResult, type MeasuredRow } from "../experimentResult.js";
+import type { ProgramProcess } from "../programProcess.js";
+
+const slots = 8;
+const agentsPerVariant = 3;
+const settleMilliseconds = 10_000;
+const measureMilliseconds = 15_000;
+const megabyte = 1024 * 1024;
+
+const variants: readonly (readonly string[])[] = [
+    [],
+    ["--max-semi-space-size=1"],
+    ["--max-old-space-size=24"],
+    ["--single-threaded-gc"],
+    ["--v8-pool-size=0"],
+    ["--lite-mode"],
+    ["--no-opt"],
+    ["--max-lazy", "--no-flush-bytecode"],
+    ["--max-semi-space-size=1", "--single-threaded-gc", "--v8-pool-size=0"],
+];
+
+/** Agents at rest, started with flags of the engine. */
+export class AgentMemory extends Experiment {
+    /** {@inheritDoc Experiment.name} */
+    public override readonly name = "agent-memory";
+    /** {@inheritDoc Experiment.description} */
+    public override readonly description = "memory of agent processes at rest, by flags of the engine";
+
+    /** {@inheritDoc Experiment.run} */
+    public override async run(): Promise<ExperimentResult> {
+        const rig = await CapacityRig.start({ entries: 1, hostedAgents: 0, slots });
+        const started: { readonly flags: string; readonly processes: readonly ProgramProcess[] }[] = [];
+        let position = 0;
+        for (const flags of variants) {
+            const processes: ProgramProcess[] = [];
+            for (let number = 0; number < agentsPerVariant; number += 1) {
+                processes.push(await rig.startAgentProcess(position, slots, flags));
+                position += 1;
+            }
+            started.push({ flags: flags.join(" ") || "none", processes });
+        }
+        await rig.waitForAgents(position);
+        await sleep(settleMilliseconds);
+        const before = started.map(({ processes }) => addSeconds(processes));
+        await sleep(measureMilliseconds);
+        const rows = started.map(({ flags, processes }, index): MeasuredRow => {
+            const seconds = addSeconds(processes) - before[index]!;
+            const resident = processes.map(one => one.usage.residentBytes / megabyte);
+            return {
+                "flags": flags,
+                "least resident MB": Math.min(...resident),
+                "most resident MB": Math.max(...resident),
+                "private MB": mean(processes.map(one => one.privateBytes / megabyte)),
+                "core %": 100_000 * seconds / measureMilliseconds / processes.length,
+            };
+        });
+        await rig.stop();
+        return { rows, fits: [] };
+    }
+}
+
+function addSeconds(processes: readonly ProgramProcess[]): number {
+    return processes.reduce((sum, one) => sum + one.usage.processorSeconds, 0);
+}
+
+function mean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/packages/lovagepitch-bench/src/capacity/trafficRelay.ts
@@ -0,0 +1,112 @@
+/**
+ * Relay in front of the platform's stand-in that counts requests and bytes.
+ */
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+
+const loopback = "127.0.0.1";
+const requestLine = /^(GET|POST|PUT|DELETE) (\S+) HTTP/;
+
+/** What passed a relay. */
+export interface Traffic {
+    /** Reads of one row or object. */
+    readonly reads: number;
+    /** Listings of rows. */
+    readonly listings: number;
+    readonly writes: number;
+    /** Bytes towards the platform, headers included. */
+    readonly requestBytes: number;
+    /** Bytes from the platform, headers included. */
+    readonly responseBytes: number;
+}
+
+const noTraffic: Traffic = { reads: 0, listings: 0, writes: 0, requestBytes: 0, responseBytes: 0 };
+
+/** Passes connections on to one port of this machine. */
+export class TrafficRelay {
+    private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    private traffic: Traffic = noTraffic;
+
+    /**
+     * @param targetPort - port to pass connections on to
+     */
+    public constructor(private readonly targetPort: number) {
+        this.server = createServer(socket => this.relay(socket));
+    }
+
+    /** What passed so far. */
+    public get counts(): Traffic {
+        return this.traffic;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @returns base address
+     */
+    public async listen(): Promise<string> {
+        await new Promise<void>(resolve => {
+            this.server.listen(0, loopback, resolve);
+        });
+        return `http://${loopback}:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Stops listening and cuts every connection. */
+    public close(): void {
+        this.server.close();
+        this.sockets.forEach(socket => socket.destroy());
+    }
+
+    private relay(client: Socket): void {
+        const target = connect(this.targetPort, loopback);
+        for (const [socket, other] of [[client, target], [target, client]] as const) {
+            this.sockets.add(socket);
+            socket.on("error", () => other.destroy());
+            socket.on("close", () => {
+                this.sockets.delete(socket);
+                other.destroy();
+            });
+        }
+        client.on("data", (chunk: Buffer) => {
+            this.countRequest(chunk);
+            target.write(chunk);
+        });
+        target.on("data", (chunk: Buffer) => {
+            this.traffic = { ...this.traffic, responseBytes: this.traffic.responseBytes + chunk.length };
+            client.write(chunk);
+        });
+    }
+
+    /** The client writes a request's head as one chunk and waits for the response before it writes the next. */
+    private countRequest(chunk: Buffer): void {
+        const { traffic } = this;
+        const match = requestLine.exec(chunk.toString("latin1", 0, 200));
+        const isRead = match?.[1] === "GET";
+        const isListing = isRead && match[2]!.startsWith("/rows?");
+        this.traffic = {
+            ...traffic,
+            reads: traffic.reads + (isRead && !isListing ? 1 : 0),
+            listings: traffic.listings + (isListing ? 1 : 0),
+            writes: traffic.writes + (match !== null && !isRead ? 1 : 0),
+            requestBytes: traffic.requestBytes + chunk.length,
+        };
+    }
+}
+
+/**
+ * Subtracts an earlier count.
+ *
+ * @param later - the later count
+ * @param earlier - the earlier count
+ * @returns what passed between them
+ */
+export function subtractTraffic(later: Traffic, earlier: Traffic): Traffic {
+    return {
+        reads: later.reads - earlier.reads,
+        listings: later.listings - earlier.listings,
+        writes: later.writes - earlier.writes,
+        requestBytes: later.requestBytes - earlier.requestBytes,
+        responseBytes: later.responseBytes - earlier.responseBytes,
+    };
+}
