feat(bench): report, plot and scenarios; probes of a failing worker back off

Ruled out: agents refusing by themselves while suspect, which would stop a service whose jobs are bad. Change: the time between probes doubles from 1 s to 30 s.

--- a/packages/lovagepitch-bench/src/policy/deployments.ts
+++ b/packages/lovagepitch-bench/src/policy/deployments.ts
@@ -28,15 +28,26 @@
     readonly teams: readonly string[];
 }
 
+/** Ids are fetched before a run and outlast it. */
+const windowMilliseconds = 3_600_000;
+
+/** Settings by default, as the settings' schemas have them. */
+const measuredDeployment: DeploymentSettings = {
+    ...defaultDeployment,
+    resubmissionWindowMilliseconds: windowMilliseconds,
+    standByLimit: 3,
+    policy: { startOrder: "shortest-remaining", bids: 2, maximumEjectedShare: 0.5 },
+};
+
 /** The co-operative: three availability zones. */
 export const cooperative = createDeployment("co-operative", ["kolonnawa", "dehiwala", "maharagama"], {
-    ...defaultDeployment,
+    ...measuredDeployment,
     latencies: cooperativeLatencies,
 });
 
 /** The association: four availability zones. */
 export const association = createDeployment("association", ["ikeja", "victoria-island", "lekki", "apapa"], {
-    ...defaultDeployment,
+    ...measuredDeployment,
     latencies: associationLatencies,
 });
 
--- a/packages/lovagepitch-bench/src/policy/runDeployment.ts
+++ b/packages/lovagepitch-bench/src/policy/runDeployment.ts
@@ -33,11 +33,19 @@
     readonly teamResponses: ReadonlyMap<string, number>;
 }
 
-interface Flight {
+/** A job on its way. */
+export interface Flight {
     readonly job: BenchJob;
     readonly request: PendingRequest;
 }
 
+/** Changes a deployment while it serves; the flights fill up as jobs arrive. */
+export type Disturbance = (
+    running: InProcessDeployment,
+    startMilliseconds: number,
+    flights: readonly Flight[],
+) => void;
+
 /**
  * Runs a workload.
  *
@@ -49,7 +57,7 @@
 export function runDeployment(
     deployment: BenchDeployment,
     jobs: readonly BenchJob[],
-    disturb: (running: InProcessDeployment, startMilliseconds: number) => void = () => undefined,
+    disturb: Disturbance = () => undefined,
 ): DeploymentRun {
     const work = new Map<string, number>();
     const wasted: Record<string, number> = {};
@@ -92,7 +100,7 @@
     running: InProcessDeployment,
     deployment: BenchDeployment,
     jobs: readonly BenchJob[],
-    disturb: (running: InProcessDeployment, startMilliseconds: number) => void,
+    disturb: Disturbance,
 ): readonly Flight[] {
     const entries = deployment.settings.entries.length;
     const ids: SubmissionKey[] = [];
@@ -110,7 +118,7 @@
             flights.push({ job, request });
         }, undefined);
     });
-    disturb(running, startAt);
+    disturb(running, startAt, flights);
     running.advance((jobs.at(-1)?.arrivesAtMilliseconds ?? 0) + drainMilliseconds);
     return flights;
 }
@@ -123,7 +131,7 @@
         deadlineMilliseconds: job.deadlineMilliseconds,
         idempotent: false,
         tasks: job.tasks.map((task, index) => ({
-            payload: { milliseconds: task.milliseconds, echo: index },
+            payload: { milliseconds: task.milliseconds, echo: index, fail: job.fails === true },
             cores: 1,
             memoryMegabytes: 256,
             expectedMilliseconds: task.declaredMilliseconds,
--- /dev/null
+++ b/packages/lovagepitch-bench/src/report/createPlot.ts
@@ -0,0 +1,43 @@
+/**
+ * Plots response over ideal against load, as an SVG image.
+ */
+import { parse, View } from "vega";
+import { compile, type TopLevelSpec } from "vega-lite";
+import type { LoadMeasurement } from "../policy/measureLoad.js";
+
+const panelWidth = 360;
+const panelHeight = 240;
+const largestShownRatio = 2;
+
+/**
+ * Plots measurements.
+ *
+ * @param measurements - the runs
+ * @returns the SVG document
+ */
+export async function createPlot(measurements: readonly LoadMeasurement[]): Promise<string> {
+    const values = measurements.flatMap(({ deployment, load, policies }) =>
+        policies.map(({ policy, meanOverCentral }) => ({ deployment, load, policy, ratio: meanOverCentral }))
+    );
+    const specification: TopLevelSpec = {
+        $schema: "https://vega.github.io/schema/vega-lite/v6.json",
+        data: { values: values.filter(({ load }) => load < 1) },
+        width: panelWidth,
+        height: panelHeight,
+        mark: { type: "line", point: true, clip: true },
+        encoding: {
+            column: { field: "deployment", type: "nominal", title: "" },
+            x: { field: "load", type: "quantitative", title: "offered load", scale: { zero: false } },
+            y: {
+                field: "ratio",
+                type: "quantitative",
+                aggregate: "median",
+                title: "mean response over ideal, relative to the central queue",
+                scale: { zero: false, domainMax: largestShownRatio },
+            },
+            color: { field: "policy", type: "nominal", title: "" },
+        },
+    };
+    const view = new View(parse(compile(specification).spec), { renderer: "none" });
+    return view.toSVG();
+}
--- a/packages/lovagepitch-bench/src/workload/benchJob.ts
+++ b/packages/lovagepitch-bench/src/workload/benchJob.ts
@@ -18,6 +18,8 @@
     readonly team: string;
     readonly deadlineMilliseconds: number;
     readonly tasks: readonly BenchTask[];
+    /** Every task fails wherever it runs. */
+    readonly fails?: boolean;
 }
 
 /**
--- a/packages/lovagepitch-configuration/src/__tests__/configurationDocuments.feature
+++ b/packages/lovagepitch-configuration/src/__tests__/configurationDocuments.feature
@@ -63,15 +63,15 @@
             | entry    | maximumBodyBytes                   | 4194304             |
             | entry    | maximumWaitingTasks                | 20000               |
             | entry    | maximumAnswerBytes                 | 67108864            |
-            | entry    | policy.startOrder                  | "oldest-first"      |
-            | entry    | policy.bids                        | 4                   |
+            | entry    | policy.startOrder                  | "shortest-remaining" |
+            | entry    | policy.bids                        | 2                   |
             | entry    | policy.maximumEjectedShare         | 0.3                 |
             | entry    | platform.requestTimeoutMilliseconds | 2000               |
             | entry    | platform.writesPerSecond           | 20                  |
             | entry    | platform.readsPerSecond            | 50                  |
             | agent    | manifestPollMilliseconds           | 4000                |
             | agent    | registrationRenewMilliseconds      | 60000               |
-            | agent    | standByLimit                       | 4                   |
+            | agent    | standByLimit                       | 3                   |
             | agent    | maximumLedgerBytes                 | 16777216            |
             | agent    | backendServerTimeoutMilliseconds   | 5000                |
             | agent    | platform.writesPerSecond           | 1                   |
--- a/packages/lovagepitch-configuration/src/agentSettingsSchema.ts
+++ b/packages/lovagepitch-configuration/src/agentSettingsSchema.ts
@@ -28,7 +28,7 @@
     rack: nameSchema.describe("Name of the worker's rack."),
     cores: positiveCoresSchema.describe("Cores of the worker."),
     memoryMegabytes: positiveMegabytesSchema.describe("Memory of the worker."),
-    standByLimit: z.int().min(0).max(maximumStandByLimit).default(4)
+    standByLimit: z.int().min(0).max(maximumStandByLimit).default(3)
         .describe("Tasks that may stand by for a slot."),
     maximumLedgerBytes: z.int().min(1024).max(1024 * megabyte).default(16 * megabyte)
         .describe("Memory for the ledger, in bytes."),
--- a/packages/lovagepitch-configuration/src/entrySettingsSchema.ts
+++ b/packages/lovagepitch-configuration/src/entrySettingsSchema.ts
@@ -10,9 +10,9 @@
 const maximumBids = 1000;
 
 const policySettingsSchema = z.strictObject({
-    startOrder: z.enum(["oldest-first", "shortest-remaining"]).default("oldest-first")
+    startOrder: z.enum(["oldest-first", "shortest-remaining"]).default("shortest-remaining")
         .describe("Which waiting job starts first."),
-    bids: z.int().min(1).max(maximumBids).default(4)
+    bids: z.int().min(1).max(maximumBids).default(2)
         .describe("Agents that a waiting entry bids at."),
     maximumEjectedShare: z.number().min(0).max(1).default(0.3)
         .describe("Largest share of a service's agents that may be taken out for failing."),
--- a/packages/lovagepitch-entry/src/core/systems/agentRegistry.ts
+++ b/packages/lovagepitch-entry/src/core/systems/agentRegistry.ts
@@ -1,15 +1,17 @@
 /**
  * Keeps the table of agents: announcements, loads, incarnations and health.
  */
-import type { PeerIdentity } from "@lovagepitch/types/identity";
+import type { PeerAddress, PeerIdentity } from "@lovagepitch/types/identity";
 import type { AgentLoad, AnnounceAgent } from "@lovagepitch/types/peerMessage";
 import type { Registry } from "@lovagepitch/types/registry";
 import type { EntryState } from "../entryState.js";
 import type { AgentRow } from "../tables/agentRow.js";
 import { giveUpAgent } from "./departedAgents.js";
 
-/** Time between the tries of an agent that was taken out. */
-const probeMilliseconds = 1_000;
+/** Time before the first probe of an agent that was taken out. */
+const firstProbeMilliseconds = 1_000;
+/** Longest time between probes; each probe may cost a job. */
+const longestProbeMilliseconds = 30_000;
 
 /**
  * Takes in an announcement.
@@ -28,6 +30,7 @@
         blockedUntilMilliseconds: 0,
         ejected: false,
         probeAtMilliseconds: 0,
+        probeIntervalMilliseconds: firstProbeMilliseconds,
         configurationVersion: 0,
         ...known,
         address: sender.address,
@@ -132,11 +135,26 @@
     if (!agent.ejected && !mayEject(state, agent)) {
         return;
     }
-    state.agents.update(agent.address, { ejected: true, probeAtMilliseconds: state.now + probeMilliseconds });
-    state.wakeAt(state.now + probeMilliseconds, "place", "");
+    state.agents.update(agent.address, { ejected: true, probeIntervalMilliseconds: firstProbeMilliseconds });
+    scheduleProbe(state, agent.address);
     state.decide("ejected", "its backend server fails what it starts", placeOf(agent));
 }
 
+/**
+ * Sets the time of the next probe of an ejected agent.
+ *
+ * @param state - the entry's state
+ * @param address - address of the agent
+ */
+export function scheduleProbe(state: EntryState, address: PeerAddress): void {
+    const interval = state.agents.get(address)?.probeIntervalMilliseconds ?? firstProbeMilliseconds;
+    state.agents.update(address, {
+        probeAtMilliseconds: state.now + interval,
+        probeIntervalMilliseconds: Math.min(longestProbeMilliseconds, 2 * interval),
+    });
+    state.wakeAt(state.now + interval, "place", "");
+}
+
 function mayEject(state: EntryState, agent: AgentRow): boolean {
     const peers = [...state.agents.values()].filter(other =>
         other.services.some(service => agent.services.includes(service))
--- a/packages/lovagepitch-entry/src/core/systems/placement.ts
+++ b/packages/lovagepitch-entry/src/core/systems/placement.ts
@@ -10,6 +10,7 @@
 import type { WorkClass } from "../tables/workClass.js";
 import { countEntries, findUsableWait, fits } from "./admission.js";
 import { scheduleAgentCheck } from "./agentLiveness.js";
+import { scheduleProbe } from "./agentRegistry.js";
 import { failSubmission } from "./finishing.js";
 
 /** Agents that one placement compares at most. */
@@ -84,6 +85,9 @@
     if (agent === undefined) {
         return false;
     }
+    if (agent.ejected) {
+        scheduleProbe(state, agent.address);
+    }
     workClass.queue.take(head);
     state.countWaiting(live.job.team, -1);
     state.countStarted(live.job.team, 1);
--- a/packages/lovagepitch-entry/src/core/tables/agentRow.ts
+++ b/packages/lovagepitch-entry/src/core/tables/agentRow.ts
@@ -32,6 +32,8 @@
     readonly ejected: boolean;
     /** When an ejected agent may be tried with one task again. */
     readonly probeAtMilliseconds: number;
+    /** Time from the next probe to the one after it; doubles with each probe. */
+    readonly probeIntervalMilliseconds: number;
     /** No sign of life for too long; nothing is placed there until it is heard. */
     readonly silent: boolean;
 }
