fix(agent): read the manifest every second while there is none

Cause: an agent that started while the platform was down waited for the next poll and missed the time for a configuration in force. Change: without any manifest the core asks to read it once a second.

--- a/packages/lovagepitch-agent/src/__tests__/agentMembership.feature
+++ b/packages/lovagepitch-agent/src/__tests__/agentMembership.feature
@@ -36,6 +36,14 @@
         Then the agent has dispatched ""
         And the agent last told entry A "refused configuration-behind" of task 0 of A1
 
+    Scenario: An agent without a manifest keeps reading the platform's table
+        Given an agent without a manifest
+        When 3000 ms pass at the agent
+        Then the agent has asked to read the manifest 3 times
+        When the agent accepts manifest version 1 for "kolonnawa"
+        And 60000 ms pass at the agent
+        Then the agent has asked to read the manifest 3 times
+
     Scenario: A newer manifest refuses what stands by and lets what runs finish
         Given an agent with 1 slot and 1 place to stand by
         When entry A starts tasks "0,1" of A1 at the agent
--- a/packages/lovagepitch-agent/src/core/systems/configuration.ts
+++ b/packages/lovagepitch-agent/src/core/systems/configuration.ts
@@ -9,6 +9,8 @@
 const peerAnswerMilliseconds = 300;
 /** Pause between readings of the platform's table while this agent is behind, in milliseconds. */
 const readPauseMilliseconds = 5_000;
+/** Pause between readings while there is no manifest at all, in milliseconds. */
+const firstReadPauseMilliseconds = 1_000;
 
 /**
  * Puts a manifest in force unless it is older than the present one.
@@ -51,23 +53,23 @@
 }
 
 /**
- * Reads the platform's table when no peer has sent the newer manifest.
+ * Reads the platform's table while there is no manifest, and when no peer has sent a newer one.
  *
  * @param context - the tick
  */
 export function catchUpConfiguration(context: TickContext): void {
     const { configuration, configurationVersion } = context.tables;
-    if (configuration.readAtMilliseconds === undefined) {
-        return;
-    }
-    if (configuration.newestSeen <= configurationVersion) {
+    if (configurationVersion > 0 && configuration.newestSeen <= configurationVersion) {
         context.tables.configuration = { ...configuration, readAtMilliseconds: undefined };
         return;
     }
-    if (configuration.readAtMilliseconds <= context.now) {
+    const pause = configurationVersion === 0 ? firstReadPauseMilliseconds : readPauseMilliseconds;
+    // The process reads the table when it starts, so the first repetition comes after a pause.
+    let readAtMilliseconds = configuration.readAtMilliseconds ?? context.now + pause;
+    if (readAtMilliseconds <= context.now) {
         context.outputs.push({ type: "readManifest" });
-        const readAtMilliseconds = context.now + readPauseMilliseconds;
-        context.tables.configuration = { ...configuration, readAtMilliseconds };
+        readAtMilliseconds = context.now + pause;
     }
-    context.wakeAt(context.tables.configuration.readAtMilliseconds);
+    context.tables.configuration = { ...configuration, readAtMilliseconds };
+    context.wakeAt(readAtMilliseconds);
 }
