--- a/packages/lovagepitch-bench/src/capacity/programProcess.ts
+++ b/packages/lovagepitch-bench/src/capacity/programProcess.ts
@@ -13,6 +13,7 @@
     cli: "lovagepitch-cli/dist/main.js",
     agent: "lovagepitch-agent/dist/main.js",
     hostedAgents: "lovagepitch-bench/dist/capacity/runHostedAgents.js",
+    moduleLoad: "lovagepitch-bench/dist/capacity/runModuleLoad.js",
     backendServer: "lovagepitch-testing/dist/standIns/runBackendServer.js",
 } as const;
 
--- a/packages/lovagepitch-bench/src/runCapacity.ts
+++ b/packages/lovagepitch-bench/src/runCapacity.ts
@@ -13,11 +13,14 @@
 import { EntryMemory } from "./capacity/experiments/entryMemory.js";
 import { IdleAgents } from "./capacity/experiments/idleAgents.js";
 import { KeyClaims } from "./capacity/experiments/keyClaims.js";
+import { ModuleMemory } from "./capacity/experiments/moduleMemory.js";
 import { PlatformRequests } from "./capacity/experiments/platformRequests.js";
+import { TargetFigures } from "./capacity/experiments/targetFigures.js";
 
 const experiments: readonly Experiment[] = [
     new IdleAgents(),
     new AgentMemory(),
+    new ModuleMemory(),
     new AgentLoad(),
     new EntryLoad(),
     new EntryJobs(),
@@ -27,8 +30,10 @@
     new KeyClaims(),
     new DeadEntrySweep(),
     new ConfigurationSpread(),
+    new TargetFigures(),
 ];
 const usageExitCode = 2;
+const mostStartedProcesses = 120;
 
 const { values } = parseArgs({
     options: { experiment: { type: "string" }, json: { type: "boolean", default: false } },
@@ -39,6 +44,8 @@
     process.stderr.write(`usage: runCapacity.js --experiment NAME [--json]\n${list}\n`);
     process.exit(usageExitCode);
 }
+// Each started process has a listener that ends it with this one.
+process.setMaxListeners(mostStartedProcesses);
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
     // Ends the started processes too.
     process.once(signal, () => process.exit(1));
