fix(entry): never say not-run of an expired id; forget agents whose rows have expired

Agents that died without leaving were pinged for ever. New scenarios of the entry's decisions. The list of agents in the entry's status is gone: the command asks agents at their peer port.

--- /dev/null
+++ b/packages/lovagepitch-entry/src/__tests__/entryCore.steps.ts
@@ -0,0 +1,167 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { PeerIdentity, SubmissionKey } from "@lovagepitch/types/identity";
+import type { StartTasks } from "@lovagepitch/types/peerMessage";
+import assert from "node:assert/strict";
+import { ScriptedEntry } from "./scriptedEntry.js";
+
+let entry = new ScriptedEntry();
+let requests: number[] = [];
+let submission: SubmissionKey = "";
+let tasks = 0;
+let starts: StartTasks[] = [];
+let destinations: string[] = [];
+let registered = 0;
+
+function createAgent(name: string): PeerIdentity {
+    return { address: `10.2.0.${name.slice(1)}:7000`, incarnation: name };
+}
+
+function begin(): void {
+    entry = new ScriptedEntry();
+    requests = [];
+    starts = [];
+    destinations = [];
+    registered = 0;
+}
+
+function makeKnown(name: string): void {
+    registered += 1;
+    entry.announce(createAgent(name), registered);
+}
+
+function submit(count: number, id?: SubmissionKey): void {
+    const submitted = entry.submit(count, id);
+    requests.push(submitted.request);
+    ({ submission } = submitted);
+    tasks = count;
+    noteStarts();
+}
+
+function noteStarts(): void {
+    for (const { destination, message } of entry.takeStarts()) {
+        starts.push(message);
+        destinations.push(destination);
+    }
+}
+
+Given("a scripted entry with agent {string}", (name: string) => {
+    begin();
+    makeKnown(name);
+});
+
+Given("a scripted entry without agents", begin);
+
+Given("a submitted job of {int} task", (count: number) => submit(count));
+
+Given("a submitted job of 1 task that agent {string} runs to success", (name: string) => {
+    submit(1);
+    entry.report(createAgent(name), starts[0]!, { state: "succeeded", output: "done" });
+});
+
+When("agent {string} becomes known", makeKnown);
+
+When("the scripted job is submitted again", () => submit(tasks, submission));
+
+When("the start is sent again for lack of an answer", () => {
+    entry.advance(450);
+    noteStarts();
+    assert.ok(starts.length >= 2, "the start was sent again");
+});
+
+When("agent {string} refuses only the first start", (name: string) => {
+    const { startSequence } = starts[0]!;
+    starts = starts.slice(-1);
+    entry.report(createAgent(name), starts[0]!, { state: "refused", refusal: "busy", startSequence });
+    noteStarts();
+});
+
+When("agent {string} refuses the latest start", (name: string) => {
+    const { startSequence } = starts.at(-1)!;
+    entry.report(createAgent(name), starts.at(-1)!, { state: "refused", refusal: "busy", startSequence });
+    noteStarts();
+});
+
+When("{int} ms pass without a word of agent {string}", (milliseconds: number, name: string) => {
+    assert.ok(destinations.includes(createAgent(name).address));
+    entry.advance(milliseconds);
+    noteStarts();
+});
+
+When("a job is submitted under an id of a lost entry that expires in {int} ms", (life: number) => {
+    const registration = {
+        ...createAgent("a1"),
+        worker: "a1",
+        rack: "rack",
+        availabilityZone: "lekki",
+        cores: 16,
+        memoryMegabytes: 32_768,
+        number: 1,
+        state: "serving" as const,
+        renewedAtMilliseconds: entry.clock.nowMilliseconds(),
+    };
+    const registry = { version: 1, agents: [registration], entries: [] };
+    entry.accept({ type: "registryRead", registry });
+    submit(1, entry.foreignSubmission(life));
+    entry.advance(800);
+    entry.accept({ type: "handoverRead", incarnation: "e2", outcome: { kind: "absent" } });
+});
+
+When("agent {string} reports that it started nothing of it", (name: string) => {
+    entry.receive(createAgent(name), { type: "reportSeal", submission, reports: [], incomplete: false });
+});
+
+When("agent {string} fails every task and 100 jobs a second come for 20 s", (name: string) => {
+    const failing = createAgent(name);
+    for (let job = 0; job < 2_000; job += 1) {
+        entry.submit(1);
+        for (const { destination, message } of entry.takeStarts()) {
+            destinations.push(destination);
+            if (destination === failing.address) {
+                entry.report(failing, message, { state: "failed", reason: "broken" }, { suspect: true });
+            }
+            else {
+                // The failing agent always looks emptier than the other one.
+                entry.report(createAgent("a2"), message, { state: "succeeded", output: 1 }, { runningTasks: 4 });
+            }
+        }
+        entry.advance(10);
+    }
+});
+
+Then("both scripted answers are complete and bring different next ids", () => {
+    const answers = requests.map(request => entry.responses.get(request));
+    const next = answers.map(response => {
+        assert.ok(response?.kind === "answer" && response.answer.state === "complete");
+        return response.answer.nextSubmission;
+    });
+    assert.equal(new Set(next).size, 2);
+});
+
+Then("no other start of the scripted task is sent", () => assert.equal(starts.length, 1));
+
+Then("one other start of the scripted task is sent", () => assert.equal(starts.length, 2));
+
+Then("the scripted answer is a problem with execution {string}", (execution: string) => {
+    const response = entry.responses.get(requests.at(-1)!);
+    assert.ok(response?.kind === "problem", JSON.stringify(response));
+    assert.equal(response.problem.execution, execution);
+    assert.notEqual(response.problem.nextSubmission, undefined);
+});
+
+Then("nothing of the scripted job was started", () => assert.equal(starts.length, 0));
+
+Then("the scripted answer is failed and its task may have run", () => {
+    const response = entry.responses.get(requests.at(-1)!);
+    assert.ok(response?.kind === "answer");
+    assert.equal(response.answer.state, "failed");
+    assert.equal(response.answer.tasks[0]?.state, "may-have-run");
+});
+
+Then("nothing of the scripted job was started at agent {string}", (name: string) => {
+    assert.ok(!destinations.includes(createAgent(name).address));
+});
+
+Then("agent {string} got at most {int} scripted starts", (name: string, most: number) => {
+    const got = destinations.filter(destination => destination === createAgent(name).address).length;
+    assert.ok(got <= most, `${got} starts`);
+});
--- a/packages/lovagepitch-entry/src/__tests__/httpScene.ts
+++ b/packages/lovagepitch-entry/src/__tests__/httpScene.ts
@@ -28,15 +28,6 @@
     starts: 7,
     wastedMessages: 8,
     refusals: new Map([["quota-exceeded", 9]]),
-    agentList: [{
-        address: "127.0.0.1:7110",
-        worker: "worker-1",
-        availabilityZone: "kolonnawa",
-        configurationVersion: 12,
-        state: "serving",
-        slots: 8,
-        runningTasks: 3,
-    }],
 };
 
 /** Keeps what is logged. */
--- a/packages/lovagepitch-entry/src/__tests__/httpServer.steps.ts
+++ b/packages/lovagepitch-entry/src/__tests__/httpServer.steps.ts
@@ -318,15 +318,6 @@
             agents: 4,
             waitingTasks: 5,
             runningTasks: 6,
-            agentList: [{
-                address: "127.0.0.1:7110",
-                worker: "worker-1",
-                availabilityZone: "kolonnawa",
-                configurationVersion: 12,
-                state: "serving",
-                slots: 8,
-                runningTasks: 3,
-            }],
         });
     },
 );
--- /dev/null
+++ b/packages/lovagepitch-entry/src/__tests__/scriptedEntry.ts
@@ -0,0 +1,236 @@
+/**
+ * An entry's core with scripted agents, on a clock that the test moves.
+ */
+import type { PeerIdentity, SubmissionKey } from "@lovagepitch/types/identity";
+import type { JobRequest } from "@lovagepitch/types/job";
+import type { Manifest } from "@lovagepitch/types/manifest";
+import type { AgentLoad, OutgoingMessage, PeerMessage, StartTasks, TaskReport } from "@lovagepitch/types/peerMessage";
+import { ManualClock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
+import { EntryCore } from "../core/entryCore.js";
+import type { EntryInput } from "../core/entryInput.js";
+import type { EntryOutput, EntryResponse } from "../core/entryOutput.js";
+
+const startMilliseconds = 1_800_000_000_000;
+const windowMilliseconds = 600_000;
+const slots = 8;
+
+const manifest: Manifest = {
+    availabilityZones: ["lekki"],
+    teams: [{ name: "desk", quota: { guaranteedSlots: 4, maximumWaitingTasks: 1_000 } }],
+    services: [{
+        name: "settlement",
+        kinds: [{
+            name: "check",
+            availabilityZones: ["lekki"],
+            maximumCores: 4,
+            maximumMemoryMegabytes: 1_024,
+            maximumDeadlineMilliseconds: 60_000,
+            taskTimeoutMilliseconds: 30_000,
+        }],
+    }],
+};
+
+/** An entry under test. */
+export class ScriptedEntry {
+    /** The clock. */
+    public readonly clock = new ManualClock(startMilliseconds);
+    /** Messages that the entry sent, in order. */
+    public readonly sent: OutgoingMessage[] = [];
+    /** Responses by request. */
+    public readonly responses = new Map<number, EntryResponse>();
+    private readonly codec = new SubmissionCodec("a key of at least thirty-two characters");
+    private readonly core: EntryCore;
+    private lastRequest = 0;
+
+    /** Makes an entry that has a manifest. */
+    public constructor() {
+        this.core = new EntryCore({
+            identity: { address: "10.1.0.1:7000", incarnation: "e1" },
+            settings: {
+                availabilityZone: "lekki",
+                maximumAnswerBytes: 1_000_000,
+                maximumWaitingTasks: 1_000,
+                policy: { startOrder: "oldest-first", bids: 2, maximumEjectedShare: 0.5 },
+                resubmissionWindowMilliseconds: windowMilliseconds,
+            },
+            codec: this.codec,
+            clock: this.clock,
+            random: new RandomSource(1),
+        });
+        const versioned = { version: 1, manifest, digest: "digest", appliedBy: "operator" };
+        this.accept({ type: "manifestAccepted", manifest: versioned });
+    }
+
+    /**
+     * Hands an input in and ticks.
+     *
+     * @param input - the input
+     */
+    public accept(input: EntryInput): void {
+        this.core.accept(input);
+        this.perform(this.core.tick());
+    }
+
+    /**
+     * Lets time pass, timer by timer.
+     *
+     * @param milliseconds - how much
+     */
+    public advance(milliseconds: number): void {
+        const endAt = this.clock.nowMilliseconds() + milliseconds;
+        for (;;) {
+            const wakeAt = this.core.nextWakeMilliseconds();
+            if (wakeAt === undefined || wakeAt > endAt) {
+                break;
+            }
+            this.clock.moveTo(wakeAt);
+            this.perform(this.core.tick());
+        }
+        this.clock.moveTo(endAt);
+    }
+
+    /**
+     * Makes a registered agent known.
+     *
+     * @param agent - the agent
+     * @param number - its registration number
+     */
+    public announce(agent: PeerIdentity, number: number): void {
+        this.receive(agent, {
+            type: "announceAgent",
+            worker: agent.incarnation,
+            rack: "rack",
+            availabilityZone: "lekki",
+            cores: 16,
+            memoryMegabytes: 32_768,
+            registrationNumber: number,
+            services: ["settlement"],
+            load: createLoad({}),
+        });
+    }
+
+    /**
+     * Lets an agent send a message.
+     *
+     * @param agent - the agent
+     * @param message - the message
+     */
+    public receive(agent: PeerIdentity, message: PeerMessage): void {
+        const batch = { sender: agent, role: "agent" as const, configurationVersion: 1, messages: [message] };
+        this.accept({ type: "peerBatch", batch });
+    }
+
+    /**
+     * Lets an agent report one task.
+     *
+     * @param agent - the agent
+     * @param start - the start it answers
+     * @param report - the report
+     * @param load - how full the agent is
+     */
+    public report(
+        agent: PeerIdentity,
+        start: StartTasks,
+        report: TaskReport["report"],
+        load: Partial<AgentLoad> = {},
+    ): void {
+        const reports = start.tasks.map(task => ({ index: task.index, report }));
+        const { submission } = start;
+        this.receive(agent, { type: "reportTasks", submission, reports, load: createLoad(load), offeredSlots: 0 });
+    }
+
+    /**
+     * Submits a job of equal tasks.
+     *
+     * @param tasks - number of tasks
+     * @param submission - the id; a new one when undefined
+     * @returns the request and the id
+     */
+    public submit(tasks: number, submission?: SubmissionKey): { request: number; submission: SubmissionKey } {
+        const id = submission ?? this.issue();
+        const request = this.nextRequest();
+        this.accept({ type: "submit", request, submission: id, job: createJob(tasks) });
+        return { request, submission: id };
+    }
+
+    /**
+     * Makes an id of another entry.
+     *
+     * @param lifeMilliseconds - time until it expires; may be negative
+     * @returns the id
+     */
+    public foreignSubmission(lifeMilliseconds: number): SubmissionKey {
+        return this.codec.encode({
+            keeper: { address: "10.1.0.2:7000", incarnation: "e2" },
+            sequence: 1,
+            expiresAtMilliseconds: this.clock.nowMilliseconds() + lifeMilliseconds,
+            registryVersion: 1,
+        });
+    }
+
+    /**
+     * Takes the starts sent since the last call.
+     *
+     * @returns the starts and the addresses they went to
+     */
+    public takeStarts(): readonly { readonly destination: string; readonly message: StartTasks }[] {
+        const starts = this.sent.flatMap(({ destination, message }) =>
+            message.type === "startTasks" ? [{ destination, message }] : []
+        );
+        this.sent.length = 0;
+        return starts;
+    }
+
+    private issue(): SubmissionKey {
+        const request = this.nextRequest();
+        this.accept({ type: "issue", request, count: 1 });
+        const response = this.responses.get(request);
+        return response?.kind === "issued" ? response.submissions[0] ?? "" : "";
+    }
+
+    private nextRequest(): number {
+        this.lastRequest += 1;
+        return this.lastRequest;
+    }
+
+    private perform(outputs: readonly EntryOutput[]): void {
+        for (const output of outputs) {
+            if (output.type === "send") {
+                this.sent.push(output);
+            }
+            if (output.type === "respond") {
+                this.responses.set(output.request, output.response);
+            }
+        }
+    }
+}
+
+function createLoad(load: Partial<AgentLoad>): AgentLoad {
+    return {
+        slots,
+        runningTasks: 0,
+        standingByTasks: 0,
+        standByLimit: 3,
+        suspect: false,
+        leaving: false,
+        ...load,
+    };
+}
+
+function createJob(tasks: number): JobRequest {
+    return {
+        team: "desk",
+        service: "settlement",
+        kind: "check",
+        deadlineMilliseconds: 30_000,
+        idempotent: false,
+        tasks: Array.from({ length: tasks }, () => ({
+            payload: 1,
+            cores: 1,
+            memoryMegabytes: 1,
+            expectedMilliseconds: 100,
+        })),
+    };
+}
--- a/packages/lovagepitch-entry/src/core/entryCore.ts
+++ b/packages/lovagepitch-entry/src/core/entryCore.ts
@@ -23,7 +23,6 @@
 import { placeTasks } from "./systems/placement.js";
 import { routeRequest } from "./systems/routing.js";
 import { acceptManifest, refreshCandidates } from "./systems/workClasses.js";
-import type { AgentRow } from "./tables/agentRow.js";
 
 /** What an entry tells of itself. */
 export interface EntryStatus {
@@ -36,20 +35,6 @@
     readonly starts: number;
     readonly wastedMessages: number;
     readonly refusals: ReadonlyMap<ProblemKind, number>;
-    /** Agents as this entry knows them. */
-    readonly agentList: readonly AgentStatusLine[];
-}
-
-/** One agent as an entry knows it. */
-export interface AgentStatusLine {
-    readonly address: string;
-    readonly worker: string;
-    readonly availabilityZone: string;
-    /** Configuration version of the agent's latest message. */
-    readonly configurationVersion: number;
-    readonly state: "serving" | "leaving" | "ejected" | "silent";
-    readonly slots: number;
-    readonly runningTasks: number;
 }
 
 /** The core of an entry process. */
@@ -133,7 +118,6 @@
             starts: this.state.counters.starts,
             wastedMessages: this.state.counters.wastedMessages,
             refusals: this.state.counters.refusals,
-            agentList: [...this.state.agents.values()].map(describeAgent),
         };
     }
 
@@ -278,19 +262,3 @@
         bids: new RandomBids(policy.bids, parts.random),
     };
 }
-
-function describeAgent(agent: AgentRow): AgentStatusLine {
-    const { address, worker, availabilityZone, configurationVersion, load } = agent;
-    const { slots, runningTasks } = load;
-    return { address, worker, availabilityZone, configurationVersion, state: stateOf(agent), slots, runningTasks };
-}
-
-function stateOf(agent: AgentRow): AgentStatusLine["state"] {
-    if (agent.silent) {
-        return "silent";
-    }
-    if (agent.load.leaving) {
-        return "leaving";
-    }
-    return agent.ejected ? "ejected" : "serving";
-}
--- a/packages/lovagepitch-entry/src/core/systems/agentRegistry.ts
+++ b/packages/lovagepitch-entry/src/core/systems/agentRegistry.ts
@@ -31,7 +31,6 @@
         ejected: false,
         probeAtMilliseconds: 0,
         probeIntervalMilliseconds: firstProbeMilliseconds,
-        configurationVersion: 0,
         ...known,
         address: sender.address,
         incarnation: sender.incarnation,
@@ -110,6 +109,7 @@
     state.registry = registry;
     state.registryVersion = Math.max(state.registryVersion, registry.version);
     state.servingEntries = registry.entries.filter(entry => entry.state === "serving").length;
+    forgetRemoved(state, registry);
     for (const agent of registry.agents) {
         const known = state.agents.get(agent.address);
         if (agent.state === "serving" && known === undefined) {
@@ -123,6 +123,19 @@
     }
 }
 
+/** An agent that died without leaving is pinged until its row has expired. */
+function forgetRemoved(state: EntryState, registry: Registry): void {
+    const listed = new Set(registry.agents.map(agent => agent.incarnation));
+    for (const agent of [...state.agents.values()]) {
+        const isRemoved = agent.silent && agent.registrationNumber <= registry.version
+            && !listed.has(agent.incarnation);
+        if (isRemoved) {
+            state.agents.delete(agent.address);
+            state.candidatesStale = true;
+        }
+    }
+}
+
 /** Takes a failing agent out, but never more than the settings' share of those that offer the same services. */
 function judgeHealth(state: EntryState, agent: AgentRow): void {
     if (!agent.load.suspect) {
--- a/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
+++ b/packages/lovagepitch-entry/src/core/systems/callerRequests.ts
@@ -56,7 +56,7 @@
         return;
     }
     if (identity.expiresAtMilliseconds <= state.now) {
-        respond(state, requester, submission, { kind: "problem", problem: state.refuse(expired(state)) });
+        respond(state, requester, submission, { kind: "problem", problem: state.refuse(createExpired()) });
         return;
     }
     const isRefusedByStop = state.stopping && !request.isClaimed;
@@ -191,14 +191,18 @@
     addRequester(state, live, requester);
 }
 
-function expired(state: EntryState): Problem {
+/**
+ * Makes the refusal of an id whose time is over: records of it may have been dropped everywhere.
+ *
+ * @returns the refusal
+ */
+export function createExpired(): Problem {
     return {
         kind: "expired-submission",
         status: 410,
         detail: "The submission id has expired; what was done under it is no longer known.",
         remedy: "If nothing was ever sent under it, send the job under the id in nextSubmission.",
         execution: "may-have-run",
-        nextSubmission: state.issue(),
     };
 }
 
--- a/packages/lovagepitch-entry/src/core/systems/collectionOutcome.ts
+++ b/packages/lovagepitch-entry/src/core/systems/collectionOutcome.ts
@@ -6,6 +6,7 @@
 import type { AgentRegistration } from "@lovagepitch/types/registry";
 import type { EntryState } from "../entryState.js";
 import type { CollectionRow, SealedAgent } from "../tables/collectionRow.js";
+import { createExpired } from "./callerRequests.js";
 
 /** One started task and where it started. */
 interface FoundTask {
@@ -34,7 +35,12 @@
     if (!isSealed || row.readingAnswers) {
         return undefined;
     }
-    const isCertain = agents.every(agent => agent.state === "sealed" && !agent.incomplete);
+    // Rows of agents that are gone, and their ledgers, are kept only while the id lives.
+    const isExpired = row.identity.expiresAtMilliseconds <= state.now;
+    if (isExpired && reports.length === 0) {
+        return { kind: "problem", problem: state.refuse(createExpired()) };
+    }
+    const isCertain = !isExpired && agents.every(agent => agent.state === "sealed" && !agent.incomplete);
     if (isCertain && reports.length === 0) {
         return notRun(state);
     }
--- a/packages/lovagepitch-entry/src/core/systems/messages.ts
+++ b/packages/lovagepitch-entry/src/core/systems/messages.ts
@@ -26,9 +26,6 @@
     for (const message of batch.messages) {
         acceptMessage(state, batch, message);
     }
-    if (batch.role === "agent") {
-        state.agents.update(batch.sender.address, { configurationVersion: batch.configurationVersion });
-    }
     requestNewerManifest(state, batch);
 }
 
--- a/packages/lovagepitch-entry/src/core/systems/respond.ts
+++ b/packages/lovagepitch-entry/src/core/systems/respond.ts
@@ -39,7 +39,9 @@
     if (result.kind === "answer") {
         return { kind: "answer", answer: { ...result.answer, nextSubmission: state.issue() } };
     }
-    if (result.kind === "problem" && result.problem.execution === "not-run") {
+    const endsSubmission = result.kind === "problem"
+        && (result.problem.execution === "not-run" || result.problem.kind === "expired-submission");
+    if (endsSubmission) {
         return { kind: "problem", problem: { ...result.problem, nextSubmission: state.issue() } };
     }
     return result;
--- a/packages/lovagepitch-entry/src/core/tables/agentRow.ts
+++ b/packages/lovagepitch-entry/src/core/tables/agentRow.ts
@@ -16,8 +16,6 @@
     readonly registrationNumber: number;
     readonly services: readonly string[];
     readonly load: AgentLoad;
-    /** Configuration version of the latest message; 0 before the agent has one. */
-    readonly configurationVersion: number;
     /** Tasks sent whose start no report has acknowledged yet. */
     readonly unacknowledgedTasks: number;
     /** Slots offered to this entry that it has not used yet. */
--- a/packages/lovagepitch-entry/src/http/operatorRoutes.ts
+++ b/packages/lovagepitch-entry/src/http/operatorRoutes.ts
@@ -47,7 +47,7 @@
 
     /** `GET /status`: a summary for the operator's command. */
     public readonly status: RouteHandler = (_request, response) => {
-        const { configurationVersion, agents, waitingTasks, runningTasks, agentList } = this.parts.status();
+        const { configurationVersion, agents, waitingTasks, runningTasks } = this.parts.status();
         sendJson(response, 200, {
             incarnation: this.parts.incarnation,
             configurationVersion,
@@ -56,7 +56,6 @@
             agents,
             waitingTasks,
             runningTasks,
-            agentList,
         });
     };
 }
