--- a/admin/verify.sh
+++ b/admin/verify.sh
@@ -5,4 +5,5 @@
 node admin/format.mjs --check
 npx --no-install tsc --build
 npx --no-install eslint . --max-warnings 0
+npx --no-install knip --no-config-hints
 node admin/runTests.mjs "$@"
--- a/packages/lovagepitch-entry/src/core/systems/bidding.ts
+++ b/packages/lovagepitch-entry/src/core/systems/bidding.ts
@@ -75,7 +75,9 @@
 }
 
 function bidFor(state: EntryState, workClass: WorkClass): void {
-    const agents = usableAgents(state, workClass, state.registryVersion).filter(agent => !agent.ejected);
+    const agents = usableAgents(state, workClass, findRegistryVersion(state, workClass)).filter(agent =>
+        !agent.ejected
+    );
     if (agents.some(agent => isStanding(state, agent, workClass.service))) {
         return;
     }
@@ -91,6 +93,16 @@
     state.wakeAt(state.now + bidRefreshMilliseconds, "place", workClass.key);
 }
 
+/** Agents that are too new for every waiting job must not be bid at. */
+function findRegistryVersion(state: EntryState, workClass: WorkClass): number {
+    let newest = 0;
+    for (const head of workClass.queue.heads()) {
+        const live = state.submissions.get(head.submission);
+        newest = Math.max(newest, live?.state === "live" ? live.identity.registryVersion : 0);
+    }
+    return newest;
+}
+
 /** A bid may have been lost on its way, so it counts only for a while. */
 function isStanding(state: EntryState, agent: AgentRow, service: string): boolean {
     const bid = state.bids.get(agent.address)?.get(service);
