feat(platform): pending agents are numbered by whoever registers next

Change: an agent that loses the race leaves a pending row; the next winner numbers all pending agents in its transaction. Agents that leave withdraw the row; rows of agents that gave up are not numbered and expire.

--- a/packages/lovagepitch-platform/src/measurement/runPlatformMeasurement.ts
+++ b/packages/lovagepitch-platform/src/measurement/runPlatformMeasurement.ts
@@ -144,14 +144,15 @@
 };
 const connection = new PlatformConnection(settings, new SystemClock(), new RandomSource(1), new SystemDelay());
 const httpTable = new HttpTable(connection);
-for (const maximumClaims of claimsPerTransaction) {
-    for (const claimantCount of claimants) {
-        await measureClaims(httpTable, claimantCount, maximumClaims);
-    }
-}
+// Registrations go first, because a stand-in lists more slowly with each row that claims leave.
 for (const grouped of [false, true]) {
     for (const agents of registeringAgents) {
         await measureRegistrations(httpTable, agents, grouped);
     }
 }
+for (const maximumClaims of claimsPerTransaction) {
+    for (const claimantCount of claimants) {
+        await measureClaims(httpTable, claimantCount, maximumClaims);
+    }
+}
 await connection.close();
--- a/packages/lovagepitch-platform/src/registryRepository.ts
+++ b/packages/lovagepitch-platform/src/registryRepository.ts
@@ -5,29 +5,24 @@
 import type { AgentRegistration, EntryRegistration, Registry } from "@lovagepitch/types/registry";
 import type { Clock } from "@lovagepitch/utils/clock";
 import { Err, Ok, type Result } from "@lovagepitch/utils/result";
+import { AgentRegistrar } from "./agentRegistrar.js";
 import { OwnedRows } from "./ownedRows.js";
 import { PlatformError } from "./platformError.js";
 import {
     agentPrefix,
     agentSchema,
-    counterKey,
-    counterSchema,
+    checkServing,
     entryPrefix,
     entrySchema,
     parseRegistry,
     parseRow,
+    pendingPrefix,
     registryPrefix,
+    type UnnumberedRegistration,
+    unnumberedSchema,
 } from "./registryRows.js";
 import type { RetryPolicy } from "./retryPolicy.js";
-import type { ConditionalWrite, TableRow, TableService, WriteCondition } from "./tableService.js";
-
-/** An agent's registration before it has a number. */
-export type UnnumberedRegistration = Omit<AgentRegistration, "number">;
-
-interface Counter {
-    readonly lastNumber: number;
-    readonly condition: WriteCondition;
-}
+import type { ConditionalWrite, TableRow, TableService } from "./tableService.js";
 
 /** Registrations by incarnation, agents numbered in order. */
 export class RegistryRepository {
@@ -71,33 +66,7 @@
     public async registerAgents(
         registrations: readonly UnnumberedRegistration[],
     ): Promise<Result<readonly number[], PlatformError>> {
-        const numbers = new Map<Incarnation, number>();
-        const missing = new Map(registrations.map(registration => [registration.incarnation, registration]));
-        let failure = new PlatformError("conflict", "Too many agents register at once; wait a second and try again");
-        for (let attempt = 0; attempt < this.retries.maximumAttempts && missing.size > 0; attempt += 1) {
-            await this.retries.waitBefore(attempt);
-            const written = await this.insertAgents([...missing.values()]);
-            if (written.ok) {
-                written.val.forEach(agent => numbers.set(agent.incarnation, agent.number));
-                missing.clear();
-                break;
-            }
-            if (written.val.kind === "throttled" || written.val.kind === "invalid") {
-                return failure.kind === "unavailable" ? Err(failure) : written;
-            }
-            failure = written.val.kind === "unavailable" ? written.val : failure;
-            const found = await this.readBackAgents(written.val, [...missing.keys()]);
-            if (found.err) {
-                return found;
-            }
-            for (const agent of found.val) {
-                numbers.set(agent.incarnation, agent.number);
-                missing.delete(agent.incarnation);
-            }
-        }
-        return missing.size > 0
-            ? Err(failure)
-            : Ok(registrations.map(registration => Number(numbers.get(registration.incarnation))));
+        return new AgentRegistrar(this.table, this.retries, this.clock, this.agents, registrations).register();
     }
 
     /**
@@ -117,7 +86,19 @@
      * @returns nothing, or why the mark is not known to be durable
      */
     public async markAgentLeft(incarnation: Incarnation): Promise<Result<void, PlatformError>> {
-        return this.markLeft(this.agents, agentPrefix + incarnation);
+        const key = agentPrefix + incarnation;
+        const marked = await this.markLeft(this.agents, key);
+        if (marked.err || marked.val !== undefined) {
+            return marked.map(() => undefined);
+        }
+        // Without its pending row nobody can number the agent any more; someone may have done so just before.
+        const pending: ConditionalWrite = {
+            key: pendingPrefix + incarnation,
+            condition: { kind: "always" },
+            value: undefined,
+        };
+        const withdrawn = await this.table.write([pending]);
+        return withdrawn.err ? withdrawn : (await this.markLeft(this.agents, key)).map(() => undefined);
     }
 
     /**
@@ -168,7 +149,8 @@
      * @returns nothing, or why the mark is not known to be durable
      */
     public async markEntryLeft(incarnation: Incarnation): Promise<Result<void, PlatformError>> {
-        return this.markLeft(this.entries, entryPrefix + incarnation);
+        const marked = await this.markLeft(this.entries, entryPrefix + incarnation);
+        return marked.map(() => undefined);
     }
 
     /**
@@ -216,74 +198,6 @@
         return Ok(removed);
     }
 
-    private async insertAgents(
-        registrations: readonly UnnumberedRegistration[],
-    ): Promise<Result<readonly AgentRegistration[], PlatformError>> {
-        const counter = await this.readCounter();
-        if (counter.err) {
-            return counter;
-        }
-        const { lastNumber, condition } = counter.val;
-        const agents = registrations.map((registration, index) => ({
-            ...registration,
-            number: lastNumber + index + 1,
-        }));
-        const inserts = agents.map((agent): ConditionalWrite => ({
-            key: agentPrefix + agent.incarnation,
-            condition: { kind: "absent" },
-            value: agent,
-        }));
-        const raise = { key: counterKey, condition, value: { lastNumber: lastNumber + agents.length } };
-        const written = await this.table.write([raise, ...inserts]);
-        return written.map(etags => {
-            inserts.forEach((insert, index) => {
-                this.agents.remember(insert.key, agents[index] as AgentRegistration, String(etags[index + 1]));
-            });
-            return agents;
-        });
-    }
-
-    private async readCounter(): Promise<Result<Counter, PlatformError>> {
-        const row = await this.table.read(counterKey);
-        if (row.err) {
-            return row;
-        }
-        if (row.val !== undefined) {
-            const condition: WriteCondition = { kind: "etag", etag: row.val.etag };
-            return parseRow(row.val, counterSchema).map(({ lastNumber }) => ({ lastNumber, condition }));
-        }
-        // A counter that was deleted must not hand out the numbers of rows that are still there.
-        const registry = await this.read();
-        return registry.map(({ version }) => ({ lastNumber: version, condition: { kind: "absent" } }));
-    }
-
-    private async readBackAgents(
-        failure: PlatformError,
-        incarnations: readonly Incarnation[],
-    ): Promise<Result<readonly AgentRegistration[], PlatformError>> {
-        const onlyCounter = failure.conflictingKeys.length > 0
-            && failure.conflictingKeys.every(key => key === counterKey);
-        if (onlyCounter) {
-            return Ok([]);
-        }
-        const prefix = incarnations.length === 1 ? `${agentPrefix}${incarnations[0]}` : agentPrefix;
-        const rows = await this.table.list(prefix);
-        if (rows.err) {
-            return rows;
-        }
-        const wanted = new Set(incarnations.map(incarnation => agentPrefix + incarnation));
-        const found: AgentRegistration[] = [];
-        for (const row of rows.val.filter(candidate => wanted.has(candidate.key))) {
-            const agent = parseRow(row, agentSchema).andThen(value => checkServing(row.key, value));
-            if (agent.err) {
-                return agent;
-            }
-            this.agents.remember(row.key, agent.val, row.etag);
-            found.push(agent.val);
-        }
-        return Ok(found);
-    }
-
     private async renew<Row extends AgentRegistration | EntryRegistration>(
         rows: OwnedRows<Row>,
         key: string,
@@ -303,14 +217,13 @@
     private async markLeft<Row extends AgentRegistration | EntryRegistration>(
         rows: OwnedRows<Row>,
         key: string,
-    ): Promise<Result<void, PlatformError>> {
+    ): Promise<Result<Row | undefined, PlatformError>> {
         // The window of a row that left runs from here.
         const renewedAtMilliseconds = this.clock.nowMilliseconds();
-        const marked = await rows.update(key, {
+        return rows.update(key, {
             change: row => Ok(row.state === "left" ? row : { ...row, state: "left", renewedAtMilliseconds }),
             isApplied: row => row.state === "left",
         });
-        return marked.map(() => undefined);
     }
 
     private async listRows(): Promise<Result<readonly TableRow[], PlatformError>> {
@@ -349,20 +262,9 @@
     }
 }
 
-function checkServing<Row extends AgentRegistration | EntryRegistration>(
-    key: string,
-    row: Row,
-): Result<Row, PlatformError> {
-    if (row.state === "serving") {
-        return Ok(row);
-    }
-    const message = `The row ${key} has left for good; restart the process, so that it registers anew`;
-    return Err(new PlatformError("conflict", message));
-}
-
-function parseRegistration(row: TableRow): AgentRegistration | EntryRegistration | undefined {
-    if (row.key.startsWith(agentPrefix)) {
-        return parseRow(row, agentSchema).unwrapOr(undefined);
+function parseRegistration(row: TableRow): UnnumberedRegistration | EntryRegistration | undefined {
+    if (row.key.startsWith(agentPrefix) || row.key.startsWith(pendingPrefix)) {
+        return parseRow(row, unnumberedSchema).unwrapOr(undefined);
     }
     return row.key.startsWith(entryPrefix) ? parseRow(row, entrySchema).unwrapOr(undefined) : undefined;
 }
--- a/packages/lovagepitch-platform/src/registryRows.ts
+++ b/packages/lovagepitch-platform/src/registryRows.ts
@@ -9,8 +9,12 @@
 
 /** Start of the keys of all rows of the registry. */
 export const registryPrefix = "registry/";
+/** Start of the keys of the rows that numbering needs. */
+export const numberingPrefix = `${registryPrefix}numbering/`;
 /** Key of the row that counts agent registrations. */
-export const counterKey = `${registryPrefix}counter`;
+export const counterKey = `${numberingPrefix}counter`;
+/** Start of the keys of agents that wait for a number. */
+export const pendingPrefix = `${numberingPrefix}pending/`;
 /** Start of the keys of agents' rows. */
 export const agentPrefix = `${registryPrefix}agent/`;
 /** Start of the keys of entries' rows. */
@@ -19,8 +23,10 @@
 /** The row that counts agent registrations. */
 export const counterSchema = z.object({ lastNumber: z.int().min(0) });
 
-/** The row of an agent. */
-export const agentSchema: z.ZodType<AgentRegistration> = z.object({
+/** An agent's registration before it has a number. */
+export type UnnumberedRegistration = Omit<AgentRegistration, "number">;
+
+const unnumberedObject = z.object({
     address: z.string(),
     incarnation: z.string(),
     worker: z.string(),
@@ -28,11 +34,16 @@
     availabilityZone: z.string(),
     cores: z.number(),
     memoryMegabytes: z.number(),
-    number: z.int().min(1),
     state: z.enum(["serving", "left"]),
     renewedAtMilliseconds: z.number(),
 });
 
+/** The row of an agent that waits for a number. */
+export const unnumberedSchema: z.ZodType<UnnumberedRegistration> = unnumberedObject;
+
+/** The row of an agent. */
+export const agentSchema: z.ZodType<AgentRegistration> = unnumberedObject.extend({ number: z.int().min(1) });
+
 /** The row of an entry. */
 export const entrySchema: z.ZodType<EntryRegistration> = z.object({
     address: z.string(),
@@ -94,3 +105,21 @@
     }
     return Ok({ version, agents, entries });
 }
+
+/**
+ * Checks that a row has not left; a row that left never serves again, because sweeps read what its process left behind.
+ *
+ * @param key - the row's key
+ * @param row - the row's value
+ * @returns the value, or the error that says how to register anew
+ */
+export function checkServing<Row extends AgentRegistration | EntryRegistration>(
+    key: string,
+    row: Row,
+): Result<Row, PlatformError> {
+    if (row.state === "serving") {
+        return Ok(row);
+    }
+    const message = `The row ${key} has left for good; restart the process, so that it registers anew`;
+    return Err(new PlatformError("conflict", message));
+}
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.registry.feature
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.registry.feature
@@ -64,3 +64,41 @@
         Given a platform registry with agents "a1"
         When agent "a1" renews 1000 ms later
         Then the renewal took 1 write and 0 reads
+
+    Scenario: A pending agent is numbered by whoever registers next
+        Given a platform registry with agents "a1"
+        And a pending row of agent "a2" that is 1000 ms old in the platform registry
+        When agent "a3" registers in the platform registry
+        Then the platform registry has agents "a1, a2, a3"
+        And the platform registry has no pending rows
+        And registering agent "a2" gives the number that its row has
+
+    Scenario: A pending row that arrived after its agent was registered is cleared away
+        Given a platform registry with agents "a1"
+        And a pending row of agent "a1" that is 1000 ms old in the platform registry
+        When agent "a3" registers in the platform registry
+        Then the platform registry has agents "a1, a3"
+        And the platform registry has version 2 and shows agent "a1" as serving with number 1
+        And the platform registry has no pending rows
+
+    Scenario: Such a row in a service that does not name conflicting rows
+        Given a platform registry with agents "a1"
+        And a pending row of agent "a1" that is 1000 ms old in the platform registry
+        And a registry table that does not name conflicting rows
+        When agent "a3" registers in the platform registry
+        Then the platform registry has agents "a1, a3"
+
+    Scenario: A pending row of an agent that gave up long ago is not numbered, and expires
+        Given a platform registry with agents "a1"
+        And a pending row of agent "a2" that is 61000 ms old in the platform registry
+        When agent "a3" registers in the platform registry
+        Then the platform registry has agents "a1, a3"
+        When 700000 ms pass and expired registry rows are removed
+        Then the platform registry has no pending rows
+
+    Scenario: A pending agent that leaves cannot be numbered any more
+        Given a platform registry with agents "a1"
+        And a pending row of agent "a2" that is 1000 ms old in the platform registry
+        When agent "a2" is marked as left in the platform registry
+        And agent "a3" registers in the platform registry
+        Then the platform registry has agents "a1, a3"
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.registry.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.registry.steps.ts
@@ -1,8 +1,8 @@
 import { Before, Given, Then, When } from "@cucumber/cucumber";
-import type { PlatformError } from "@lovagepitch/platform/platformError";
+import { PlatformError } from "@lovagepitch/platform/platformError";
 import { RegistryRepository } from "@lovagepitch/platform/registryRepository";
 import { RetryPolicy } from "@lovagepitch/platform/retryPolicy";
-import type { TableRow } from "@lovagepitch/platform/tableService";
+import type { ConditionalWrite, TableRow } from "@lovagepitch/platform/tableService";
 import { ManualClock } from "@lovagepitch/utils/clock";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import type { Result } from "@lovagepitch/utils/result";
@@ -12,12 +12,14 @@
 import { createAgent } from "./platformServer.operations.js";
 import { VirtualDelay } from "./platformServer.virtualDelay.js";
 
-const counterKey = "registry/counter";
+const counterKey = "registry/numbering/counter";
+const pendingPrefix = "registry/numbering/pending/";
 const malformedKey = "registry/agent/malformed";
 
 /** A table that counts its reads, and lets something happen after a listing. */
 class ObservedTable extends MemoryTable {
     public reads = 0;
+    public namesConflicts = true;
     public afterListing: () => Promise<void> = () => Promise.resolve();
 
     public override async read(key: string): ReturnType<MemoryTable["read"]> {
@@ -25,6 +27,11 @@
         return super.read(key);
     }
 
+    public override async write(writes: readonly ConditionalWrite[]): ReturnType<MemoryTable["write"]> {
+        const result = await super.write(writes);
+        return result.mapErr(error => this.namesConflicts ? error : new PlatformError(error.kind, error.message));
+    }
+
     public override async list(prefix: string): ReturnType<MemoryTable["list"]> {
         const rows = await super.list(prefix);
         await this.afterListing();
@@ -114,6 +121,29 @@
     await table.write([{ key: counterKey, condition: { kind: "always" }, value: undefined }]);
 });
 
+Given(
+    "a pending row of agent {string} that is {int} ms old in the platform registry",
+    async (incarnation: string, ageMilliseconds: number) => {
+        const renewedAtMilliseconds = clock.nowMilliseconds() - ageMilliseconds;
+        const value = { ...createAgent(incarnation), renewedAtMilliseconds };
+        (await table.write([{ key: pendingPrefix + incarnation, condition: { kind: "absent" }, value }])).unwrap();
+    },
+);
+
+Given("a registry table that does not name conflicting rows", () => {
+    table.namesConflicts = false;
+});
+
+Then("the platform registry has no pending rows", async () => {
+    assert.deepEqual((await table.list(pendingPrefix)).unwrap(), []);
+});
+
+Then("registering agent {string} gives the number that its row has", async (incarnation: string) => {
+    const number = (await startProcess().registerAgent(createAgent(incarnation))).unwrap();
+    const agent = (await registry.read()).unwrap().agents.find(row => row.incarnation === incarnation);
+    assert.equal(number, agent?.number);
+});
+
 Given("a malformed row of an agent in the platform registry", async () => {
     await table.write([{ key: malformedKey, condition: { kind: "absent" }, value: { number: "one" } }]);
 });
