fix(platform): a read that cannot be repeated in time is unavailable, not throttled

Cause: the slow scenarios over HTTP failed now and then on a busy machine: a backoff past the deadline was reported as the process's own rate limit, although a request had been sent. The scenarios also gave every call the short deadline. Change: a retry without room keeps the first attempt's failure; a token may take half the deadline at most; in the slow scenarios only the faulty call has the short deadline. The scenario of the rate limit doubles its deadline for that.

--- a/packages/lovagepitch-platform/src/measurement/runPlatformMeasurement.ts
+++ b/packages/lovagepitch-platform/src/measurement/runPlatformMeasurement.ts
@@ -1,5 +1,6 @@
 /**
- * Measures claims and registrations against a platform that is running: `node runPlatformMeasurement.js --url URL`.
+ * Measures claims and registrations against a platform that is running:
+ * `node runPlatformMeasurement.js --url URL [--writes-per-second RATE]`.
  * It writes thousands of rows, so it is for stand-ins only.
  */
 import { SystemClock } from "@lovagepitch/utils/clock";
@@ -135,11 +136,13 @@
     });
 }
 
-const { values } = parseArgs({ options: { url: { type: "string" } } });
+const { values } = parseArgs({
+    options: { url: { type: "string" }, "writes-per-second": { type: "string", default: String(ampleRate) } },
+});
 const settings = {
     url: String(values.url),
     requestTimeoutMilliseconds,
-    writesPerSecond: ampleRate,
+    writesPerSecond: Number(values["writes-per-second"]),
     readsPerSecond: ampleRate,
 };
 const connection = new PlatformConnection(settings, new SystemClock(), new RandomSource(1), new SystemDelay());
--- a/packages/lovagepitch-platform/src/platformConnection.ts
+++ b/packages/lovagepitch-platform/src/platformConnection.ts
@@ -81,7 +81,12 @@
         let answer = await this.attempt(request, this.reads, deadline, attemptTimeout);
         for (let attempt = 1; attempt < maximumReadAttempts && this.mayRetry(answer, deadline); attempt += 1) {
             await this.readRetries.waitBefore(attempt);
-            answer = await this.attempt(request, this.reads, deadline, attemptTimeout);
+            const repeated = await this.attempt(request, this.reads, deadline, attemptTimeout);
+            if (repeated.err && repeated.val.kind === "throttled") {
+                // The rate or the deadline left no room for a retry, but the first attempt was sent.
+                return answer;
+            }
+            answer = repeated;
         }
         return answer;
     }
@@ -124,7 +129,9 @@
         deadlineMilliseconds: number,
         attemptTimeoutMilliseconds: number,
     ): Promise<Result<PlatformAnswer, PlatformError>> {
-        const wait = bucket.reserve(deadlineMilliseconds - this.clock.nowMilliseconds());
+        // A token that comes late in the deadline would leave no time for the request itself.
+        const longestWait = (deadlineMilliseconds - this.clock.nowMilliseconds()) / 2;
+        const wait = bucket.reserve(longestWait);
         if (wait === undefined) {
             const setting = bucket === this.reads ? "platform.readsPerSecond" : "platform.writesPerSecond";
             const message = `This process's limit of requests to the platform is used up; wait, or raise ${setting}`;
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.connection.feature
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.connection.feature
@@ -81,7 +81,7 @@
             | write   | unavailable |
 
     Scenario Outline: <requests> beyond the process's rate
-        Given a connection with 2 reads and 2 writes a second and a deadline of 1200 ms
+        Given a connection with 2 reads and 2 writes a second and a deadline of 2400 ms
         When 6 <requests> are made at one instant through it
         Then 4 of them are made after waits of 0, 0, 500 and 1000 ms
         And 2 of them are throttled without being sent
@@ -91,6 +91,17 @@
             | reads    |
             | writes   |
 
+    Scenario: A read whose deadline passes before it can be repeated
+        Given a scripted platform that answers 503 for every request
+        And backoff that lasts longer than the connection's deadline
+        When a row is read through the connection
+        Then the connection's result is "unavailable" after 1 request
+
+    Scenario: A read that the process's rate does not let repeat
+        Given a scripted platform that answers 503, and a connection with 1 read a second and a deadline of 500 ms
+        When a row is read through the connection
+        Then the connection's result is "unavailable" after 1 request
+
     Scenario: A transaction that is too large is not sent
         Given a scripted platform that answers 503 for every request
         When a transaction of 1001 rows is written through the connection
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.connection.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.connection.steps.ts
@@ -19,12 +19,14 @@
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
-/** Records waits instead of waiting; the clock does not move. */
+/** Records waits instead of waiting; the clock moves only when a test says so. */
 class RecordingDelay extends Delay {
     public waits: readonly number[] = [];
+    public afterWait: () => void = () => undefined;
 
     public override wait(milliseconds: number): Promise<void> {
         this.waits = [...this.waits, milliseconds];
+        this.afterWait();
         return Promise.resolve();
     }
 }
@@ -33,6 +35,7 @@
 let standIn: PlatformServer | undefined;
 let connection: PlatformConnection | undefined;
 let delay: RecordingDelay;
+let clock: ManualClock;
 let requests = 0;
 let result: Result<unknown, PlatformError>;
 let results: readonly Result<unknown, PlatformError>[] = [];
@@ -63,13 +66,14 @@
     await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
     delay = new RecordingDelay();
+    clock = new ManualClock(startMilliseconds);
     const settings = {
         url: `http://127.0.0.1:${port}/`,
         requestTimeoutMilliseconds: deadline,
         writesPerSecond: rate,
         readsPerSecond: rate,
     };
-    connection = new PlatformConnection(settings, new ManualClock(startMilliseconds), new RandomSource(1), delay);
+    connection = new PlatformConnection(settings, clock, new RandomSource(1), delay);
 }
 
 function createTable(): HttpTable {
@@ -129,6 +133,17 @@
     },
 );
 
+Given("backoff that lasts longer than the connection's deadline", () => {
+    delay.afterWait = () => clock.moveTo(clock.nowMilliseconds() + timeoutMilliseconds + 1);
+});
+
+Given(
+    "a scripted platform that answers 503, and a connection with {int} read a second and a deadline of {int} ms",
+    async (rate: number, deadline: number) => {
+        await startScripted((_, response) => answer(response, 503, "{}"), rate, deadline);
+    },
+);
+
 When(/^a row is (read|listed|written) through the connection$/, async (request: string) => {
     const table = createTable();
     const send = {
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.faultPoint.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.faultPoint.ts
@@ -23,15 +23,20 @@
         return this.reached;
     }
 
-    public async pass<Answer>(call: () => Promise<Answer>): Promise<Answer> {
+    /** Makes the call at the platform with the fault when it is this step's, else at the one without. */
+    public async pass<Service, Answer>(
+        faulty: Service,
+        clean: Service,
+        call: (service: Service) => Promise<Answer>,
+    ): Promise<Answer> {
         this.calls += 1;
         if (this.calls !== this.step) {
-            return call();
+            return call(clean);
         }
         this.reached = true;
         this.switchOn();
         try {
-            return await call();
+            return await call(faulty);
         }
         finally {
             this.switchOff();
@@ -40,42 +45,50 @@
 }
 
 class FaultyTable extends TableService {
-    public constructor(private readonly table: TableService, private readonly point: FaultPoint) {
+    public constructor(
+        private readonly faulty: TableService,
+        private readonly clean: TableService,
+        private readonly point: FaultPoint,
+    ) {
         super();
     }
 
     public override read(key: string): ReturnType<TableService["read"]> {
-        return this.point.pass(() => this.table.read(key));
+        return this.point.pass(this.faulty, this.clean, table => table.read(key));
     }
 
     public override list(prefix: string): ReturnType<TableService["list"]> {
-        return this.point.pass(() => this.table.list(prefix));
+        return this.point.pass(this.faulty, this.clean, table => table.list(prefix));
     }
 
     public override write(writes: readonly ConditionalWrite[]): ReturnType<TableService["write"]> {
-        return this.point.pass(() => this.table.write(writes));
+        return this.point.pass(this.faulty, this.clean, table => table.write(writes));
     }
 }
 
 class FaultyObjectStore extends ObjectStore {
-    public constructor(private readonly objects: ObjectStore, private readonly point: FaultPoint) {
+    public constructor(
+        private readonly faulty: ObjectStore,
+        private readonly clean: ObjectStore,
+        private readonly point: FaultPoint,
+    ) {
         super();
     }
 
     public override put(name: string, body: Uint8Array): ReturnType<ObjectStore["put"]> {
-        return this.point.pass(() => this.objects.put(name, body));
+        return this.point.pass(this.faulty, this.clean, objects => objects.put(name, body));
     }
 
     public override get(name: string): ReturnType<ObjectStore["get"]> {
-        return this.point.pass(() => this.objects.get(name));
+        return this.point.pass(this.faulty, this.clean, objects => objects.get(name));
     }
 }
 
-/** The platform as a process sees it whose one call meets a fault. */
-export function withFaultPoint(platform: PlatformFixture, point: FaultPoint): PlatformFixture {
+/** The platform as a process sees it whose one call meets a fault; all other calls have ample time. */
+export function withFaultPoint(platform: PlatformFixture, clean: PlatformFixture, point: FaultPoint): PlatformFixture {
     return {
         ...platform,
-        table: new FaultyTable(platform.table, point),
-        objects: new FaultyObjectStore(platform.objects, point),
+        table: new FaultyTable(platform.table, clean.table, point),
+        objects: new FaultyObjectStore(platform.objects, clean.objects, point),
     };
 }
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.faults.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.faults.steps.ts
@@ -66,7 +66,7 @@
     const { faults } = platform;
     await operation.prepare(createRepositories(clean));
     const point = new FaultPoint(step, () => faultCase.switchOn(faults), () => faultCase.switchOff(faults));
-    const first = await operation.run(createRepositories(withFaultPoint(platform, point)));
+    const first = await operation.run(createRepositories(withFaultPoint(platform, clean, point)));
     faults.clear();
     if (!point.wasReached) {
         return undefined;
