test(platform): registrations race for a counter that is there already

Cause: with the counter written unconditionally every scenario still passed, because all races began without a counter. Change: the races and interleavings register one agent first.

--- a/packages/lovagepitch-testing/src/__tests__/platformServer.interleavings.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.interleavings.steps.ts
@@ -144,6 +144,7 @@
             async (scheduler, fates, groups) => {
                 const table = new MemoryTable();
                 const processes = startAll(table, scheduler, fates);
+                await readCleanly(table).registry.registerAgent(createAgent("before"));
                 const turns = processes.map((_, index) => groups[index] ?? []);
                 const registered = await runTurns(
                     scheduler,
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.races.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.races.steps.ts
@@ -34,6 +34,8 @@
 
 When("{int} agents register at once on a {string} platform", longTimeout, async (agents: number, kind: string) => {
     const platform = await startPlatform(kind);
+    // A counter that is there already is raised under its tag, not inserted.
+    await createRepositories(platform).registry.registerAgent(createAgent("before"));
     numbers = await Promise.all(
         range(agents).map(async index => {
             const repositories = createRepositories(platform, index + 1);
@@ -49,6 +51,7 @@
 
 When("two processes register overlapping groups of agents at once", async () => {
     const platform = await startPlatform("memory");
+    await createRepositories(platform).registry.registerAgent(createAgent("before"));
     const groups = [["a0", "a1", "a2"], ["a2", "a1", "a3", "a4"]];
     const results = await Promise.all(groups.map(async (group, index) => {
         const repositories = createRepositories(platform, index + 1);
