fix(testing): the platform's stand-in outlives requests that break off

Cause: a broken upload or a malformed path rejected a handler's promise, which ends the process. Change: handlers are guarded; a scenario breaks off an upload and sends a malformed path. Seen: the scenario fails without the guard; both packages green with it.

--- a/packages/lovagepitch-testing/src/__tests__/platformServer.connection.feature
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.connection.feature
@@ -137,3 +137,9 @@
             | {"writes":[{"key":"","condition":{"kind":"absent"}}]}         |
             | {"writes":[{"key":"a","condition":{"kind":"never"}}]}         |
             | no JSON                                                       |
+
+    Scenario: The stand-in outlives requests that break off and malformed paths
+        Given a running stand-in of the platform
+        When an upload to the stand-in breaks off
+        And the stand-in gets a read of the path "/rows/%E0%A4%A"
+        Then the stand-in answers a read with status 404
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.connection.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.connection.steps.ts
@@ -7,8 +7,10 @@
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import type { Result } from "@lovagepitch/utils/result";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, connect as connectSocket, type Socket } from "node:net";
+import { setImmediate as setImmediatePromise } from "node:timers/promises";
 import { request as sendRequest } from "undici";
 import { type PlatformServer, startPlatformServer } from "../standIns/platformServer.js";
 import { startMilliseconds } from "./platformServer.fixture.js";
@@ -221,6 +223,20 @@
     assert.equal(await sendToStandIn("DELETE", "/faults"), 200);
 });
 
+When("an upload to the stand-in breaks off", async () => {
+    const { hostname, port } = new URL(String(standIn?.url));
+    const socket = connectSocket(Number(port), hostname);
+    await once(socket, "connect");
+    socket.write("PUT /objects/object HTTP/1.1\r\nhost: stand-in\r\ncontent-length: 100\r\n\r\nbegin");
+    await setImmediatePromise();
+    socket.destroy();
+    await once(socket, "close");
+});
+
+When("the stand-in gets a read of the path {string}", async (path: string) => {
+    assert.equal(await sendToStandIn("GET", path), 400);
+});
+
 Then("the stand-in answers a read with status {int}", async (status: number) => {
     assert.equal(await sendToStandIn("GET", "/rows/row"), status);
 });
--- a/packages/lovagepitch-testing/src/standIns/platformServer.ts
+++ b/packages/lovagepitch-testing/src/standIns/platformServer.ts
@@ -62,63 +62,96 @@
     return { url: `http://${address}:${port}`, faults, table, objects, close: () => close(server) };
 }
 
+type Handler = (request: Parameters<polka.Middleware>[0], response: ServerResponse) => Promise<void>;
+
+/** A request that breaks off or has a malformed path ends itself only, not the stand-in. */
+function guard(handle: Handler): polka.Middleware {
+    return (request, response) => {
+        handle(request, response).catch(() => {
+            if (response.headersSent || response.destroyed) {
+                response.destroy();
+                return;
+            }
+            sendJson(response, badRequestStatus, { error: "the request is malformed" });
+        });
+    };
+}
+
 function addTableRoutes(application: polka.Polka, table: MemoryTable): void {
-    application.get("/rows/:key", async (request, response) => {
-        const row = await table.read(parameter(request, "key"));
-        answer(response, table.faults, row.map(found => found === undefined ? undefined : { row: found }));
-    });
-    application.get("/rows", async (request, response) => {
-        const prefix = new URL(request.url, "http://stand-in").searchParams.get("prefix") ?? "";
-        const rows = await table.list(prefix);
-        answer(response, table.faults, rows.map(found => ({ rows: found })));
-    });
-    application.post(transactionPath, async (request, response) => {
-        const parsed = transactionSchema.safeParse(parseJson(await readBody(request, maximumTableBytes)));
-        if (!parsed.success) {
-            sendJson(response, badRequestStatus, { error: parsed.error.message });
-            return;
-        }
-        const writes = parsed.data.writes.map(({ key, condition, value }): ConditionalWrite => ({
-            key,
-            condition,
-            value,
-        }));
-        const etags = await table.write(writes);
-        answer(response, table.faults, etags.map(written => ({ etags: written })));
-    });
+    application.get(
+        "/rows/:key",
+        guard(async (request, response) => {
+            const row = await table.read(parameter(request, "key"));
+            answer(response, table.faults, row.map(found => found === undefined ? undefined : { row: found }));
+        }),
+    );
+    application.get(
+        "/rows",
+        guard(async (request, response) => {
+            const prefix = new URL(request.url, "http://stand-in").searchParams.get("prefix") ?? "";
+            const rows = await table.list(prefix);
+            answer(response, table.faults, rows.map(found => ({ rows: found })));
+        }),
+    );
+    application.post(
+        transactionPath,
+        guard(async (request, response) => {
+            const parsed = transactionSchema.safeParse(parseJson(await readBody(request, maximumTableBytes)));
+            if (!parsed.success) {
+                sendJson(response, badRequestStatus, { error: parsed.error.message });
+                return;
+            }
+            const writes = parsed.data.writes.map(({ key, condition, value }): ConditionalWrite => ({
+                key,
+                condition,
+                value,
+            }));
+            const etags = await table.write(writes);
+            answer(response, table.faults, etags.map(written => ({ etags: written })));
+        }),
+    );
 }
 
 function addObjectRoutes(application: polka.Polka, objects: MemoryObjectStore): void {
-    application.put("/objects/:name", async (request, response) => {
-        const body = await readBody(request, maximumObjectBytes);
-        if (body === undefined) {
-            sendJson(response, badRequestStatus, { error: "the object is too large" });
-            return;
-        }
-        const written = await objects.put(parameter(request, "name"), body);
-        answer(response, objects.faults, written.map(() => ({})));
-    });
-    application.get("/objects/:name", async (request, response) => {
-        const body = await objects.get(parameter(request, "name"));
-        if (body.ok && body.val !== undefined) {
-            response.writeHead(platformStatus.ok, { "content-type": "application/octet-stream" });
-            response.end(body.val);
-            return;
-        }
-        answer(response, objects.faults, body.map(() => undefined));
-    });
+    application.put(
+        "/objects/:name",
+        guard(async (request, response) => {
+            const body = await readBody(request, maximumObjectBytes);
+            if (body === undefined) {
+                sendJson(response, badRequestStatus, { error: "the object is too large" });
+                return;
+            }
+            const written = await objects.put(parameter(request, "name"), body);
+            answer(response, objects.faults, written.map(() => ({})));
+        }),
+    );
+    application.get(
+        "/objects/:name",
+        guard(async (request, response) => {
+            const body = await objects.get(parameter(request, "name"));
+            if (body.ok && body.val !== undefined) {
+                response.writeHead(platformStatus.ok, { "content-type": "application/octet-stream" });
+                response.end(body.val);
+                return;
+            }
+            answer(response, objects.faults, body.map(() => undefined));
+        }),
+    );
 }
 
 function addFaultRoutes(application: polka.Polka, faults: PlatformFaults): void {
-    application.put("/faults", async (request, response) => {
-        const settings = parseFaultSettings(parseJson(await readBody(request, maximumFaultsBytes)));
-        if (settings.err) {
-            sendJson(response, badRequestStatus, { error: settings.val.message });
-            return;
-        }
-        faults.set(settings.val);
-        sendJson(response, platformStatus.ok, faults.current);
-    });
+    application.put(
+        "/faults",
+        guard(async (request, response) => {
+            const settings = parseFaultSettings(parseJson(await readBody(request, maximumFaultsBytes)));
+            if (settings.err) {
+                sendJson(response, badRequestStatus, { error: settings.val.message });
+                return;
+            }
+            faults.set(settings.val);
+            sendJson(response, platformStatus.ok, faults.current);
+        }),
+    );
     application.delete("/faults", (_request, response) => {
         faults.clear();
         sendJson(response, platformStatus.ok, faults.current);
