fix(platform): help for pending agents fits the transaction's limit

Cause: a large group that also numbered others' pending agents could pass 1,000 writes and be refused. Change: what is helped is bounded by the writes left over.

--- a/packages/lovagepitch-platform/src/agentRegistrar.ts
+++ b/packages/lovagepitch-platform/src/agentRegistrar.ts
@@ -8,6 +8,7 @@
 import { Err, Ok, type Result } from "@lovagepitch/utils/result";
 import type { OwnedRows } from "./ownedRows.js";
 import { PlatformError } from "./platformError.js";
+import { maximumTransactionWrites } from "./platformProtocol.js";
 import {
     agentPrefix,
     agentSchema,
@@ -29,6 +30,8 @@
 const maximumHelpedAgents = 200;
 /** Pending rows that are older may be of agents that gave up, so only their owners number them. */
 const pendingLifetimeMilliseconds = 60_000;
+/** Writes that an agent with a pending row takes. */
+const writesPerAgent = 2;
 /** How many steps of backoff a pending agent is ahead of its attempts. */
 const pendingBackoffSteps = 2;
 
@@ -154,19 +157,27 @@
     private selectHelped(pendingRows: readonly TableRow[]): ReadonlyMap<string, UnnumberedRegistration> {
         const oldest = this.clock.nowMilliseconds() - pendingLifetimeMilliseconds;
         const helped = new Map<string, UnnumberedRegistration>();
+        const limit = this.computeHelpLimit();
         for (const row of pendingRows) {
+            if (helped.size >= limit) {
+                break;
+            }
             const agent = parseRow(row, unnumberedSchema);
             const isHelped = this.mayHelp && !this.isOwn(row) && !this.registeredBefore.has(row.key);
             if (isHelped && agent.ok && agent.val.renewedAtMilliseconds >= oldest) {
                 helped.set(row.key, agent.val);
             }
-            if (helped.size >= maximumHelpedAgents) {
-                break;
-            }
         }
         return helped;
     }
 
+    /** Each agent, own or helped, may need an insertion and the deletion of its pending row. */
+    private computeHelpLimit(): number {
+        const spareWrites = maximumTransactionWrites - 1 - this.registeredBefore.size
+            - writesPerAgent * this.missing.size;
+        return Math.min(maximumHelpedAgents, Math.floor(spareWrites / writesPerAgent));
+    }
+
     private learnFromConflict(error: PlatformError, helped: ReadonlyMap<string, UnnumberedRegistration>): void {
         if (error.kind !== "conflict") {
             return;
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.registry.feature
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.registry.feature
@@ -102,3 +102,9 @@
         When agent "a2" is marked as left in the platform registry
         And agent "a3" registers in the platform registry
         Then the platform registry has agents "a1, a3"
+
+    Scenario: A large group leaves no room to help others
+        Given a platform registry with agents "a1"
+        And 300 pending rows of other agents in the platform registry
+        When a group of 450 agents registers in the platform registry in one transaction of at most 1000 writes
+        Then the platform registry has 500 agents with numbers from 1 without gaps
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.registry.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.registry.steps.ts
@@ -20,6 +20,7 @@
 class ObservedTable extends MemoryTable {
     public reads = 0;
     public namesConflicts = true;
+    public largestTransaction = 0;
     public afterListing: () => Promise<void> = () => Promise.resolve();
 
     public override async read(key: string): ReturnType<MemoryTable["read"]> {
@@ -28,6 +29,7 @@
     }
 
     public override async write(writes: readonly ConditionalWrite[]): ReturnType<MemoryTable["write"]> {
+        this.largestTransaction = Math.max(this.largestTransaction, writes.length);
         const result = await super.write(writes);
         return result.mapErr(error => this.namesConflicts ? error : new PlatformError(error.kind, error.message));
     }
@@ -130,6 +132,32 @@
     },
 );
 
+Given("{int} pending rows of other agents in the platform registry", async (count: number) => {
+    const rows = Array.from({ length: count }, (_, index): ConditionalWrite => ({
+        key: `${pendingPrefix}other-${index}`,
+        condition: { kind: "absent" },
+        value: createAgent(`other-${index}`),
+    }));
+    (await table.write(rows)).unwrap();
+});
+
+When(
+    "a group of {int} agents registers in the platform registry in one transaction of at most {int} writes",
+    async (count: number, maximumWrites: number) => {
+        const group = Array.from({ length: count }, (_, index) => createAgent(`grouped-${index}`));
+        const writesBefore = table.writes;
+        (await registry.registerAgents(group)).unwrap();
+        assert.equal(table.writes - writesBefore, 1);
+        assert.ok(table.largestTransaction <= maximumWrites, `${table.largestTransaction} writes`);
+    },
+);
+
+Then("the platform registry has {int} agents with numbers from 1 without gaps", async (count: number) => {
+    const numbers = (await registry.read()).unwrap().agents.map(agent => agent.number);
+    const sorted = numbers.sort((left, right) => left - right);
+    assert.deepEqual(sorted, Array.from({ length: count }, (_, index) => index + 1));
+});
+
 Given("a registry table that does not name conflicting rows", () => {
     table.namesConflicts = false;
 });
