test(platform): interleavings of renewals, leaving and removal

Cause: a renewal that arrives late must not bring an agent back that has left. Change: fast-check over four processes and one agent, fixed seed.

--- a/packages/lovagepitch-testing/src/__tests__/platformServer.interleavings.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.interleavings.steps.ts
@@ -5,7 +5,12 @@
 import fc, { type Scheduler } from "fast-check";
 import assert from "node:assert/strict";
 import { MemoryObjectStore, MemoryTable } from "../standIns/memoryPlatform.js";
-import { createRepositories, type Repositories } from "./platformServer.fixture.js";
+import {
+    createRepositories,
+    type Repositories,
+    startMilliseconds,
+    windowMilliseconds,
+} from "./platformServer.fixture.js";
 import { createAgent, createClaim, createManifestChange } from "./platformServer.operations.js";
 import { type CallFate, ScheduledTable } from "./platformServer.scheduledTable.js";
 
@@ -200,3 +205,47 @@
         await fc.assert(property, { seed, numRuns });
     },
 );
+
+Then(
+    "in {int} interleavings of renewals an agent that was marked as left never serves again",
+    longTimeout,
+    async (numRuns: number) => {
+        const turnArbitrary = fc.constantFrom("renew", "leave", "register", "remove");
+        const turnsArbitrary = fc.array(fc.array(turnArbitrary, { minLength: 1, maxLength: 4 }), {
+            minLength: mostProcesses,
+            maxLength: mostProcesses,
+        });
+        let left = 0;
+        const property = fc.asyncProperty(
+            fc.scheduler(),
+            processesArbitrary,
+            turnsArbitrary,
+            async (scheduler, fates, ownTurns) => {
+                const table = new MemoryTable();
+                const processes = startAll(table, scheduler, fates);
+                await readCleanly(table).registry.registerAgent(createAgent("a1"));
+                const turns = processes.map((_, index) => ownTurns[index] ?? []);
+                const succeeded = await runTurns<string, unknown>(scheduler, turns, (index, turn) => {
+                    const { registry } = processes[index] as Repositories;
+                    switch (turn) {
+                        case "renew":
+                            return registry.renewAgent("a1");
+                        case "leave":
+                            return registry.markAgentLeft("a1");
+                        case "register":
+                            return registry.registerAgent(createAgent("a1"));
+                        default:
+                            return registry.removeExpired(startMilliseconds, windowMilliseconds);
+                    }
+                });
+                const [agent] = (await readCleanly(table).registry.read()).unwrap().agents;
+                const hasLeft = succeeded.some(([turn]) => turn === "leave");
+                left += hasLeft ? 1 : 0;
+                assert.equal(agent?.number, 1);
+                assert.ok(!hasLeft || agent?.state === "left");
+            },
+        );
+        await fc.assert(property, { seed, numRuns });
+        assert.ok(left > numRuns / 4, `${left} runs in which the agent left`);
+    },
+);
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.races.feature
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.races.feature
@@ -51,3 +51,6 @@
 
     Scenario: Any interleaving of applied manifests
         Then in 300 interleavings of applied manifests each version has one content and versions never fall
+
+    Scenario: Any interleaving of renewals, leaving and removal
+        Then in 300 interleavings of renewals an agent that was marked as left never serves again
