test(platform): a manifest document that was set back does not let the version fall

Cause: with the history ignored every scenario still passed. Change: a scenario sets the document back; the conflict's text fits that case too. Seen: the scenario fails with the history ignored; 13 passed, 0 failed without.

--- a/packages/lovagepitch-platform/src/manifestRepository.ts
+++ b/packages/lovagepitch-platform/src/manifestRepository.ts
@@ -214,7 +214,7 @@
 
 function createDeletedConflict(winner: ManifestWinner): ManifestApplyError {
     const { version, appliedBy } = winner;
-    const message = `The document of version ${version} by ${appliedBy} was deleted from the table; `
+    const message = `The document of version ${version} by ${appliedBy} is not in the table any more; `
         + `apply with base version ${version}, so that versions go on rising`;
     return new ManifestApplyError("conflict", message, { version, appliedBy });
 }
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.manifest.feature
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.manifest.feature
@@ -47,6 +47,15 @@
         When operator "two" applies "third" on base 2
         Then the platform accepts it as version 3
 
+    Scenario: A document that was set back does not let the version fall
+        Given a platform with manifests "first, second"
+        And the platform's manifest document was set back to version 1 with content "first"
+        When operator "two" applies "third" on base 1
+        Then the platform refuses it as a "conflict" that names version 2 by "operator"
+        When operator "two" applies "third" on base 2
+        Then the platform accepts it as version 3
+        And the platform's manifest has version 3 and content "third"
+
     Scenario: A deleted history does not let the version fall
         Given a platform with manifests "first, second"
         And the platform's manifest row "history" was deleted
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.manifest.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.manifest.steps.ts
@@ -45,6 +45,15 @@
     await table.write([{ key: `manifest/${name}`, condition: { kind: "always" }, value: undefined }]);
 });
 
+Given(
+    "the platform's manifest document was set back to version {int} with content {string}",
+    async (version: number, content: string) => {
+        const { manifest, digest, appliedBy } = createManifestChange(version - 1, content);
+        const value = { version, manifest, digest, appliedBy };
+        await table.write([{ key: "manifest/current", condition: { kind: "always" }, value }]);
+    },
+);
+
 Given("a platform whose manifest row is malformed", async () => {
     await table.write([{ key: "manifest/current", condition: { kind: "always" }, value: { version: "one" } }]);
 });
