--- a/packages/lovagepitch-platform/src/measurement/runPlatformMeasurement.ts
+++ b/packages/lovagepitch-platform/src/measurement/runPlatformMeasurement.ts
@@ -1,5 +1,6 @@
 /**
- * Measures claims and registrations against a platform that is running: `node runPlatformMeasurement.js --url URL`.
+ * Measures claims and registrations against a platform that is running:
+ * `node runPlatformMeasurement.js --url URL [--writes-per-second RATE]`.
  * It writes thousands of rows, so it is for stand-ins only.
  */
 import { SystemClock } from "@lovagepitch/utils/clock";
@@ -135,23 +136,26 @@
     });
 }
 
-const { values } = parseArgs({ options: { url: { type: "string" } } });
+const { values } = parseArgs({
+    options: { url: { type: "string" }, "writes-per-second": { type: "string", default: String(ampleRate) } },
+});
 const settings = {
     url: String(values.url),
     requestTimeoutMilliseconds,
-    writesPerSecond: ampleRate,
+    writesPerSecond: Number(values["writes-per-second"]),
     readsPerSecond: ampleRate,
 };
 const connection = new PlatformConnection(settings, new SystemClock(), new RandomSource(1), new SystemDelay());
 const httpTable = new HttpTable(connection);
-for (const maximumClaims of claimsPerTransaction) {
-    for (const claimantCount of claimants) {
-        await measureClaims(httpTable, claimantCount, maximumClaims);
-    }
-}
+// Registrations go first, because a stand-in lists more slowly with each row that claims leave.
 for (const grouped of [false, true]) {
     for (const agents of registeringAgents) {
         await measureRegistrations(httpTable, agents, grouped);
     }
 }
+for (const maximumClaims of claimsPerTransaction) {
+    for (const claimantCount of claimants) {
+        await measureClaims(httpTable, claimantCount, maximumClaims);
+    }
+}
 await connection.close();
--- a/packages/lovagepitch-testing/src/__tests__/platformServer.connection.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/platformServer.connection.steps.ts
@@ -7,8 +7,10 @@
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import type { Result } from "@lovagepitch/utils/result";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, connect as connectSocket, type Socket } from "node:net";
+import { setImmediate as setImmediatePromise } from "node:timers/promises";
 import { request as sendRequest } from "undici";
 import { type PlatformServer, startPlatformServer } from "../standIns/platformServer.js";
 import { startMilliseconds } from "./platformServer.fixture.js";
@@ -19,12 +21,14 @@
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
-/** Records waits instead of waiting; the clock does not move. */
+/** Records waits instead of waiting; the clock moves only when a test says so. */
 class RecordingDelay extends Delay {
     public waits: readonly number[] = [];
+    public afterWait: () => void = () => undefined;
 
     public override wait(milliseconds: number): Promise<void> {
         this.waits = [...this.waits, milliseconds];
+        this.afterWait();
         return Promise.resolve();
     }
 }
@@ -33,6 +37,7 @@
 let standIn: PlatformServer | undefined;
 let connection: PlatformConnection | undefined;
 let delay: RecordingDelay;
+let clock: ManualClock;
 let requests = 0;
 let result: Result<unknown, PlatformError>;
 let results: readonly Result<unknown, PlatformError>[] = [];
@@ -63,13 +68,14 @@
     await new Promise<void>(resolve => server?.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
     delay = new RecordingDelay();
+    clock = new ManualClock(startMilliseconds);
     const settings = {
         url: `http://127.0.0.1:${port}/`,
         requestTimeoutMilliseconds: deadline,
         writesPerSecond: rate,
         readsPerSecond: rate,
     };
-    connection = new PlatformConnection(settings, new ManualClock(startMilliseconds), new RandomSource(1), delay);
+    connection = new PlatformConnection(settings, clock, new RandomSource(1), delay);
 }
 
 function createTable(): HttpTable {
@@ -129,6 +135,17 @@
     },
 );
 
+Given("backoff that lasts longer than the connection's deadline", () => {
+    delay.afterWait = () => clock.moveTo(clock.nowMilliseconds() + timeoutMilliseconds + 1);
+});
+
+Given(
+    "a scripted platform that answers 503, and a connection with {int} read a second and a deadline of {int} ms",
+    async (rate: number, deadline: number) => {
+        await startScripted((_, response) => answer(response, 503, "{}"), rate, deadline);
+    },
+);
+
 When(/^a row is (read|listed|written) through the connection$/, async (request: string) => {
     const table = createTable();
     const send = {
@@ -206,6 +223,20 @@
     assert.equal(await sendToStandIn("DELETE", "/faults"), 200);
 });
 
+When("an upload to the stand-in breaks off", async () => {
+    const { hostname, port } = new URL(String(standIn?.url));
+    const socket = connectSocket(Number(port), hostname);
+    await once(socket, "connect");
+    socket.write("PUT /objects/object HTTP/1.1\r\nhost: stand-in\r\ncontent-length: 100\r\n\r\nbegin");
+    await setImmediatePromise();
+    socket.destroy();
+    await once(socket, "close");
+});
+
+When("the stand-in gets a read of the path {string}", async (path: string) => {
+    assert.equal(await sendToStandIn("GET", path), 400);
+});
+
 Then("the stand-in answers a read with status {int}", async (status: number) => {
     assert.equal(await sendToStandIn("GET", "/rows/row"), status);
 });
