--- a/packages/lovagepitch-bench/src/report/createPlot.ts
+++ b/packages/lovagepitch-bench/src/report/createPlot.ts
@@ -20,7 +20,7 @@
         policies.map(({ policy, meanOverCentral }) => ({ deployment, load, policy, ratio: meanOverCentral }))
     );
     const specification: TopLevelSpec = {
-        $schema: "https://vega.github.io/schema/vega-lite/v6.json",
+        $schema: "https://vega.github.io/schema/vega-lite/v5.json",
         data: { values: values.filter(({ load }) => load < 1) },
         width: panelWidth,
         height: panelHeight,
