--- a/packages/lovagepitch-agent/src/process/agentPlatform.ts
+++ b/packages/lovagepitch-agent/src/process/agentPlatform.ts
@@ -16,10 +16,10 @@
 import type { AgentSettings } from "@lovagepitch/types/settings";
 import type { Clock } from "@lovagepitch/utils/clock";
 import type { EventLog } from "@lovagepitch/utils/logger";
+import { Poller } from "@lovagepitch/utils/poller";
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import type { Result } from "@lovagepitch/utils/result";
 import type { AgentInput } from "../core/agentInput.js";
-import { Poller } from "./poller.js";
 
 /** Pause between attempts to read the entries until one succeeds. */
 const entriesRetryMilliseconds = 2_000;
--- a/packages/lovagepitch-entry/src/process/entryProcess.ts
+++ b/packages/lovagepitch-entry/src/process/entryProcess.ts
@@ -10,6 +10,7 @@
 import { SystemClock } from "@lovagepitch/utils/clock";
 import { createIncarnation } from "@lovagepitch/utils/incarnation";
 import { type EventLog, JsonEventLog } from "@lovagepitch/utils/logger";
+import { Poller } from "@lovagepitch/utils/poller";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import { SubmissionCodec } from "@lovagepitch/utils/submissionCodec";
 import { TickLoop } from "@lovagepitch/utils/tickLoop";
@@ -31,7 +32,6 @@
     type PlatformServices,
 } from "./platformClients.js";
 import { PlatformRequests } from "./platformRequests.js";
-import { Poller } from "./poller.js";
 import { StoreHealth } from "./storeHealth.js";
 
 const registryPollMilliseconds = 2_000;
--- a/packages/lovagepitch-entry/src/process/entryRegistrar.ts
+++ b/packages/lovagepitch-entry/src/process/entryRegistrar.ts
@@ -6,8 +6,8 @@
 import type { EntrySettings } from "@lovagepitch/types/settings";
 import type { Clock } from "@lovagepitch/utils/clock";
 import type { EventLog } from "@lovagepitch/utils/logger";
+import { Poller } from "@lovagepitch/utils/poller";
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
-import { Poller } from "./poller.js";
 import type { StoreHealth } from "./storeHealth.js";
 
 /** Time between two attempts to register. */
--- a/packages/lovagepitch-types/src/peerMessage.ts
+++ b/packages/lovagepitch-types/src/peerMessage.ts
@@ -166,7 +166,7 @@
     readonly load: AgentLoad;
 }
 
-/** Agent to agent's entry, or entry to entry: which incarnation are you? Answered by any message. */
+/** Any to any: are you there, in which incarnation, and with which configuration version? Answered by a Pong. */
 export interface Ping {
     readonly type: "ping";
 }
--- a/packages/lovagepitch-types/src/problem.ts
+++ b/packages/lovagepitch-types/src/problem.ts
@@ -5,7 +5,7 @@
 /** What is true of the work a refusal speaks of. */
 export type ProblemExecution = "not-run" | "may-have-run" | "unknown-yet";
 
-/** Kinds of refusal; each has a page in docs/callers.md. */
+/** Kinds of refusal; docs/callers.md has a row for each. */
 export type ProblemKind =
     | "malformed-request"
     | "body-too-large"
--- a/packages/lovagepitch-agent/src/process/poller.ts
+++ b/packages/lovagepitch-utils/src/poller.ts
@@ -1,7 +1,7 @@
 /**
  * Repetition of an action, one run at a time, with jitter.
  */
-import type { RandomSource } from "@lovagepitch/utils/randomSource";
+import type { RandomSource } from "./randomSource.js";
 
 /** Largest part of the pause that jitter adds or takes away. */
 const jitterShare = 0.2;
