feat(entry): Retry-After of full queues and quotas from the measured drain rate

Cause: overloaded and quota-exceeded told every caller to come back in 1 s, whatever the queue. Change: the excess over the limit divided by the measured rate, 30 s at most; 1 s while no rate was measured.

--- a/packages/lovagepitch-entry/src/__tests__/entryCore.feature
+++ b/packages/lovagepitch-entry/src/__tests__/entryCore.feature
@@ -48,3 +48,10 @@
         And agent "a2" becomes known
         When agent "a1" fails every task and 100 jobs a second come for 20 s
         Then agent "a1" got at most 9 scripted starts
+
+    Scenario: A full entry tells when its queue will have room
+        Given a scripted entry with agent "a1"
+        And a submitted job of 800 tasks
+        When agent "a1" ends 10 tasks every 100 ms for 2 s
+        And a job of 800 tasks is submitted under a new id
+        Then the scripted refusal "overloaded" asks to come back in 3000 to 8000 ms
--- a/packages/lovagepitch-entry/src/__tests__/entryCore.steps.ts
+++ b/packages/lovagepitch-entry/src/__tests__/entryCore.steps.ts
@@ -51,7 +51,7 @@
 
 Given("a scripted entry without agents", begin);
 
-Given("a submitted job of {int} task", (count: number) => submit(count));
+Given("a submitted job of {int} task(s)", (count: number) => submit(count));
 
 Given("a submitted job of 1 task that agent {string} runs to success", (name: string) => {
     submit(1);
@@ -128,6 +128,33 @@
     }
 });
 
+When("agent {string} ends {int} tasks every {int} ms for 2 s", (name: string, count: number, pause: number) => {
+    const agent = createAgent(name);
+    const sent = starts.flatMap(start => start.tasks.map(task => ({ ...start, tasks: [task] })));
+    for (let passed = 0; passed < 2_000; passed += pause) {
+        entry.advance(pause);
+        for (const { message } of entry.takeStarts()) {
+            sent.push(...message.tasks.map(task => ({ ...message, tasks: [task] })));
+        }
+        for (const start of sent.splice(0, count)) {
+            entry.report(agent, start, { state: "succeeded", output: 1 });
+        }
+    }
+});
+
+When("a job of {int} tasks is submitted under a new id", (count: number) => submit(count));
+
+Then(
+    "the scripted refusal {string} asks to come back in {int} to {int} ms",
+    (kind: string, least: number, most: number) => {
+        const response = entry.responses.get(requests.at(-1)!);
+        assert.ok(response?.kind === "problem", JSON.stringify(response));
+        assert.equal(response.problem.kind, kind);
+        const retry = response.problem.retryAfterMilliseconds ?? 0;
+        assert.ok(retry >= least && retry <= most, `${retry} ms`);
+    },
+);
+
 Then("both scripted answers are complete and bring different next ids", () => {
     const answers = requests.map(request => entry.responses.get(request));
     const next = answers.map(response => {
--- a/packages/lovagepitch-entry/src/core/systems/admission.ts
+++ b/packages/lovagepitch-entry/src/core/systems/admission.ts
@@ -17,6 +17,8 @@
 const leastWaitShare = 0.1;
 /** When to come back after a refusal that passes by itself. */
 const shortRetryMilliseconds = 1_000;
+/** Longest time that a caller is told to stay away while a queue drains. */
+const longestRetryMilliseconds = 30_000;
 /** When to come back after a refusal that an operator has to mend. */
 const longRetryMilliseconds = 5_000;
 
@@ -48,7 +50,7 @@
     const workClass = found.val;
     const refusal = checkSizes(job, workClass)
         ?? checkPlaces(state, job, workClass, identity)
-        ?? checkQueue(state, job)
+        ?? checkQueue(state, job, workClass)
         ?? checkDeadline(job, workClass);
     return refusal === undefined ? Ok(workClass) : Err(state.refuse(refusal));
 }
@@ -167,14 +169,14 @@
     return task.cores <= agent.cores && task.memoryMegabytes <= agent.memoryMegabytes;
 }
 
-function checkQueue(state: EntryState, job: JobRequest): Problem | undefined {
+function checkQueue(state: EntryState, job: JobRequest, workClass: WorkClass): Problem | undefined {
     const limit = state.parts.settings.maximumWaitingTasks;
     if (state.waitingTasks + job.tasks.length > limit) {
         return notRun("overloaded", {
             status: 503,
             detail: `${state.waitingTasks} tasks wait at this entry; its limit is ${limit}.`,
             remedy: "Come back after the time in Retry-After.",
-            retryAfterMilliseconds: shortRetryMilliseconds,
+            retryAfterMilliseconds: estimateRetry(workClass, state.waitingTasks + job.tasks.length - limit),
         });
     }
     const team = state.manifest?.manifest.teams.find(candidate => candidate.name === job.team);
@@ -185,12 +187,21 @@
             status: 429,
             detail: `Team "${job.team}" has ${held} tasks at this entry; its share of the quota is ${share}.`,
             remedy: "Come back when some have finished, or have the operator raise the quota.",
-            retryAfterMilliseconds: shortRetryMilliseconds,
+            retryAfterMilliseconds: estimateRetry(workClass, held + job.tasks.length - share),
         });
     }
     return undefined;
 }
 
+/** Time until the queue has room, by the measured drain rate. */
+function estimateRetry(workClass: WorkClass, excessTasks: number): number {
+    const rate = workClass.drainRate.startsPerMillisecond();
+    if (rate === undefined || rate === 0) {
+        return shortRetryMilliseconds;
+    }
+    return Math.min(longestRetryMilliseconds, excessTasks / rate);
+}
+
 /**
  * Counts the entries that share the quotas.
  *
