--- /dev/null
+++ b/admin/bundle.mjs
@@ -0,0 +1,31 @@
+// Bundles the two programs of the users' platform into target/, from the sources; one file starts faster than many.
+import { build } from "esbuild";
+
+/** Resolves imports of the workspace's packages to their sources, so that no other build has to run before. */
+const workspaceSources = {
+    name: "workspace-sources",
+    setup(context) {
+        context.onResolve({ filter: /^@lovagepitch\/(types|utils|direct)\// }, argument => {
+            const [, name, ...rest] = argument.path.split("/");
+            return context.resolve(`./packages/lovagepitch-${name}/src/${rest.join("/")}.ts`, {
+                kind: argument.kind,
+                resolveDir: process.cwd(),
+            });
+        });
+    },
+};
+
+await build({
+    entryPoints: { "lovagepitch-entry": "platform/src/runEntry.ts", "lovagepitch-agent": "platform/src/runAgent.ts" },
+    outdir: "target",
+    outExtension: { ".js": ".mjs" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    // Packages in CommonJS call require.
+    banner: { js: "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);" },
+    plugins: [workspaceSources],
+    legalComments: "none",
+    logLevel: "warning",
+});
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -0,0 +1,116 @@
+/**
+ * Decisions of an agent: what may start on its worker, and what has to stop there.
+ */
+import type { Clock } from "@lovagepitch/utils/clock";
+import { Core } from "@lovagepitch/utils/core";
+import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import type { AgentInput, AgentOutput } from "./agentPorts.js";
+import { type AgentIdentity, AgentState } from "./agentState.js";
+import {
+    connectEntries,
+    receiveAddresses,
+    receiveConnected,
+    receiveDisconnected,
+    receiveEntryFrame,
+    sendFrames,
+    stopOrphans,
+} from "./entryLinks.js";
+import { stopStalledRuns } from "./stalls.js";
+import { receiveStartAnswer, receiveStopAnswer, repeatStops } from "./starts.js";
+import {
+    expireLease,
+    receiveLeave,
+    receiveReport,
+    receiveView,
+    receiveViewFailure,
+    requestView,
+} from "./workerViews.js";
+
+/** Longest time between ticks: silence, stalls and repeated stops are noticed this late at most. */
+const tickMilliseconds = heartbeatIntervalMilliseconds / 4;
+
+/** The agent's core. */
+export class AgentCore extends Core<AgentInput, AgentOutput> {
+    private readonly state: AgentState;
+    private readonly lastSentAt = new Map<string, number>();
+    private inputs: AgentInput[] = [];
+
+    /**
+     * @param identity - the process
+     * @param clock - steady clock
+     */
+    public constructor(identity: AgentIdentity, clock: Clock) {
+        super();
+        this.state = new AgentState(identity, clock);
+    }
+
+    /** {@inheritDoc Core.accept} */
+    public override accept(input: AgentInput): void {
+        this.inputs.push(input);
+    }
+
+    /** {@inheritDoc Core.tick} */
+    public override tick(): readonly AgentOutput[] {
+        const { state } = this;
+        const inputs = this.inputs;
+        this.inputs = [];
+        for (const input of inputs) {
+            this.receive(input);
+        }
+        expireLease(state);
+        stopOrphans(state);
+        stopStalledRuns(state);
+        repeatStops(state);
+        requestView(state);
+        connectEntries(state);
+        sendFrames(state, this.lastSentAt);
+        this.finishShutdown();
+        return state.outputs.splice(0);
+    }
+
+    /** {@inheritDoc Core.nextWakeMilliseconds} */
+    public override nextWakeMilliseconds(): number | undefined {
+        return this.state.hasStopped ? undefined : this.state.now + tickMilliseconds;
+    }
+
+    private receive(input: AgentInput): void {
+        const { state } = this;
+        switch (input.kind) {
+            case "worker-reported":
+                return receiveReport(state, input.report);
+            case "worker-left":
+                return receiveLeave(state, input.worker);
+            case "view":
+                return receiveView(state, input.call, input.view);
+            case "view-failed":
+                return receiveViewFailure(state, input.call, input.outcome);
+            case "start-answered":
+                return input.worker === state.worker?.report.id
+                    ? receiveStartAnswer(state, input.run, input.outcome)
+                    : undefined;
+            case "stop-answered":
+                return input.worker === state.worker?.report.id
+                    ? receiveStopAnswer(state, input.run, input.outcome)
+                    : undefined;
+            case "connected":
+                return receiveConnected(state, input.address);
+            case "disconnected":
+                return receiveDisconnected(state, input.address, input.refused);
+            case "frame":
+                return receiveEntryFrame(state, input.address, input.frame);
+            case "entries-found":
+                return receiveAddresses(state, input.addresses);
+            case "shut-down":
+                state.isShuttingDown = true;
+                state.markOutdated();
+        }
+    }
+
+    private finishShutdown(): void {
+        const { state } = this;
+        if (state.isShuttingDown && !state.hasStopped && state.runs.size === 0) {
+            state.hasStopped = true;
+            state.outputs.push({ kind: "stopped" });
+        }
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -0,0 +1,156 @@
+/**
+ * Tables of an agent.
+ */
+import type { Clock } from "@lovagepitch/utils/clock";
+import { Table } from "@lovagepitch/utils/table";
+import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
+import { addResources, noResources, type Resources, subtractResources } from "../model/resources.js";
+import type { WorkerReport } from "../model/workerStatus.js";
+import type { AgentOutput } from "./agentPorts.js";
+
+/** A run that occupies the worker, or may. */
+export interface RunRow {
+    readonly identity: RunIdentity;
+    /** Undefined for a run that was found at the worker and that this process did not start. */
+    readonly order: StartOrder | undefined;
+    /** Incarnation of the entry that ordered it; undefined for one that was found. */
+    readonly entry: string | undefined;
+    readonly state:
+        /** The start has no answer yet. */
+        | "starting"
+        | "running"
+        /** A stop is under way; it is repeated until the worker answers. */
+        | "stopping"
+        /** The worker has confirmed the stop; the run is gone once a later view does not list it. */
+        | "stopped";
+    readonly orderedAt: number;
+    /** When the latest order about the run was sent. */
+    readonly lastOrderAt: number;
+    /** First view call that shows the effect of the worker's answer to the start or stop. */
+    readonly visibleFromCall: number;
+    readonly percent: number;
+    readonly percentChangedAt: number;
+    /** What the entry is told when the worker lists the run as stopped. */
+    readonly stopReason: "stopped" | "stalled" | "not-started";
+}
+
+/** An entry that the agent is, or was, connected to. */
+export interface EntryRow {
+    readonly address: string;
+    readonly connection: "open" | "opening" | "closed";
+    /** Incarnation of the entry's process; undefined until it has sent a frame. */
+    readonly incarnation: string | undefined;
+    /** The lease of the entry's runs counts from here. */
+    readonly aliveAt: number;
+    readonly lastFrameAt: number;
+    readonly includedSequence: number;
+    readonly hasGreeted: boolean;
+    readonly configurationVersion: number;
+    readonly retryAt: number;
+    readonly pendingEnds: readonly EndedRun[];
+    /** True when something changed that the entry should know. */
+    readonly isOutdated: boolean;
+}
+
+/** The worker's present life. */
+export interface WorkerRow {
+    readonly report: WorkerReport;
+    /** Orders carry it; higher than that of an earlier process of this agent. */
+    readonly epoch: number | undefined;
+    /** The worker's clock minus the agent's. */
+    readonly clockOffset: number;
+    readonly acknowledgedEnds: number;
+    /** When the latest view that extended the lease was sent. */
+    readonly leaseSentAt: number;
+    readonly answeredAt: number;
+    /** False after a call without an answer, until one is answered. */
+    readonly isResponsive: boolean;
+    readonly callInFlight: number | undefined;
+    readonly nextCallAt: number;
+}
+
+/** Facts about the agent's own process. */
+export interface AgentIdentity {
+    /** Names one start of the process. */
+    readonly incarnation: string;
+    readonly instance: string;
+    readonly availabilityZone: string;
+}
+
+/** Everything that an agent knows. */
+export class AgentState {
+    public readonly runs = new Table<string, RunRow>();
+    public readonly entries = new Table<string, EntryRow>();
+    /** Ends of the last seconds by entry incarnation, for an entry that connects again. */
+    public readonly recentEnds = new Table<string, readonly (EndedRun & { readonly endedAt: number })[]>();
+    public worker: WorkerRow | undefined;
+    /** Report of another life than the present one; it is used when the present one turns out to be over. */
+    public candidate: WorkerReport | undefined;
+    public configuration: DispatchConfiguration | undefined;
+    public isShuttingDown = false;
+    public hasStopped = false;
+    public nextCall = 1;
+    public slowness = 1;
+    public readonly outputs: AgentOutput[] = [];
+    private occupied: Resources = noResources;
+
+    /**
+     * @param identity - the process
+     * @param clock - steady clock
+     */
+    public constructor(public readonly identity: AgentIdentity, public readonly clock: Clock) {}
+
+    /** The steady time, in milliseconds. */
+    public get now(): number {
+        return this.clock.nowMilliseconds();
+    }
+
+    /** What no run occupies. */
+    public get free(): Resources {
+        return subtractResources(this.worker?.report.capacity ?? noResources, this.occupied);
+    }
+
+    /**
+     * Adds a run; it occupies the worker from now on.
+     *
+     * @param row - the run
+     */
+    public addRun(row: RunRow): void {
+        this.runs.set(formatRunKey(row.identity), row);
+        this.occupied = addResources(this.occupied, row.order?.needs ?? noResources);
+        this.markOutdated();
+    }
+
+    /**
+     * Removes a run and frees what it occupied.
+     *
+     * @param row - the run
+     */
+    public removeRun(row: RunRow): void {
+        if (this.runs.delete(formatRunKey(row.identity))) {
+            this.occupied = subtractResources(this.occupied, row.order?.needs ?? noResources);
+            this.markOutdated();
+        }
+    }
+
+    /** Has every entry told of a change with the next frames. */
+    public markOutdated(): void {
+        for (const row of this.entries.values()) {
+            if (!row.isOutdated) {
+                this.entries.set(row.address, { ...row, isOutdated: true });
+            }
+        }
+    }
+
+    /**
+     * Writes a log line.
+     *
+     * @param level - severity
+     * @param event - what happened
+     * @param fields - facts that decided it
+     */
+    public log(level: "info" | "warn", event: string, fields: Readonly<Record<string, unknown>>): void {
+        this.outputs.push({ kind: "log", level, event, fields });
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -0,0 +1,246 @@
+/**
+ * The agent's connections to entries, and the lease that each entry holds on its runs.
+ */
+import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import { type AgentFrame, type EntryFrame, formatRunKey } from "../model/frames.js";
+import { entryLeaseMilliseconds, heartbeatIntervalMilliseconds } from "../model/timing.js";
+import type { WorkerStatus } from "../model/workerStatus.js";
+import type { AgentState, EntryRow } from "./agentState.js";
+import { acceptsTasks, receiveStart, stopRun } from "./starts.js";
+
+/** Pause before an entry's address is tried again; entries restart within a second or two. */
+const reconnectMilliseconds = 200;
+
+/** A connection that brings nothing for this long is replaced; the entry's lease still has room for a new one. */
+const silentConnectionMilliseconds = 300;
+
+/**
+ * Takes addresses of entries; known ones are left as they are.
+ *
+ * @param state - the agent
+ * @param addresses - where entries listen, as host and port
+ */
+export function receiveAddresses(state: AgentState, addresses: readonly string[]): void {
+    for (const address of addresses) {
+        if (!state.entries.has(address)) {
+            state.entries.set(address, {
+                address,
+                connection: "closed",
+                incarnation: undefined,
+                aliveAt: Number.NEGATIVE_INFINITY,
+                lastFrameAt: state.now,
+                includedSequence: 0,
+                hasGreeted: false,
+                configurationVersion: 0,
+                retryAt: state.now,
+                pendingEnds: [],
+                isOutdated: false,
+            });
+        }
+    }
+}
+
+/**
+ * Opens connections that are due, and replaces silent ones.
+ *
+ * @param state - the agent
+ */
+export function connectEntries(state: AgentState): void {
+    for (const row of [...state.entries.values()]) {
+        const isSilent = row.connection !== "closed" && state.now - row.lastFrameAt > silentConnectionMilliseconds;
+        if (isSilent || (row.connection === "closed" && state.now >= row.retryAt)) {
+            state.entries.set(row.address, {
+                ...row,
+                connection: "opening",
+                lastFrameAt: state.now,
+                includedSequence: 0,
+                hasGreeted: false,
+                pendingEnds: [],
+            });
+            // The transport closes an earlier connection to the address before it opens another.
+            state.outputs.push({ kind: "connect", address: row.address });
+        }
+    }
+}
+
+/**
+ * Notes that a connection is open; the first frame goes out with this tick.
+ *
+ * @param state - the agent
+ * @param address - the entry's address
+ */
+export function receiveConnected(state: AgentState, address: string): void {
+    const row = state.entries.get(address);
+    if (row?.connection === "opening") {
+        state.entries.set(address, { ...row, connection: "open", lastFrameAt: state.now, isOutdated: true });
+    }
+}
+
+/**
+ * Notes the end of a connection. The entry's runs go on while its lease lasts, unless its process has ended.
+ *
+ * @param state - the agent
+ * @param address - the entry's address
+ * @param refused - true when nothing listens there
+ */
+export function receiveDisconnected(state: AgentState, address: string, refused: boolean): void {
+    const row = state.entries.get(address);
+    if (row === undefined) {
+        return;
+    }
+    if (row.connection === "open") {
+        state.log("info", "connection to entry lost", { address, entry: row.incarnation });
+    }
+    const wasOpen = row.connection === "open";
+    state.entries.set(address, {
+        ...row,
+        connection: "closed",
+        retryAt: wasOpen ? state.now : state.now + reconnectMilliseconds,
+        aliveAt: refused ? Number.NEGATIVE_INFINITY : row.aliveAt,
+    });
+}
+
+/**
+ * Takes a frame of an entry.
+ *
+ * @param state - the agent
+ * @param address - where it came from
+ * @param frame - the frame
+ */
+export function receiveEntryFrame(state: AgentState, address: string, frame: EntryFrame): void {
+    const row = state.entries.get(address);
+    if (row?.connection !== "open") {
+        return;
+    }
+    if (row.incarnation !== frame.entry) {
+        state.log("info", "connected to entry", { address, entry: frame.entry });
+    }
+    const aliveAt = Math.max(row.incarnation === frame.entry ? row.aliveAt : 0, frame.newestSentAt);
+    state.entries.set(address, {
+        ...row,
+        incarnation: frame.entry,
+        aliveAt,
+        lastFrameAt: state.now,
+        includedSequence: frame.sequence,
+        configurationVersion: frame.configuration.version,
+        isOutdated: row.isOutdated || frame.starts.length > 0,
+    });
+    receiveAddresses(state, frame.entryAddresses);
+    receiveConfiguration(state, frame.configuration.configuration);
+    for (const stop of frame.stops) {
+        const run = state.runs.get(formatRunKey(stop));
+        if (run !== undefined && run.entry === frame.entry) {
+            stopRun(state, run, "stopped");
+        }
+    }
+    if (state.now - aliveAt > entryLeaseMilliseconds) {
+        // The entry's process stood still, and its callers may have gone elsewhere meanwhile.
+        state.log("warn", "starts of an outdated frame are declined", { entry: frame.entry, age: state.now - aliveAt });
+        return;
+    }
+    for (const start of frame.starts) {
+        receiveStart(state, frame.entry, start);
+    }
+}
+
+/**
+ * Keeps the newest configuration, so that entries which cannot reach the store get it from agents.
+ *
+ * @param state - the agent
+ * @param configuration - a version, when the frame brought one
+ */
+function receiveConfiguration(state: AgentState, configuration: DispatchConfiguration | undefined): void {
+    if (configuration !== undefined && configuration.version > (state.configuration?.version ?? 0)) {
+        state.configuration = configuration;
+        state.markOutdated();
+    }
+}
+
+/**
+ * Stops the runs of entries whose lease has run out.
+ *
+ * @param state - the agent
+ */
+export function stopOrphans(state: AgentState): void {
+    const aliveAt = new Map<string, number>();
+    for (const row of state.entries.values()) {
+        if (row.incarnation !== undefined) {
+            aliveAt.set(row.incarnation, row.aliveAt);
+        }
+    }
+    for (const row of [...state.runs.values()]) {
+        if (row.entry === undefined || row.state === "stopping" || row.state === "stopped") {
+            continue;
+        }
+        const age = state.now - (aliveAt.get(row.entry) ?? Number.NEGATIVE_INFINITY);
+        if (age > entryLeaseMilliseconds) {
+            state.log("warn", "run of a silent entry is stopped", { ...row.identity, entry: row.entry, age });
+            stopRun(state, row, "stopped");
+        }
+    }
+}
+
+/**
+ * Sends each entry what it should know, or a heartbeat when nothing changed for a while.
+ *
+ * @param state - the agent
+ * @param lastSentAt - when the latest frame went to each address
+ */
+export function sendFrames(state: AgentState, lastSentAt: Map<string, number>): void {
+    for (const row of [...state.entries.values()]) {
+        const sentAt = row.hasGreeted ? lastSentAt.get(row.address) ?? 0 : 0;
+        const isDue = row.isOutdated || state.now - sentAt >= heartbeatIntervalMilliseconds;
+        // Before its first frame an entry is told once who this is.
+        const mayWrite = !row.hasGreeted || row.includedSequence > 0;
+        if (row.connection !== "open" || !isDue || !mayWrite) {
+            continue;
+        }
+        lastSentAt.set(row.address, state.now);
+        state.outputs.push({ kind: "frame", address: row.address, frame: createFrame(state, row) });
+        state.entries.set(row.address, { ...row, hasGreeted: true, isOutdated: false, pendingEnds: [] });
+    }
+}
+
+function createFrame(state: AgentState, row: EntryRow): AgentFrame {
+    const { identity, configuration } = state;
+    const version = configuration?.version ?? 0;
+    return {
+        agent: identity.incarnation,
+        instance: identity.instance,
+        availabilityZone: identity.availabilityZone,
+        sentAt: state.now,
+        includedSequence: row.includedSequence,
+        worker: describeWorker(state),
+        ended: row.hasGreeted ? row.pendingEnds : listRecentEnds(state, row),
+        openRuns: row.hasGreeted ? undefined : listOpenRuns(state, row),
+        configuration: {
+            version,
+            configuration: version > row.configurationVersion && row.includedSequence > 0 ? configuration : undefined,
+        },
+    };
+}
+
+function describeWorker(state: AgentState): WorkerStatus | undefined {
+    const { worker } = state;
+    if (worker === undefined) {
+        return undefined;
+    }
+    return {
+        service: worker.report.service,
+        labels: worker.report.labels,
+        capacity: worker.report.capacity,
+        free: state.free,
+        acceptsTasks: acceptsTasks(state),
+        slowness: state.slowness,
+    };
+}
+
+function listRecentEnds(state: AgentState, row: EntryRow): AgentFrame["ended"] {
+    return row.incarnation === undefined ? [] : state.recentEnds.get(row.incarnation) ?? [];
+}
+
+function listOpenRuns(state: AgentState, row: EntryRow): AgentFrame["openRuns"] {
+    return [...state.runs.values()]
+        .filter(run => run.entry !== undefined && run.entry === row.incarnation)
+        .map(run => run.identity);
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/starts.ts
@@ -0,0 +1,210 @@
+/**
+ * Starts and stops of runs, and what becomes of orders without an answer.
+ */
+import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
+import { fitsInto } from "../model/resources.js";
+import type { OrderOutcome } from "./agentPorts.js";
+import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
+import { endRun, reportEnd } from "./runEnds.js";
+
+/** The worker rejects a start that reaches it later than this; its usual answer takes a few milliseconds. */
+const startWindowMilliseconds = 300;
+
+/** A stop without an answer is sent again after this time. */
+export const repeatStopMilliseconds = 100;
+
+/**
+ * Starts a task, or reports at once that it cannot start here.
+ *
+ * @param state - the agent
+ * @param entry - incarnation of the entry
+ * @param order - the task
+ */
+export function receiveStart(state: AgentState, entry: string, order: StartOrder): void {
+    if (state.runs.has(formatRunKey(order))) {
+        return;
+    }
+    const { worker } = state;
+    const obstacle = worker === undefined ? "no worker is known" : findObstacle(state, worker, order);
+    if (worker === undefined || worker.epoch === undefined || obstacle !== undefined) {
+        const ended: EndedRun = { ...identify(order), end: "not-started", ranMilliseconds: 0 };
+        reportEnd(state, entry, ended);
+        state.log("info", "start declined", { job: order.job, task: order.task, run: order.run, obstacle });
+        return;
+    }
+    const { now } = state;
+    state.addRun({
+        identity: identify(order),
+        order,
+        entry,
+        state: "starting",
+        orderedAt: now,
+        lastOrderAt: now,
+        visibleFromCall: Number.POSITIVE_INFINITY,
+        percent: 0,
+        percentChangedAt: now,
+        stopReason: "not-started",
+    });
+    state.outputs.push({
+        kind: "start",
+        worker: worker.report.id,
+        order,
+        epoch: worker.epoch,
+        latestStart: Math.floor(now + worker.clockOffset + startWindowMilliseconds),
+    });
+}
+
+/**
+ * Stops a run; it occupies the worker until the worker lists it as ended.
+ *
+ * @param state - the agent
+ * @param row - the run
+ * @param reason - what its entry is told when it has stopped
+ */
+export function stopRun(state: AgentState, row: RunRow, reason: RunRow["stopReason"]): void {
+    const { worker } = state;
+    if (row.state === "stopped" || worker === undefined) {
+        return;
+    }
+    state.runs.set(formatRunKey(row.identity), {
+        ...row,
+        state: "stopping",
+        lastOrderAt: state.now,
+        visibleFromCall: Number.POSITIVE_INFINITY,
+        stopReason: row.state === "stopping" ? row.stopReason : reason,
+    });
+    state.outputs.push({ kind: "stop", worker: worker.report.id, run: row.identity, epoch: worker.epoch ?? 0 });
+}
+
+/**
+ * Takes the worker's answer to a start.
+ *
+ * @param state - the agent
+ * @param identity - the run
+ * @param outcome - the answer
+ */
+export function receiveStartAnswer(state: AgentState, identity: RunIdentity, outcome: OrderOutcome): void {
+    const row = state.runs.get(formatRunKey(identity));
+    if (row?.state !== "starting") {
+        return;
+    }
+    switch (outcome) {
+        case "accepted":
+            state.runs.set(formatRunKey(identity), {
+                ...row,
+                state: "running",
+                percentChangedAt: state.now,
+                visibleFromCall: state.nextCall,
+            });
+            return;
+        case "rejected":
+        case "superseded":
+        case "other-life":
+            state.log("warn", "worker rejected a start", { ...identity, outcome });
+            endRun(state, row, "not-started");
+            return;
+        case "outdated-epoch":
+            endRun(state, row, "not-started");
+            renewEpoch(state);
+            return;
+        case "unknown":
+            // The order may be carried out later; a confirmed stop of the run rules that out.
+            state.log("warn", "start without an answer is revoked", { ...identity });
+            stopRun(state, row, "not-started");
+    }
+}
+
+/**
+ * Takes the worker's answer to a stop.
+ *
+ * @param state - the agent
+ * @param identity - the run
+ * @param outcome - the answer
+ */
+export function receiveStopAnswer(state: AgentState, identity: RunIdentity, outcome: OrderOutcome): void {
+    const row = state.runs.get(formatRunKey(identity));
+    if (row?.state !== "stopping") {
+        return;
+    }
+    if (outcome === "unknown" || outcome === "rejected") {
+        return;
+    }
+    if (outcome === "outdated-epoch") {
+        renewEpoch(state);
+        return;
+    }
+    state.runs.set(formatRunKey(identity), { ...row, state: "stopped", visibleFromCall: state.nextCall });
+}
+
+/**
+ * Sends again the stops that have had no answer for a while.
+ *
+ * @param state - the agent
+ */
+export function repeatStops(state: AgentState): void {
+    for (const row of [...state.runs.values()]) {
+        if (row.state === "stopping" && state.now - row.lastOrderAt >= repeatStopMilliseconds) {
+            stopRun(state, row, row.stopReason);
+        }
+    }
+}
+
+/** The next view shows the worker's clock, from which the epoch is taken. */
+function renewEpoch(state: AgentState): void {
+    if (state.worker !== undefined) {
+        state.worker = { ...state.worker, epoch: undefined };
+        state.markOutdated();
+        state.log("warn", "worker has seen a higher epoch; taking a new one", { worker: state.worker.report.id });
+    }
+}
+
+function findObstacle(state: AgentState, worker: WorkerRow, order: StartOrder): string | undefined {
+    if (!acceptsTasks(state)) {
+        return "worker takes no tasks now";
+    }
+    if (worker.report.service !== order.service) {
+        return "worker serves another service";
+    }
+    if (order.requiredLabel !== undefined && !worker.report.labels.includes(order.requiredLabel)) {
+        return "worker lacks the required label";
+    }
+    if (!fitsInto(order.needs, state.free)) {
+        return "no room";
+    }
+    let ofSameJob = 0;
+    for (const row of state.runs.values()) {
+        if (row.identity.job === order.job) {
+            ofSameJob += 1;
+            if (row.identity.task === order.task) {
+                return "an earlier run of the task has not ended here";
+            }
+        }
+    }
+    return ofSameJob >= order.maximumPerWorker ? "as many tasks of the job as one worker may run" : undefined;
+}
+
+/**
+ * Tells whether the worker takes new tasks.
+ *
+ * @param state - the agent
+ * @returns false while the worker drains, does not respond or is unknown, and when the agent shuts down
+ */
+export function acceptsTasks(state: AgentState): boolean {
+    const { worker } = state;
+    return worker !== undefined && worker.epoch !== undefined && worker.isResponsive && !worker.report.isDraining
+        && !state.isShuttingDown && !hasForeignRun(state);
+}
+
+/** What a run of an earlier process occupies is unknown, so nothing is started beside it. */
+function hasForeignRun(state: AgentState): boolean {
+    for (const row of state.runs.values()) {
+        if (row.order === undefined) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function identify(order: StartOrder): RunIdentity {
+    return { job: order.job, task: order.task, run: order.run };
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -0,0 +1,256 @@
+/**
+ * Views of the worker: each one renews the lease of what runs there, and shows progress and ends.
+ */
+import { formatRunKey } from "../model/frames.js";
+import { workerClockError, workerLeaseMilliseconds } from "../model/timing.js";
+import type { WorkerReport } from "../model/workerStatus.js";
+import type { ListedRun, WorkerView } from "./agentPorts.js";
+import type { AgentState, RunRow } from "./agentState.js";
+import { endRun, loseAllRuns } from "./runEnds.js";
+import { stopRun } from "./starts.js";
+
+/** How long the worker may wait for an end: a fifth of the lease, and often enough to notice missing progress. */
+const viewWaitMilliseconds = 100;
+
+/** Pause before the next call after one that failed. */
+const retryViewMilliseconds = 30;
+
+/** A worker without an answer for this long gets no new tasks. */
+const unresponsiveMilliseconds = 250;
+
+/**
+ * Takes a report of the worker. The first one of a new life is trusted once a call that names this life is answered.
+ *
+ * @param state - the agent
+ * @param report - the report
+ */
+export function receiveReport(state: AgentState, report: WorkerReport): void {
+    const { worker } = state;
+    if (worker?.report.id === report.id) {
+        if (report.sequence <= worker.report.sequence) {
+            return;
+        }
+        if (report.isDraining && !worker.report.isDraining) {
+            state.log("info", "worker drains", { worker: report.id });
+        }
+        // A worker that has begun to drain does not come back.
+        const isDraining = report.isDraining || worker.report.isDraining;
+        state.worker = { ...worker, report: { ...report, isDraining } };
+        state.markOutdated();
+        return;
+    }
+    if (worker !== undefined) {
+        // It may be an old report; the worker's address answers for one life only, which decides.
+        state.candidate = report;
+        return;
+    }
+    adoptLife(state, report);
+}
+
+function adoptLife(state: AgentState, report: WorkerReport): void {
+    state.candidate = undefined;
+    state.worker = {
+        report,
+        epoch: undefined,
+        clockOffset: 0,
+        acknowledgedEnds: 0,
+        leaseSentAt: Number.NEGATIVE_INFINITY,
+        answeredAt: state.now,
+        isResponsive: true,
+        callInFlight: undefined,
+        nextCallAt: state.now,
+    };
+    state.markOutdated();
+    state.log("info", "worker registered", { worker: report.id, service: report.service, capacity: report.capacity });
+}
+
+/** The worker's present life is over: nothing of it runs any more, and a later life may take its place. */
+function endLife(state: AgentState): void {
+    loseAllRuns(state);
+    state.worker = undefined;
+    state.markOutdated();
+    if (state.candidate !== undefined) {
+        adoptLife(state, state.candidate);
+    }
+}
+
+/**
+ * Forgets the worker, because it said that it ends.
+ *
+ * @param state - the agent
+ * @param id - the life that ends
+ */
+export function receiveLeave(state: AgentState, id: string): void {
+    if (state.worker?.report.id === id) {
+        state.log("info", "worker left", { worker: id });
+        endLife(state);
+    }
+}
+
+/**
+ * Asks the worker what runs, when no call is under way.
+ *
+ * @param state - the agent
+ */
+export function requestView(state: AgentState): void {
+    const { worker } = state;
+    if (worker === undefined || worker.callInFlight !== undefined || state.now < worker.nextCallAt) {
+        return;
+    }
+    // After a call without an answer the lease is not extended until the worker answers again: it has to be known
+    // when everything there has run out.
+    const extendsLease = worker.isResponsive && worker.epoch !== undefined;
+    const call = state.nextCall;
+    state.nextCall += 1;
+    state.outputs.push({
+        kind: "view",
+        call,
+        worker: worker.report.id,
+        epoch: worker.epoch ?? 0,
+        leaseUntil: extendsLease ? Math.floor(state.now + worker.clockOffset + workerLeaseMilliseconds) : undefined,
+        acknowledgedEnds: worker.acknowledgedEnds,
+        waitMilliseconds: extendsLease ? viewWaitMilliseconds : 0,
+    });
+    state.worker = {
+        ...worker,
+        callInFlight: call,
+        leaseSentAt: extendsLease ? state.now : worker.leaseSentAt,
+    };
+}
+
+/**
+ * Takes an answer of the worker.
+ *
+ * @param state - the agent
+ * @param call - number of the call
+ * @param view - what the worker lists
+ */
+export function receiveView(state: AgentState, call: number, view: WorkerView): void {
+    const { worker } = state;
+    if (worker?.callInFlight !== call) {
+        return;
+    }
+    const isFirst = worker.epoch === undefined;
+    if (!worker.isResponsive || isFirst) {
+        state.markOutdated();
+        state.log("info", "worker responds", { worker: worker.report.id, running: view.running.length });
+    }
+    state.worker = {
+        ...worker,
+        // The worker's clock rises, so a process that starts later has the higher epoch.
+        epoch: worker.epoch ?? Math.max(1, Math.floor(view.workerClock)),
+        clockOffset: view.workerClock - state.now,
+        answeredAt: state.now,
+        isResponsive: true,
+        callInFlight: undefined,
+        nextCallAt: state.now,
+        acknowledgedEnds: view.ended.reduce((highest, end) => Math.max(highest, end.sequence), worker.acknowledgedEnds),
+    };
+    for (const ended of view.ended) {
+        const row = state.runs.get(formatRunKey(ended));
+        if (row !== undefined) {
+            endRun(state, row, ended.end === "stopped" && row.stopReason === "stalled" ? "stalled" : ended.end);
+        }
+    }
+    compareWithListed(state, call, view.running);
+}
+
+function compareWithListed(state: AgentState, call: number, listed: readonly ListedRun[]): void {
+    const listedKeys = new Map(listed.map(run => [formatRunKey(run), run]));
+    for (const row of [...state.runs.values()]) {
+        const run = listedKeys.get(formatRunKey(row.identity));
+        if (run === undefined) {
+            // The worker had answered the start or the stop before this view was asked for, so the run is gone.
+            if (call >= row.visibleFromCall) {
+                endRun(state, row, row.state === "stopped" ? row.stopReason : "lost");
+            }
+        }
+        else if (run.percent !== row.percent) {
+            updateProgress(state, row, run.percent);
+        }
+    }
+    for (const run of listed) {
+        if (!state.runs.has(formatRunKey(run))) {
+            stopUnknownRun(state, run);
+        }
+    }
+}
+
+function updateProgress(state: AgentState, row: RunRow, percent: number): void {
+    state.runs.set(formatRunKey(row.identity), { ...row, percent, percentChangedAt: state.now });
+}
+
+/** Stops a run that an earlier process of this agent started. */
+function stopUnknownRun(state: AgentState, run: ListedRun): void {
+    const { now } = state;
+    const row: RunRow = {
+        identity: { job: run.job, task: run.task, run: run.run },
+        order: undefined,
+        entry: undefined,
+        state: "running",
+        orderedAt: now,
+        lastOrderAt: now,
+        visibleFromCall: Number.POSITIVE_INFINITY,
+        percent: run.percent,
+        percentChangedAt: now,
+        stopReason: "stopped",
+    };
+    state.addRun(row);
+    state.log("warn", "run of an earlier process is stopped", { ...row.identity });
+    stopRun(state, row, "stopped");
+}
+
+/**
+ * Takes the failure of a call.
+ *
+ * @param state - the agent
+ * @param call - number of the call
+ * @param outcome - what is known
+ */
+export function receiveViewFailure(
+    state: AgentState,
+    call: number,
+    outcome: "unknown" | "other-life" | "outdated-epoch",
+): void {
+    const { worker } = state;
+    if (worker?.callInFlight !== call) {
+        return;
+    }
+    if (outcome === "other-life") {
+        // Only another life can answer so: everything of this one has ended.
+        state.log("warn", "worker has restarted", { worker: worker.report.id });
+        endLife(state);
+        return;
+    }
+    if (worker.isResponsive) {
+        state.log("warn", "worker does not respond", { worker: worker.report.id, outcome });
+        state.markOutdated();
+    }
+    state.worker = {
+        ...worker,
+        epoch: outcome === "outdated-epoch" ? undefined : worker.epoch,
+        isResponsive: false,
+        callInFlight: undefined,
+        nextCallAt: state.now + retryViewMilliseconds,
+    };
+}
+
+/**
+ * Ends every run once the worker's lease has run out for certain.
+ *
+ * @param state - the agent
+ */
+export function expireLease(state: AgentState): void {
+    const { worker } = state;
+    if (worker === undefined || worker.isResponsive || state.runs.size === 0) {
+        return;
+    }
+    const lease = workerLeaseMilliseconds * (1 + workerClockError);
+    if (state.now > worker.leaseSentAt + lease && state.now > worker.answeredAt + unresponsiveMilliseconds) {
+        state.log("warn", "leases have run out at a silent worker", {
+            worker: worker.report.id,
+            runs: state.runs.size,
+        });
+        loseAllRuns(state);
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -0,0 +1,31 @@
+/**
+ * What goes into an entry's core and what comes out of it.
+ */
+import type { DirectJob, JobAnswer } from "../model/directJob.js";
+import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import type { AgentFrame, EntryFrame } from "../model/frames.js";
+
+/** Inputs of the entry's core. */
+export type EntryInput =
+    | { readonly kind: "submitted"; readonly request: number; readonly job: DirectJob }
+    | { readonly kind: "caller-gone"; readonly request: number; readonly job: string }
+    | { readonly kind: "cancelled"; readonly job: string }
+    | { readonly kind: "frame"; readonly connection: number; readonly frame: AgentFrame }
+    | { readonly kind: "disconnected"; readonly connection: number }
+    | { readonly kind: "configured"; readonly configuration: DispatchConfiguration; readonly source: "store" | "agent" }
+    | { readonly kind: "entries-found"; readonly addresses: readonly string[] }
+    /** New jobs are refused from now on. */
+    | { readonly kind: "shut-down" }
+    /** Open jobs end now. */
+    | { readonly kind: "interrupt" };
+
+/** Outputs of the entry's core. */
+export type EntryOutput =
+    | { readonly kind: "answer"; readonly request: number; readonly job: string; readonly answer: JobAnswer }
+    | { readonly kind: "frame"; readonly connection: number; readonly frame: EntryFrame }
+    | {
+        readonly kind: "log";
+        readonly level: "info" | "warn";
+        readonly event: string;
+        readonly fields: Readonly<Record<string, unknown>>;
+    };
--- /dev/null
+++ b/packages/lovagepitch-direct/src/entry/jobEnds.ts
@@ -0,0 +1,51 @@
+/**
+ * Ends of jobs: the callers are answered, and what still runs is stopped.
+ */
+import type { JobAnswer } from "../model/directJob.js";
+import { formatRunKey } from "../model/frames.js";
+import { lostAgentBoundMilliseconds } from "../model/timing.js";
+import { type EntryState, formatTaskKey, type JobRow } from "./entryState.js";
+
+/**
+ * Answers a job and forgets it.
+ *
+ * @param state - the entry
+ * @param row - the job
+ * @param answer - what its callers are told
+ */
+export function endJob(state: EntryState, row: JobRow, answer: JobAnswer): void {
+    const { job } = row;
+    state.jobs.delete(job.id);
+    for (let task = 0; task < job.taskCount; task += 1) {
+        state.histories.delete(formatTaskKey(job.id, task));
+    }
+    stopRuns(state, job.id);
+    for (const request of row.requests) {
+        state.outputs.push({ kind: "answer", request, job: job.id, answer });
+    }
+    state.log("info", "job answered", {
+        job: job.id,
+        route: job.route,
+        answer: answer.kind,
+        reason: "reason" in answer ? answer.reason : undefined,
+        afterMilliseconds: Math.round(state.now - row.acceptedAt),
+        tasks: job.taskCount,
+        succeededTasks: row.succeededTasks,
+        callers: row.requests.length,
+    });
+}
+
+/** Stops every run of a job. They are remembered until they have ended, for the case that the job comes again. */
+function stopRuns(state: EntryState, job: string): void {
+    const ending = new Map<string, number>();
+    for (const placed of [...state.placed.values()]) {
+        if (placed.identity.job === job) {
+            const key = formatRunKey(placed.identity);
+            state.ordersFor(placed.agent).stops.push(placed.identity);
+            ending.set(key, state.now + lostAgentBoundMilliseconds);
+        }
+    }
+    if (ending.size > 0) {
+        state.endingRuns.set(job, new Map([...state.endingRuns.get(job) ?? [], ...ending]));
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -0,0 +1,153 @@
+/**
+ * Places waiting tasks on workers, and gives up jobs that cannot be of use any more.
+ */
+import type { DirectJob } from "../model/directJob.js";
+import { formatRunKey, type StartOrder } from "../model/frames.js";
+import { compareWaitingJobs } from "../policies/waitingOrder.js";
+import { chooseWorker, type WorkerCandidate } from "../policies/workerChoice.js";
+import { permittedRuns } from "../policies/workerHealth.js";
+import { isUsable } from "./agentFrames.js";
+import {
+    type AgentRow,
+    availableAt,
+    type EntryState,
+    formatTaskKey,
+    type JobRow,
+    mayHaveStarted,
+} from "./entryState.js";
+import { endJob } from "./jobEnds.js";
+import { refuseJob } from "./submissions.js";
+
+/** Waiting tasks are looked at again after this time, even when nothing has happened. */
+const placementIntervalMilliseconds = 25;
+
+/**
+ * Places as many waiting tasks as find room, in the order of their jobs.
+ *
+ * @param state - the entry
+ */
+export function placeTasks(state: EntryState): void {
+    // Pauses of workers end without an event.
+    if (!state.mayPlace && state.now - state.placedAt < placementIntervalMilliseconds) {
+        return;
+    }
+    state.mayPlace = false;
+    state.placedAt = state.now;
+    const waiting = [...state.jobs.values()].filter(row => row.waitingTasks.length > 0);
+    waiting.sort((left, right) => compareWaitingJobs(left, right, state.now));
+    for (const row of waiting) {
+        if (!state.endingRuns.has(row.job.id)) {
+            placeJob(state, row);
+        }
+    }
+}
+
+function placeJob(state: EntryState, row: JobRow): void {
+    const unplaced = row.waitingTasks.findIndex(task => !placeTask(state, row.job, task));
+    const placed = unplaced < 0 ? row.waitingTasks.length : unplaced;
+    if (placed > 0) {
+        state.jobs.set(row.job.id, {
+            ...row,
+            waitingTasks: row.waitingTasks.slice(placed),
+            openRuns: row.openRuns + placed,
+        });
+    }
+}
+
+function placeTask(state: EntryState, job: DirectJob, task: number): boolean {
+    const taskKey = formatTaskKey(job.id, task);
+    const history = state.histories.get(taskKey);
+    const candidates = listCandidates(state, job, history?.avoid ?? []);
+    const chosen = chooseWorker(candidates, job.needs, state.random);
+    const agent = chosen === undefined ? undefined : state.agents.get(chosen.agent);
+    if (agent === undefined) {
+        return false;
+    }
+    const order: StartOrder = {
+        job: job.id,
+        task,
+        run: (history?.run ?? 0) + 1,
+        service: job.service,
+        specification: job.specification,
+        needs: job.needs,
+        estimatedMilliseconds: job.estimatedMilliseconds,
+        maximumPerWorker: job.maximumPerWorker,
+        requiredLabel: job.requiredLabel,
+    };
+    const identity = { job: job.id, task, run: order.run };
+    state.histories.set(taskKey, { failures: 0, avoid: [], ...history, run: order.run });
+    state.placed.set(formatRunKey(identity), {
+        identity,
+        agent: agent.agent,
+        needs: job.needs,
+        placedAt: state.now,
+    });
+    state.ordersFor(agent.agent).starts.push(order);
+    state.agents.set(agent.agent, {
+        ...agent,
+        runs: agent.runs + 1,
+        unincluded: [...agent.unincluded, { sequence: agent.sequence + 1, needs: job.needs }],
+    });
+    return true;
+}
+
+function listCandidates(state: EntryState, job: DirectJob, avoid: readonly string[]): WorkerCandidate[] {
+    const candidates: WorkerCandidate[] = [];
+    const others: WorkerCandidate[] = [];
+    for (const row of state.agents.values()) {
+        const available = availableAt(row);
+        if (available === undefined || !isPermitted(state, row, job)) {
+            continue;
+        }
+        const isInOwnZone = row.availabilityZone === state.identity.availabilityZone;
+        const candidate = { agent: row.agent, available, isInOwnZone, slowness: row.worker?.slowness ?? 1 };
+        (avoid.includes(row.agent) ? others : candidates).push(candidate);
+    }
+    return candidates.length > 0 ? candidates : others;
+}
+
+function isPermitted(state: EntryState, row: AgentRow, job: DirectJob): boolean {
+    return isUsable(state, row) && row.worker?.service === job.service
+        && (job.requiredLabel === undefined || row.worker.labels.includes(job.requiredLabel))
+        && row.runs < permittedRuns(row.health, state.now);
+}
+
+/**
+ * Refuses jobs that can no longer start in time, and ends started ones whose result would be of no use.
+ *
+ * @param state - the entry
+ */
+export function giveUpJobs(state: EntryState): void {
+    for (const row of [...state.jobs.values()]) {
+        if (!mayHaveStarted(row) && state.now > row.times.latestStart) {
+            refuseJob(state, row, hasWorkers(state, row.job) ? "no-room-in-time" : "no-worker");
+        }
+        else if (state.now > row.times.giveUpAt) {
+            endJob(state, row, { kind: "interrupted", reason: "the result would be of no use any more" });
+        }
+    }
+}
+
+function hasWorkers(state: EntryState, job: DirectJob): boolean {
+    for (const row of state.agents.values()) {
+        if (isPermitted(state, row, job)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * Finds the next instant at which a job has to be given up.
+ *
+ * @param state - the entry
+ * @returns milliseconds, or undefined when there is no job
+ */
+export function nextGiveUp(state: EntryState): number | undefined {
+    let next: number | undefined;
+    for (const row of state.jobs.values()) {
+        const at = mayHaveStarted(row) ? row.times.giveUpAt : row.times.latestStart;
+        next = next === undefined ? at : Math.min(next, at);
+    }
+    return next;
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -0,0 +1,116 @@
+/**
+ * Jobs that arrive, and callers that leave.
+ */
+import type { DirectJob, RefusalReason } from "../model/directJob.js";
+import { computeJobTimes } from "../policies/jobTimes.js";
+import { chooseReturnSeconds } from "../policies/returnTime.js";
+import { type EntryState, type JobRow, mayHaveStarted } from "./entryState.js";
+import { endJob } from "./jobEnds.js";
+
+/** Jobs that one entry holds at most; far above what the workers of a deployment finish in a caller's wait. */
+const maximumJobs = 4000;
+
+/**
+ * Takes a job, or joins a request to the job that it repeats.
+ *
+ * @param state - the entry
+ * @param request - the caller's request
+ * @param job - the job
+ */
+export function receiveJob(state: EntryState, request: number, job: DirectJob): void {
+    const known = state.jobs.get(job.id);
+    if (known !== undefined) {
+        state.jobs.set(job.id, { ...known, requests: [...known.requests, request] });
+        state.log("info", "job submitted again", { job: job.id, callers: known.requests.length + 1 });
+        return;
+    }
+    const row: JobRow = {
+        job,
+        requests: [request],
+        acceptedAt: state.now,
+        times: computeJobTimes(job, state.now, job.estimatedMilliseconds),
+        waitingTasks: Array.from({ length: job.taskCount }, (_, task) => task),
+        openRuns: 0,
+        hasRun: false,
+        succeededTasks: 0,
+        failedOn: [],
+    };
+    state.jobs.set(job.id, row);
+    state.mayPlace = true;
+    if (state.isShuttingDown) {
+        refuseJob(state, row, "shutting-down");
+    }
+    else if (state.jobs.size > maximumJobs) {
+        refuseJob(state, row, "queue-full");
+    }
+}
+
+/**
+ * Refuses a job of which no task was started.
+ *
+ * @param state - the entry
+ * @param row - the job
+ * @param reason - why
+ */
+export function refuseJob(state: EntryState, row: JobRow, reason: RefusalReason): void {
+    const retryAfterSeconds = chooseReturnSeconds(measureWaitingWork(state), state.drainRate.read(state.now));
+    endJob(state, row, { kind: "refused", reason, retryAfterSeconds });
+}
+
+/**
+ * Takes the end of a caller's connection: a job that nobody waits for is stopped.
+ *
+ * @param state - the entry
+ * @param request - the caller's request
+ * @param id - the job
+ */
+export function receiveCallerGone(state: EntryState, request: number, id: string): void {
+    const row = state.jobs.get(id);
+    if (row === undefined) {
+        return;
+    }
+    const requests = row.requests.filter(other => other !== request);
+    if (requests.length > 0) {
+        state.jobs.set(id, { ...row, requests });
+        return;
+    }
+    endJob(state, { ...row, requests }, { kind: "cancelled" });
+}
+
+/**
+ * Takes a caller's cancellation.
+ *
+ * @param state - the entry
+ * @param id - the job
+ */
+export function receiveCancellation(state: EntryState, id: string): void {
+    const row = state.jobs.get(id);
+    if (row !== undefined) {
+        endJob(state, row, { kind: "cancelled" });
+    }
+}
+
+/**
+ * Ends every open job, because the process is about to stop.
+ *
+ * @param state - the entry
+ */
+export function interruptJobs(state: EntryState): void {
+    for (const row of [...state.jobs.values()]) {
+        if (mayHaveStarted(row)) {
+            endJob(state, row, { kind: "interrupted", reason: "the entry stops" });
+        }
+        else {
+            refuseJob(state, row, "shutting-down");
+        }
+    }
+}
+
+/** Core-milliseconds of the tasks that wait. */
+function measureWaitingWork(state: EntryState): number {
+    let work = 0;
+    for (const { job, waitingTasks } of state.jobs.values()) {
+        work += waitingTasks.length * job.estimatedMilliseconds * job.needs.milliCores / 1000;
+    }
+    return work;
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/links/entryConnections.ts
@@ -0,0 +1,69 @@
+/**
+ * The agent's end of the connections to entries.
+ */
+import { connect } from "node:net";
+import type { AgentFrame, EntryFrame } from "../model/frames.js";
+import { FrameStream } from "./frameStream.js";
+import { isEntryFrame } from "./isFrame.js";
+
+/** What the connections tell their agent. */
+export interface EntryConnectionEvents {
+    readonly connected: (address: string) => void;
+    readonly received: (address: string, frame: EntryFrame) => void;
+    readonly disconnected: (address: string, refused: boolean, reason: string) => void;
+}
+
+/** At most one connection to each entry. */
+export class EntryConnections {
+    private readonly streams = new Map<string, FrameStream<EntryFrame, AgentFrame>>();
+
+    /**
+     * @param events - is told of frames, openings and ends
+     */
+    public constructor(private readonly events: EntryConnectionEvents) {}
+
+    /**
+     * Opens a connection; an earlier one to the address is closed first, with whatever it still holds.
+     *
+     * @param address - host and port of the entry
+     */
+    public open(address: string): void {
+        const earlier = this.streams.get(address);
+        this.streams.delete(address);
+        earlier?.close("replaced by a new connection");
+        const separator = address.lastIndexOf(":");
+        const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator));
+        const stream: FrameStream<EntryFrame, AgentFrame> = new FrameStream(socket, isEntryFrame, {
+            received: frame => this.events.received(address, frame),
+            ended: (refused, reason) => {
+                if (this.streams.get(address) === stream) {
+                    this.streams.delete(address);
+                    this.events.disconnected(address, refused, reason);
+                }
+            },
+        });
+        this.streams.set(address, stream);
+        socket.once("connect", () => {
+            if (this.streams.get(address) === stream) {
+                this.events.connected(address);
+            }
+        });
+    }
+
+    /**
+     * Sends a frame.
+     *
+     * @param address - the entry
+     * @param frame - the frame; it is dropped when there is no connection
+     */
+    public send(address: string, frame: AgentFrame): void {
+        this.streams.get(address)?.send(frame);
+    }
+
+    /** Closes every connection. */
+    public close(): void {
+        for (const stream of [...this.streams.values()]) {
+            stream.close("this agent stops");
+        }
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/links/isFrame.ts
@@ -0,0 +1,30 @@
+/**
+ * Checks of frames. Only processes of the deployment reach the port, so the check tells a frame from other protocols
+ * and from other versions; it does not look into every field of every message.
+ */
+import type { AgentFrame, EntryFrame } from "../model/frames.js";
+
+/**
+ * Tells whether a value is a frame of an agent.
+ *
+ * @param value - what arrived
+ * @returns true when it has an agent frame's fields
+ */
+export function isAgentFrame(value: unknown): value is AgentFrame {
+    const frame = value as Partial<AgentFrame> | undefined;
+    return typeof frame?.agent === "string" && typeof frame.sentAt === "number" && Array.isArray(frame.ended)
+        && typeof frame.configuration?.version === "number";
+}
+
+/**
+ * Tells whether a value is a frame of an entry.
+ *
+ * @param value - what arrived
+ * @returns true when it has an entry frame's fields
+ */
+export function isEntryFrame(value: unknown): value is EntryFrame {
+    const frame = value as Partial<EntryFrame> | undefined;
+    return typeof frame?.entry === "string" && typeof frame.sequence === "number" && Array.isArray(frame.starts)
+        && Array.isArray(frame.stops) && Array.isArray(frame.entryAddresses)
+        && typeof frame.configuration?.version === "number";
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/model/dispatchConfiguration.ts
@@ -0,0 +1,53 @@
+/**
+ * The operator's configuration: which requests go to which service.
+ */
+
+/** Jobs of one kind: where they come in and what is promised for them. */
+export interface Route {
+    readonly name: string;
+    /** Host name that requests carry. */
+    readonly host: string;
+    /** Start of the path; the longest that matches selects the route. */
+    readonly pathPrefix: string;
+    readonly service: string;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    readonly maximumAttempts: number;
+    /** A job is on time when it ends within this multiple of its longest task, plus the allowance. */
+    readonly stretch: number;
+    readonly allowanceMilliseconds: number;
+}
+
+/** Bounds on callers' connections. */
+export interface CallerLimits {
+    readonly maximumHeaderBytes: number;
+    readonly maximumBodyBytes: number;
+    readonly headerTimeoutMilliseconds: number;
+    readonly idleTimeoutMilliseconds: number;
+}
+
+/** One version of the configuration; a later version replaces it as a whole. */
+export interface DispatchConfiguration {
+    readonly version: number;
+    readonly routes: readonly Route[];
+    readonly callerLimits: CallerLimits;
+}
+
+/**
+ * Finds the route of a request.
+ *
+ * @param configuration - the version in force
+ * @param host - host name of the request, without a port
+ * @param path - path of the request, without a query
+ * @returns the route with the longest matching prefix, or undefined when there is none
+ */
+export function findRoute(configuration: DispatchConfiguration, host: string, path: string): Route | undefined {
+    let found: Route | undefined;
+    for (const route of configuration.routes) {
+        const matches = route.host === host && path.startsWith(route.pathPrefix);
+        if (matches && (found === undefined || route.pathPrefix.length > found.pathPrefix.length)) {
+            found = route;
+        }
+    }
+    return found;
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/policies/returnTime.ts
@@ -0,0 +1,65 @@
+/**
+ * Load pattern: a burst fills every worker. Callers that cannot be served are told when the work ahead of them will
+ * have drained, so that they neither return into the same queue nor stay away longer than needed.
+ */
+
+/** Shortest time to stay away, in seconds: the field carries whole seconds. */
+const shortestReturnSeconds = 1;
+
+/** Longest time to stay away, in seconds; bursts are shorter than this. */
+const longestReturnSeconds = 10;
+
+/** Time constant of the drain rate, in milliseconds: long against one task, short against a burst. */
+const averagingMilliseconds = 2000;
+
+/** Measures how fast work ends. */
+export class DrainRate {
+    private rate = 0;
+    private updatedAt: number;
+
+    /**
+     * @param now - the time, in milliseconds
+     */
+    public constructor(now: number) {
+        this.updatedAt = now;
+    }
+
+    /**
+     * Notes work that has ended.
+     *
+     * @param work - core-milliseconds
+     * @param now - the time, in milliseconds
+     */
+    public record(work: number, now: number): void {
+        this.decay(now);
+        this.rate += work / averagingMilliseconds;
+    }
+
+    /**
+     * Reads the rate.
+     *
+     * @param now - the time, in milliseconds
+     * @returns core-milliseconds that end in one millisecond
+     */
+    public read(now: number): number {
+        this.decay(now);
+        return this.rate;
+    }
+
+    private decay(now: number): void {
+        this.rate *= Math.exp(-Math.max(0, now - this.updatedAt) / averagingMilliseconds);
+        this.updatedAt = now;
+    }
+}
+
+/**
+ * Tells a refused caller when to return.
+ *
+ * @param waitingWork - core-milliseconds that wait
+ * @param drainRate - core-milliseconds that end in one millisecond
+ * @returns whole seconds
+ */
+export function chooseReturnSeconds(waitingWork: number, drainRate: number): number {
+    const seconds = drainRate > 0 ? waitingWork / drainRate / 1000 : longestReturnSeconds / 2;
+    return Math.min(longestReturnSeconds, Math.max(shortestReturnSeconds, Math.ceil(seconds)));
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/policies/workerChoice.ts
@@ -0,0 +1,52 @@
+/**
+ * Load pattern: several entries place tasks on the same workers with views that are some milliseconds old. Room is
+ * spread over workers, and entries that see the same figures do not all choose the same worker.
+ */
+import type { RandomSource } from "@lovagepitch/utils/randomSource";
+import { fitsInto, type Resources } from "../model/resources.js";
+
+/** Free cores, in thousandths, that a worker in the entry's own zone may be behind and still be chosen. */
+const ownZoneAdvantage = 1000;
+
+/** Free cores, in thousandths, by which the choice varies at random, about the size of one task. */
+const variation = 2000;
+
+/** A worker that could take a task. */
+export interface WorkerCandidate {
+    readonly agent: string;
+    /** What is free as far as the entry knows. */
+    readonly available: Resources;
+    readonly isInOwnZone: boolean;
+    /** Run time on this worker over the estimate of the jobs' callers. */
+    readonly slowness: number;
+}
+
+/**
+ * Chooses a worker for one task.
+ *
+ * @param candidates - permitted workers
+ * @param needs - what the task occupies
+ * @param random - breaks ties between entries
+ * @returns the worker, or undefined when none has room
+ */
+export function chooseWorker(
+    candidates: Iterable<WorkerCandidate>,
+    needs: Resources,
+    random: RandomSource,
+): WorkerCandidate | undefined {
+    let best: WorkerCandidate | undefined;
+    let bestRank = Number.NEGATIVE_INFINITY;
+    for (const candidate of candidates) {
+        if (!fitsInto(needs, candidate.available)) {
+            continue;
+        }
+        const rank = candidate.available.milliCores / candidate.slowness
+            + (candidate.isInOwnZone ? ownZoneAdvantage : 0)
+            + random.nextFraction() * variation;
+        if (rank > bestRank) {
+            best = candidate;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/process/boundedLog.ts
@@ -0,0 +1,60 @@
+/**
+ * A log whose volume is bounded: under load, lines beyond the bound are counted instead of written.
+ */
+import type { Clock } from "@lovagepitch/utils/clock";
+import { JsonEventLog } from "@lovagepitch/utils/logger";
+
+/** Lines of severity "info" that may be written in one second; a calm day of one entry writes about 40. */
+const infoLinesPerSecond = 120;
+
+/** Lines of severity "warn" that may be written in one second. */
+const warningLinesPerSecond = 60;
+
+/** Length of the window that the bounds apply to, in milliseconds. */
+const windowMilliseconds = 1000;
+
+/** Writes structured lines to standard output, and says how many it left out. */
+export class BoundedLog {
+    private readonly log: JsonEventLog;
+    private windowStart = 0;
+    private written = { info: 0, warn: 0 };
+    private omitted = 0;
+
+    /**
+     * @param name - name of the process
+     * @param clock - steady clock
+     */
+    public constructor(name: string, private readonly clock: Clock) {
+        this.log = new JsonEventLog(name, "info");
+    }
+
+    /**
+     * Writes a line, if the window has room for it.
+     *
+     * @param level - severity
+     * @param event - what happened
+     * @param fields - facts that decided it
+     */
+    public write(level: "info" | "warn", event: string, fields: Readonly<Record<string, unknown>>): void {
+        const now = this.clock.nowMilliseconds();
+        if (now - this.windowStart >= windowMilliseconds) {
+            this.startWindow(now);
+        }
+        const bound = level === "info" ? infoLinesPerSecond : warningLinesPerSecond;
+        if (this.written[level] >= bound) {
+            this.omitted += 1;
+            return;
+        }
+        this.written[level] += 1;
+        this.log.event(level, event, fields);
+    }
+
+    private startWindow(now: number): void {
+        if (this.omitted > 0) {
+            this.log.event("warn", "log lines were left out", { lines: this.omitted });
+        }
+        this.windowStart = now;
+        this.written = { info: 0, warn: 0 };
+        this.omitted = 0;
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-direct/src/process/configurationWatcher.ts
@@ -0,0 +1,112 @@
+/**
+ * Follows the operator's configuration in the store.
+ */
+import { setTimeout as delay } from "node:timers/promises";
+import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import type { SharedRow, SharedRows } from "./sharedRows.js";
+
+/**
+ * How long one call waits for a change. A connection that has gone silent shows after this time, well within the two
+ * seconds in which a version has to be in force.
+ */
+const watchMilliseconds = 800;
+
+/** Pause after a failed call, in milliseconds. */
+const retryMilliseconds = 200;
+
+/** Where the configuration lies, and how it is read. */
+export abstract class ConfigurationRow {
+    /** The table that holds it. */
+    public abstract readonly table: string;
+
+    /**
+     * Decodes a row of the table.
+     *
+     * @param row - the row
+     * @returns the configuration, or undefined when the row holds something else
+     */
+    public abstract decode(row: SharedRow): DispatchConfiguration | undefined;
+}
+
+/** What the watcher tells its process. */
+export interface ConfigurationEvents {
+    readonly configured: (configuration: DispatchConfiguration) => void;
+    /** The store stopped answering, or answers again. */
+    readonly reachable: (isReachable: boolean, message: string) => void;
+}
+
+/** Reads the configuration, then waits for its changes, until the process ends. */
+export class ConfigurationWatcher {
+    private isReachable = true;
+
+    /**
+     * @param rows - the store
+     * @param row - where the configuration lies
+     * @param events - is told of versions; they may repeat and be older than earlier ones
+     */
+    public constructor(
+        private readonly rows: SharedRows,
+        private readonly row: ConfigurationRow,
+        private readonly events: ConfigurationEvents,
+    ) {}
+
+    /**
+     * Runs until the process ends.
+     *
+     * @returns never
+     */
+    public async run(): Promise<never> {
+        for (;;) {
+            const version = await this.readAll();
+            if (version !== undefined) {
+                await this.follow(version);
+            }
+            await delay(retryMilliseconds);
+        }
+    }
+
+    private async readAll(): Promise<number | undefined> {
+        const result = await this.rows.read(this.row.table);
+        if (result.err) {
+            this.noteReachable(false, result.val.message);
+            return undefined;
+        }
+        this.noteReachable(true, "read");
+        this.handOver(result.val.rows);
+        return result.val.version;
+    }
+
+    private async follow(from: number): Promise<void> {
+        let version = from;
+        for (;;) {
+            const result = await this.rows.watch(this.row.table, version, watchMilliseconds);
+            if (result.ok) {
+                this.noteReachable(true, "watch");
+                this.handOver(result.val.rows);
+                version = Math.max(version, result.val.version);
+                continue;
+            }
+            this.noteReachable(false, result.val.message);
+            if (result.val.kind === "history-gone") {
+                return;
+            }
+            await delay(retryMilliseconds);
+        }
+    }
+
+    private handOver(rows: readonly SharedRow[]): void {
+        for (const row of rows) {
+            const configuration = this.row.decode(row);
+            if (configuration !== undefined) {
+                this.events.configured(configuration);
+            }
+        }
+    }
+
+    private noteReachable(isReachable: boolean, message: string): void {
+        if (isReachable !== this.isReachable) {
+            this.isReachable = isReachable;
+            this.events.reachable(isReachable, message);
+        }
+    }
+}
