build: leave packages with UMD wrappers out of the bundles

Cause: ts-results and jsonc-parser load their parts through a wrapper whose names a bundler cannot see, so the bundled programs ended with MODULE_NOT_FOUND. Change: they are loaded from node_modules.

--- a/admin/bundle.mjs
+++ b/admin/bundle.mjs
@@ -25,8 +25,8 @@
     format: "esm",
     // Packages in CommonJS call require.
     banner: { js: "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);" },
-    // Its UMD wrapper loads its parts by names that a bundler cannot see.
-    external: ["ts-results"],
+    // Their UMD wrappers load their parts by names that a bundler cannot see.
+    external: ["ts-results", "jsonc-parser"],
     plugins: [workspaceSources],
     legalComments: "none",
     logLevel: "warning",
