fix(direct): a restarted agent takes its epoch from the worker's clock before its first call

A restarted agent asked its worker with epoch 0, which the worker rejects after it has seen a higher one, so the agent never learned the clock that its epoch comes from. Ruled out: lost registrations (reports were acknowledged), missing configuration (entries were ready). Change: the epoch comes from the clock in the worker's report; a rejected call brings a newer one.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "admin/**", "*.mjs"] },
+    { ignores: ["**/dist/**", "target/**", "**/node_modules/**", "admin/**", "*.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -83,7 +83,7 @@
             case "view":
                 return receiveView(state, input.call, input.view);
             case "view-failed":
-                return receiveViewFailure(state, input.call, input.outcome);
+                return receiveViewFailure(state, input.call, input.failure);
             case "start-answered":
                 return input.worker === state.worker?.report.id
                     ? receiveStartAnswer(state, input.run, input.outcome)
--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -40,6 +40,12 @@
     readonly ended: readonly ListedEnd[];
 }
 
+/** Why there is no view. */
+export type ViewFailure =
+    | { readonly kind: "unknown" | "other-life" }
+    /** The worker has seen a higher epoch; its steady clock, in milliseconds. */
+    | { readonly kind: "outdated-epoch"; readonly workerClock: number };
+
 /** Inputs of the agent's core. */
 export type AgentInput =
     | { readonly kind: "worker-reported"; readonly report: WorkerReport }
@@ -48,7 +54,7 @@
     | {
         readonly kind: "view-failed";
         readonly call: number;
-        readonly outcome: "unknown" | "other-life" | "outdated-epoch";
+        readonly failure: ViewFailure;
     }
     | {
         readonly kind: "start-answered" | "stop-answered";
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -56,8 +56,10 @@
 /** The worker's present life. */
 export interface WorkerRow {
     readonly report: WorkerReport;
-    /** Orders carry it; higher than that of an earlier process of this agent. */
-    readonly epoch: number | undefined;
+    /** Orders carry it; the worker ignores orders of a lower one, which an earlier process of this agent sent. */
+    readonly epoch: number;
+    /** True once the worker has answered a call of this epoch that names its life. */
+    readonly isConfirmed: boolean;
     /** The worker's clock minus the agent's. */
     readonly clockOffset: number;
     readonly acknowledgedEnds: number;
--- a/packages/lovagepitch-direct/src/agent/starts.ts
+++ b/packages/lovagepitch-direct/src/agent/starts.ts
@@ -26,7 +26,7 @@
     }
     const { worker } = state;
     const obstacle = worker === undefined ? "no worker is known" : findObstacle(state, worker, order);
-    if (worker === undefined || worker.epoch === undefined || obstacle !== undefined) {
+    if (worker === undefined || obstacle !== undefined) {
         const ended: EndedRun = { ...identify(order), end: "not-started", ranMilliseconds: 0 };
         reportEnd(state, entry, ended);
         state.log("info", "start declined", { job: order.job, task: order.task, run: order.run, obstacle });
@@ -73,7 +73,7 @@
         visibleFromCall: Number.POSITIVE_INFINITY,
         stopReason: row.state === "stopping" ? row.stopReason : reason,
     });
-    state.outputs.push({ kind: "stop", worker: worker.report.id, run: row.identity, epoch: worker.epoch ?? 0 });
+    state.outputs.push({ kind: "stop", worker: worker.report.id, run: row.identity, epoch: worker.epoch });
 }
 
 /**
@@ -149,12 +149,11 @@
     }
 }
 
-/** The next view shows the worker's clock, from which the epoch is taken. */
+/** The next view is refused as well, with the worker's clock, from which a new epoch is taken. */
 function renewEpoch(state: AgentState): void {
     if (state.worker !== undefined) {
-        state.worker = { ...state.worker, epoch: undefined };
+        state.worker = { ...state.worker, isConfirmed: false };
         state.markOutdated();
-        state.log("warn", "worker has seen a higher epoch; taking a new one", { worker: state.worker.report.id });
     }
 }
 
@@ -191,7 +190,7 @@
  */
 export function acceptsTasks(state: AgentState): boolean {
     const { worker } = state;
-    return worker !== undefined && worker.epoch !== undefined && worker.isResponsive && !worker.report.isDraining
+    return worker !== undefined && worker.isConfirmed && worker.isResponsive && !worker.report.isDraining
         && !state.isShuttingDown && !hasForeignRun(state);
 }
 
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -4,7 +4,7 @@
 import { formatRunKey } from "../model/frames.js";
 import { workerClockError, workerLeaseMilliseconds } from "../model/timing.js";
 import type { WorkerReport } from "../model/workerStatus.js";
-import type { ListedRun, WorkerView } from "./agentPorts.js";
+import type { ListedRun, ViewFailure, WorkerView } from "./agentPorts.js";
 import type { AgentState, RunRow } from "./agentState.js";
 import { endRun, loseAllRuns } from "./runEnds.js";
 import { stopRun } from "./starts.js";
@@ -51,8 +51,10 @@
     state.candidate = undefined;
     state.worker = {
         report,
-        epoch: undefined,
-        clockOffset: 0,
+        // The worker's clock rises, so a process that starts later has the higher epoch.
+        epoch: chooseEpoch(report.workerClock),
+        isConfirmed: false,
+        clockOffset: report.workerClock - state.now,
         acknowledgedEnds: 0,
         leaseSentAt: Number.NEGATIVE_INFINITY,
         answeredAt: state.now,
@@ -64,6 +66,10 @@
     state.log("info", "worker registered", { worker: report.id, service: report.service, capacity: report.capacity });
 }
 
+function chooseEpoch(workerClock: number): number {
+    return Math.max(1, Math.floor(workerClock));
+}
+
 /** The worker's present life is over: nothing of it runs any more, and a later life may take its place. */
 function endLife(state: AgentState): void {
     loseAllRuns(state);
@@ -99,14 +105,14 @@
     }
     // After a call without an answer the lease is not extended until the worker answers again: it has to be known
     // when everything there has run out.
-    const extendsLease = worker.isResponsive && worker.epoch !== undefined;
+    const extendsLease = worker.isResponsive && worker.isConfirmed;
     const call = state.nextCall;
     state.nextCall += 1;
     state.outputs.push({
         kind: "view",
         call,
         worker: worker.report.id,
-        epoch: worker.epoch ?? 0,
+        epoch: worker.epoch,
         leaseUntil: extendsLease ? Math.floor(state.now + worker.clockOffset + workerLeaseMilliseconds) : undefined,
         acknowledgedEnds: worker.acknowledgedEnds,
         waitMilliseconds: extendsLease ? viewWaitMilliseconds : 0,
@@ -130,15 +136,13 @@
     if (worker?.callInFlight !== call) {
         return;
     }
-    const isFirst = worker.epoch === undefined;
-    if (!worker.isResponsive || isFirst) {
+    if (!worker.isResponsive || !worker.isConfirmed) {
         state.markOutdated();
         state.log("info", "worker responds", { worker: worker.report.id, running: view.running.length });
     }
     state.worker = {
         ...worker,
-        // The worker's clock rises, so a process that starts later has the higher epoch.
-        epoch: worker.epoch ?? Math.max(1, Math.floor(view.workerClock)),
+        isConfirmed: true,
         clockOffset: view.workerClock - state.now,
         answeredAt: state.now,
         isResponsive: true,
@@ -205,30 +209,32 @@
  *
  * @param state - the agent
  * @param call - number of the call
- * @param outcome - what is known
+ * @param failure - what is known
  */
-export function receiveViewFailure(
-    state: AgentState,
-    call: number,
-    outcome: "unknown" | "other-life" | "outdated-epoch",
-): void {
+export function receiveViewFailure(state: AgentState, call: number, failure: ViewFailure): void {
     const { worker } = state;
     if (worker?.callInFlight !== call) {
         return;
     }
-    if (outcome === "other-life") {
+    if (failure.kind === "other-life") {
         // Only another life can answer so: everything of this one has ended.
         state.log("warn", "worker has restarted", { worker: worker.report.id });
         endLife(state);
         return;
     }
+    if (failure.kind === "outdated-epoch") {
+        const epoch = chooseEpoch(failure.workerClock);
+        state.log("info", "worker has seen a higher epoch; taking a new one", { worker: worker.report.id, epoch });
+        state.worker = { ...worker, epoch, isConfirmed: false, callInFlight: undefined, nextCallAt: state.now };
+        state.markOutdated();
+        return;
+    }
     if (worker.isResponsive) {
-        state.log("warn", "worker does not respond", { worker: worker.report.id, outcome });
+        state.log("warn", "worker does not respond", { worker: worker.report.id });
         state.markOutdated();
     }
     state.worker = {
         ...worker,
-        epoch: outcome === "outdated-epoch" ? undefined : worker.epoch,
         isResponsive: false,
         callInFlight: undefined,
         nextCallAt: state.now + retryViewMilliseconds,
--- a/packages/lovagepitch-direct/src/model/workerStatus.ts
+++ b/packages/lovagepitch-direct/src/model/workerStatus.ts
@@ -13,6 +13,8 @@
     readonly isDraining: boolean;
     /** Least time until a draining worker ends, in milliseconds; undefined when it is not draining. */
     readonly drainRemainingMilliseconds: number | undefined;
+    /** The worker's steady clock when it sent the report, in milliseconds. */
+    readonly workerClock: number;
     /** Increases with each report of one life, so that a late one can be told. */
     readonly sequence: number;
 }
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -134,7 +134,7 @@
                 this.loop.accept(
                     outcome.kind === "view"
                         ? { kind: "view", call: output.call, view: outcome.view }
-                        : { kind: "view-failed", call: output.call, outcome: outcome.kind },
+                        : { kind: "view-failed", call: output.call, failure: outcome },
                 );
             }
         }
--- a/packages/lovagepitch-direct/src/process/workerOrders.ts
+++ b/packages/lovagepitch-direct/src/process/workerOrders.ts
@@ -1,13 +1,11 @@
 /**
  * How an agent speaks to its worker.
  */
-import type { OrderOutcome, WorkerView } from "../agent/agentPorts.js";
+import type { OrderOutcome, ViewFailure, WorkerView } from "../agent/agentPorts.js";
 import type { RunIdentity, StartOrder } from "../model/frames.js";
 
 /** What became of a request for a view. */
-export type ViewOutcome =
-    | { readonly kind: "view"; readonly view: WorkerView }
-    | { readonly kind: "unknown" | "other-life" | "outdated-epoch" };
+export type ViewOutcome = { readonly kind: "view"; readonly view: WorkerView } | ViewFailure;
 
 /** Orders to the worker beside this agent. Every call ends within a bounded time. */
 export abstract class WorkerOrders {
--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
@@ -0,0 +1,320 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import assert from "node:assert/strict";
+import { DirectDeployment } from "../../direct/directDeployment.js";
+
+/** Run time of the tasks of jobs that are called long, in milliseconds. */
+const longMilliseconds = 2000;
+
+interface SubmittedJob {
+    readonly id: string;
+    readonly entry: number;
+    readonly request: number;
+    readonly atMilliseconds: number;
+    readonly isBad: boolean;
+}
+
+class DirectWorld {
+    public readonly jobs: SubmittedJob[] = [];
+    private nextId = 1;
+
+    public constructor(public readonly deployment: DirectDeployment) {}
+
+    public submit(entry: number, long: boolean, isBad: boolean): void {
+        const id = (long ? "f" : "a") + this.nextId.toString(16).padStart(15, "0");
+        this.nextId += 1;
+        const estimatedMilliseconds = long ? longMilliseconds : 200;
+        const request = this.deployment.submit(entry, {
+            id,
+            estimatedMilliseconds,
+            callerWaitMilliseconds: long ? 20_000 : 5000,
+            taskCount: long ? 8 : 4,
+        }, isBad);
+        this.jobs.push({ id, entry, request, atMilliseconds: this.deployment.clock.nowMilliseconds(), isBad });
+    }
+
+    public load(count: number, milliseconds: number, badEvery: number): void {
+        for (let index = 0; index < count; index += 1) {
+            this.submit(index % 2, false, badEvery > 0 && index % badEvery === 0);
+            this.deployment.run(milliseconds / count);
+        }
+    }
+}
+
+let world = new DirectWorld(createDeployment(2, 4, 16_000, 1));
+
+function createDeployment(entries: number, workers: number, milliCores: number, seed: number): DirectDeployment {
+    return new DirectDeployment({
+        entries,
+        workers,
+        milliCores,
+        seed,
+        durationMilliseconds: run => run.job.startsWith("f") ? longMilliseconds : 100 + (run.task * 37) % 100,
+    });
+}
+
+Given(
+    "{int} entries and {int} workers of {int} cores for direct jobs",
+    (entries: number, workers: number, cores: number) => {
+        world = new DirectWorld(createDeployment(entries, workers, cores * 1000, 1));
+    },
+);
+
+When("{int} direct jobs arrive within {int} ms", (count: number, milliseconds: number) => {
+    world.load(count, milliseconds, 0);
+});
+
+When(
+    "{int} direct jobs arrive within {int} ms, one in {int} of them bad",
+    (count: number, milliseconds: number, every: number) => {
+        world.load(count, milliseconds, every);
+    },
+);
+
+When("{int} ms pass", (milliseconds: number) => {
+    world.deployment.run(milliseconds);
+});
+
+When("a direct job of long tasks starts", () => {
+    world.submit(0, true, false);
+    world.deployment.run(300);
+    assert.ok(world.deployment.record.listAtWork().length > 0, "the job did not start");
+});
+
+When("its caller leaves", () => {
+    const job = world.jobs.at(-1);
+    assert.ok(job);
+    world.deployment.leave(job.entry, job.request, job.id);
+});
+
+When("the same direct job arrives at entry {int}", (entry: number) => {
+    const job = world.jobs.at(-1);
+    assert.ok(job);
+    world.deployment.submit(entry, {
+        id: job.id,
+        estimatedMilliseconds: longMilliseconds,
+        callerWaitMilliseconds: 20_000,
+        taskCount: 8,
+    });
+});
+
+When(
+    "the same direct jobs arrive at entry {int} after {int} ms",
+    (entry: number, milliseconds: number) => {
+        world.deployment.run(milliseconds);
+        for (const job of world.jobs.filter(other => other.entry !== entry)) {
+            world.deployment.submit(entry, { id: job.id });
+        }
+        world.deployment.run(20);
+    },
+);
+
+When("the callers at entry {int} leave", (entry: number) => {
+    for (const job of world.jobs.filter(other => other.entry === entry)) {
+        world.deployment.leave(entry, job.request, job.id);
+    }
+});
+
+When("entry {int} is killed", (entry: number) => {
+    world.deployment.killEntry(entry);
+});
+
+When("entry {int} is cut off", (entry: number) => {
+    world.deployment.cutOff("entry", entry, true);
+});
+
+When(/^(entry|agent) (\d+) (is frozen|wakes)$/, (kind: string, index: string, what: string) => {
+    world.deployment.freeze(kind as "entry" | "agent", Number(index), what === "is frozen");
+});
+
+When("agent {int} is killed", (agent: number) => {
+    world.deployment.killAgent(agent);
+});
+
+When(
+    "agent {int} is killed and started again after {int} ms",
+    (agent: number, milliseconds: number) => {
+        world.deployment.killAgent(agent);
+        world.deployment.run(milliseconds);
+        world.deployment.restartAgent(agent);
+    },
+);
+
+When("agent {int} shuts down as planned", (agent: number) => {
+    world.deployment.shutDownAgent(agent);
+});
+
+When("worker {int} crashes and returns", (index: number) => {
+    world.deployment.restartWorker(index);
+});
+
+When("worker {int} carries its orders out {int} ms late", (index: number, delay: number) => {
+    setFault(world.deployment, index, { ordersDelayedBy: delay });
+});
+
+When("worker {int} carries its orders out at once", (index: number) => {
+    setFault(world.deployment, index, { ordersDelayedBy: undefined });
+});
+
+When("worker {int} loses its answers", (index: number) => {
+    setFault(world.deployment, index, { losesAnswers: true });
+});
+
+When("worker {int} answers again", (index: number) => {
+    setFault(world.deployment, index, { losesAnswers: false });
+});
+
+When("worker {int} is cut off", (index: number) => {
+    setFault(world.deployment, index, { isCutOff: true });
+});
+
+When("worker {int} stalls", (index: number) => {
+    setFault(world.deployment, index, { isStalled: true });
+});
+
+When("worker {int} fails everything", (index: number) => {
+    setFault(world.deployment, index, { failsEverything: true });
+});
+
+When("worker {int} drains", (index: number) => {
+    world.deployment.drainWorker(index);
+});
+
+When("all connections between entries and agents go silent", () => {
+    world.deployment.silenceConnections();
+});
+
+When(
+    "{int} faults strike in random order under load with seed {int}",
+    (count: number, seed: number) => {
+        world = new DirectWorld(createDeployment(2, 4, 16_000, seed));
+        const random = new RandomSource(seed);
+        const endings: (() => void)[] = [];
+        for (let index = 0; index < count; index += 1) {
+            endings.push(strike(world.deployment, random));
+            world.load(10 + random.nextInteger(20), 50 + random.nextInteger(400), 15);
+            if (random.nextInteger(2) === 0) {
+                endings.shift()?.();
+            }
+        }
+        endings.forEach(end => end());
+    },
+);
+
+/** Begins a fault; the returned function ends it. */
+function strike(deployment: DirectDeployment, random: RandomSource): () => void {
+    const index = random.nextInteger(4);
+    const entry = random.nextInteger(2);
+    switch (random.nextInteger(10)) {
+        case 0:
+            deployment.restartWorker(index);
+            return () => undefined;
+        case 1:
+            deployment.killAgent(index);
+            return () => deployment.restartAgent(index);
+        case 2:
+            setFault(deployment, index, { ordersDelayedBy: 500 + random.nextInteger(3000) });
+            return () => setFault(deployment, index, { ordersDelayedBy: undefined });
+        case 3:
+            setFault(deployment, index, { losesAnswers: true });
+            return () => setFault(deployment, index, { losesAnswers: false });
+        case 4:
+            setFault(deployment, index, { isCutOff: true });
+            return () => setFault(deployment, index, { isCutOff: false });
+        case 5:
+            setFault(deployment, index, { isStalled: true });
+            return () => setFault(deployment, index, { isStalled: false });
+        case 6:
+            deployment.freeze("entry", entry, true);
+            return () => deployment.freeze("entry", entry, false);
+        case 7:
+            deployment.freeze("agent", index, true);
+            return () => deployment.freeze("agent", index, false);
+        case 8:
+            deployment.cutOff("entry", entry, true);
+            return () => deployment.cutOff("entry", entry, false);
+        default:
+            deployment.silenceConnections();
+            return () => undefined;
+    }
+}
+
+function setFault(
+    deployment: DirectDeployment,
+    index: number,
+    fault: Partial<DirectDeployment["workers"][0]["faults"]>,
+): void {
+    const worker = deployment.workers[index];
+    assert.ok(worker);
+    Object.assign(worker.faults, fault);
+}
+
+Then("the promises of direct jobs hold", () => {
+    assert.deepEqual(world.deployment.record.violations, []);
+});
+
+Then("every direct job was done", () => {
+    const { record } = world.deployment;
+    const others = record.answers.filter(({ answer }) => answer.kind !== "done");
+    assert.deepEqual(others, []);
+    assert.equal(record.count("done"), world.jobs.length);
+});
+
+Then("at least {int} direct jobs were done", (least: number) => {
+    const done = world.deployment.record.count("done");
+    assert.ok(done >= least, `${done} were done`);
+});
+
+Then("some direct jobs were refused within {int} ms of their arrival", (limit: number) => {
+    const refused = world.deployment.record.answers.filter(({ answer }) => answer.kind === "refused");
+    assert.ok(refused.length > 0);
+    for (const answer of refused) {
+        const arrival = world.jobs.find(job => job.id === answer.job)?.atMilliseconds ?? 0;
+        assert.ok(
+            answer.atMilliseconds - arrival <= limit,
+            `${answer.job} after ${answer.atMilliseconds - arrival} ms`,
+        );
+        assert.ok(answer.answer.kind === "refused" && answer.answer.retryAfterSeconds >= 1);
+    }
+});
+
+Then("{int} direct jobs failed and the others were done", (failed: number) => {
+    const { record } = world.deployment;
+    assert.equal(record.count("failed"), failed);
+    assert.equal(record.count("done"), world.jobs.length - failed);
+});
+
+Then("no task of a direct job is at work", () => {
+    assert.deepEqual(world.deployment.record.listAtWork(), []);
+});
+
+Then("no run was broken off", () => {
+    const { record } = world.deployment;
+    assert.equal(record.runEnds("stopped") + record.runEnds("lost"), 0);
+});
+
+Then("at most {int} runs failed", (most: number) => {
+    const failed = world.deployment.record.runEnds("failed");
+    assert.ok(failed <= most, `${failed} runs failed`);
+});
+
+Then("worker {int} has all its capacity free", (index: number) => {
+    assert.equal(world.deployment.freeMilliCores(index), 16_000);
+});
+
+Then("workers have all their capacity free", () => {
+    for (const index of world.deployment.workers.keys()) {
+        assert.equal(world.deployment.freeMilliCores(index), 16_000, `worker ${index}`);
+    }
+});
+
+Then("worker {int} started some of the latest {int} direct jobs", (index: number, count: number) => {
+    const latest = new Set(world.jobs.slice(-count).map(job => job.id));
+    const started = world.deployment.record.listStarts(world.deployment.workers[index]?.id ?? "");
+    assert.ok(started.some(run => latest.has(run.job)), "the worker started none of them");
+});
+
+Then("worker {int} started nothing since it drains", (index: number) => {
+    assert.equal(world.deployment.workers[index]?.isBusy, false);
+    assert.equal(world.deployment.record.listStarts(world.deployment.workers[index]?.id ?? "").length, 0);
+});
--- /dev/null
+++ b/packages/lovagepitch-testing/src/direct/coreHost.ts
@@ -0,0 +1,32 @@
+/**
+ * A process of a tested deployment: its core, and whether it runs.
+ */
+import type { Core } from "@lovagepitch/utils/core";
+
+/** A process. */
+export interface CoreHost<Input, Output> {
+    core: Core<Input, Output>;
+    isRunning: boolean;
+    /** Frozen processes keep their inputs until they wake. */
+    isFrozen: boolean;
+    isCutOff: boolean;
+    incarnation: number;
+    isTickQueued: boolean;
+}
+
+/**
+ * Makes a running process.
+ *
+ * @param core - its decisions
+ * @returns the process
+ */
+export function createCoreHost<Input, Output>(core: Core<Input, Output>): CoreHost<Input, Output> {
+    return {
+        core,
+        isRunning: true,
+        isFrozen: false,
+        isCutOff: false,
+        incarnation: 0,
+        isTickQueued: false,
+    };
+}
--- /dev/null
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -0,0 +1,368 @@
+/**
+ * Entries, agents and workers of direct jobs in one process, on a clock that the test moves: the cores are the real
+ * ones; connections, workers and callers are fakes with faults.
+ */
+import { AgentCore } from "@lovagepitch/direct/agent/agentCore";
+import type { AgentInput, AgentOutput } from "@lovagepitch/direct/agent/agentPorts";
+import { EntryCore } from "@lovagepitch/direct/entry/entryCore";
+import type { EntryInput, EntryOutput } from "@lovagepitch/direct/entry/entryPorts";
+import type { DirectJob } from "@lovagepitch/direct/model/directJob";
+import type { RunIdentity } from "@lovagepitch/direct/model/frames";
+import { ManualClock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { EventQueue } from "../harness/eventQueue.js";
+import { type CoreHost, createCoreHost } from "./coreHost.js";
+import { DirectRecord } from "./directRecord.js";
+import { FakeWorker } from "./fakeWorker.js";
+import { getAt } from "./getAt.js";
+import { LinkNetwork } from "./linkNetwork.js";
+import { testedService, usualJob } from "./usualJob.js";
+import { WorkerPort } from "./workerPort.js";
+
+/** Interval of the workers' reports, in milliseconds. */
+const reportMilliseconds = 1500;
+
+/** Sizes of a deployment. */
+export interface DeploymentShape {
+    readonly entries: number;
+    readonly workers: number;
+    readonly milliCores: number;
+    readonly durationMilliseconds: (run: RunIdentity) => number;
+    readonly seed: number;
+}
+
+/** A deployment that runs direct jobs. */
+export class DirectDeployment {
+    public readonly clock = new ManualClock(1_000_000);
+    public readonly record = new DirectRecord(this.clock);
+    public readonly queue = new EventQueue(this.clock);
+    public readonly workers: FakeWorker[] = [];
+    private readonly entries: CoreHost<EntryInput, EntryOutput>[] = [];
+    private readonly agents: CoreHost<AgentInput, AgentOutput>[] = [];
+    private readonly port = new WorkerPort(this.clock, this.queue, this.workers, this.agents, (host, input) => {
+        this.give(host, input);
+    });
+    private readonly links = new LinkNetwork(this.clock, this.queue, this.entries, this.agents, (host, input) => {
+        this.give(host, input);
+    });
+    private readonly jobs = new Map<string, DirectJob>();
+    private readonly draining = new Set<string>();
+    private readonly lastFree = new Map<number, number>();
+    private nextRequest = 1;
+    private nextLife = 1;
+    private reportSequence = 1;
+
+    /**
+     * @param shape - how many processes there are
+     */
+    public constructor(private readonly shape: DeploymentShape) {
+        for (let index = 0; index < shape.entries; index += 1) {
+            this.entries.push(createCoreHost(this.createEntryCore(index, 0)));
+        }
+        for (let index = 0; index < shape.workers; index += 1) {
+            this.workers.push(this.createWorker());
+            this.agents.push(createCoreHost(this.createAgentCore(index, 0)));
+            this.tellEntries(index);
+            this.report(index);
+        }
+        const wake = (): void => {
+            this.wakeAll();
+            this.queue.schedule(this.clock.nowMilliseconds() + 5, wake, undefined);
+        };
+        this.queue.schedule(this.clock.nowMilliseconds(), wake, undefined);
+        this.run(200);
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param milliseconds - how much
+     */
+    public run(milliseconds: number): void {
+        this.queue.runUntil(this.clock.nowMilliseconds() + milliseconds);
+    }
+
+    /**
+     * Submits a job.
+     *
+     * @param entry - which entry
+     * @param job - the job; fields that are left out get usual values
+     * @param isBad - true when no run of it can succeed
+     * @returns number of the request
+     */
+    public submit(entry: number, job: Partial<DirectJob> & { readonly id: string }, isBad = false): number {
+        const complete = { ...usualJob, ...job };
+        const request = this.nextRequest;
+        this.nextRequest += 1;
+        this.jobs.set(job.id, complete);
+        this.record.submitAgain(job.id);
+        this.record.submit(job.id, complete.specification, isBad);
+        this.give(this.entryHost(entry), { kind: "submitted", request, job: complete });
+        return request;
+    }
+
+    /**
+     * Closes a caller's connection.
+     *
+     * @param entry - which entry
+     * @param request - number of the request
+     * @param job - the job's id
+     */
+    public leave(entry: number, request: number, job: string): void {
+        this.record.cancel(job);
+        this.give(this.entryHost(entry), { kind: "caller-gone", request, job });
+    }
+
+    /**
+     * Kills an entry's process.
+     *
+     * @param entry - which entry
+     */
+    public killEntry(entry: number): void {
+        this.entryHost(entry).isRunning = false;
+        this.links.close(other => other === entry);
+    }
+
+    /**
+     * Kills an agent's process; the worker goes on.
+     *
+     * @param agent - which agent
+     */
+    public killAgent(agent: number): void {
+        this.agentHost(agent).isRunning = false;
+        this.links.close((_, other) => other === agent);
+    }
+
+    /**
+     * Starts an agent's process again.
+     *
+     * @param agent - which agent
+     */
+    public restartAgent(agent: number): void {
+        const host = this.agentHost(agent);
+        host.incarnation += 1;
+        host.core = this.createAgentCore(agent, host.incarnation);
+        host.isRunning = true;
+        this.tellEntries(agent);
+        this.report(agent);
+    }
+
+    /**
+     * Asks an agent to stop as planned.
+     *
+     * @param agent - which agent
+     */
+    public shutDownAgent(agent: number): void {
+        this.give(this.agentHost(agent), { kind: "shut-down" });
+    }
+
+    /**
+     * Freezes or wakes a process; what reaches it meanwhile waits.
+     *
+     * @param kind - of the process
+     * @param index - which one
+     * @param isFrozen - true to freeze it
+     */
+    public freeze(kind: "entry" | "agent", index: number, isFrozen: boolean): void {
+        const host = kind === "entry" ? this.entryHost(index) : this.agentHost(index);
+        host.isFrozen = isFrozen;
+    }
+
+    /**
+     * Cuts a process off from all others, or connects it again. Connections go silent.
+     *
+     * @param kind - of the process
+     * @param index - which one
+     * @param isCutOff - true to cut it off
+     */
+    public cutOff(kind: "entry" | "agent", index: number, isCutOff: boolean): void {
+        const host = kind === "entry" ? this.entryHost(index) : this.agentHost(index);
+        host.isCutOff = isCutOff;
+        this.links.silence((entry, agent) => isCutOff && (kind === "entry" ? entry : agent) === index);
+    }
+
+    /** Has every open connection go silent for good; new ones work. */
+    public silenceConnections(): void {
+        this.links.silence(() => true);
+    }
+
+    /**
+     * Crashes a worker and starts its next life.
+     *
+     * @param index - which worker
+     */
+    public restartWorker(index: number): void {
+        this.workers[index]?.crash();
+        this.workers[index] = this.createWorker();
+    }
+
+    /**
+     * Has a worker report that it drains.
+     *
+     * @param index - which worker
+     */
+    public drainWorker(index: number): void {
+        this.draining.add(this.workerAt(index).id);
+        this.report(index);
+    }
+
+    /**
+     * Reads what an agent last told an entry of its worker's free cores.
+     *
+     * @param agent - which agent
+     * @returns thousandths of a core; -1 when it has told nothing
+     */
+    public freeMilliCores(agent: number): number {
+        return this.lastFree.get(agent) ?? -1;
+    }
+
+    private createEntryCore(index: number, incarnation: number): EntryCore {
+        const identity = {
+            incarnation: `entry-${index}-${incarnation}`,
+            instance: `entry-${index}`,
+            availabilityZone: "zone-a",
+        };
+        return new EntryCore(identity, this.clock, new RandomSource(this.shape.seed * 1000 + index));
+    }
+
+    private createAgentCore(index: number, incarnation: number): AgentCore {
+        const identity = {
+            incarnation: `agent-${index}-${incarnation}`,
+            instance: `agent-${index}`,
+            availabilityZone: "zone-a",
+        };
+        return new AgentCore(identity, this.clock);
+    }
+
+    private createWorker(): FakeWorker {
+        const id = `life-${this.nextLife}`;
+        this.nextLife += 1;
+        const capacity = { milliCores: this.shape.milliCores, memoryMegabytes: 32_768, accelerators: 0 };
+        return new FakeWorker(id, capacity, this.clock, this.record, this.shape.durationMilliseconds);
+    }
+
+    private tellEntries(agent: number): void {
+        const addresses = this.entries.map((_, index) => String(index));
+        this.give(this.agentHost(agent), { kind: "entries-found", addresses });
+    }
+
+    private report(index: number): void {
+        const worker = this.workerAt(index);
+        const host = this.agentHost(index);
+        this.reportSequence += 1;
+        if (host.isRunning && worker.isUp) {
+            this.give(host, {
+                kind: "worker-reported",
+                report: {
+                    id: worker.id,
+                    service: testedService,
+                    capacity: worker.capacity,
+                    labels: [],
+                    isDraining: this.draining.has(worker.id),
+                    drainRemainingMilliseconds: undefined,
+                    workerClock: this.clock.nowMilliseconds(),
+                    sequence: this.reportSequence,
+                },
+            });
+        }
+    }
+
+    private wakeAll(): void {
+        const now = this.clock.nowMilliseconds();
+        if (now % reportMilliseconds === 0) {
+            this.agents.forEach((_, index) => this.report(index));
+        }
+        this.entries.forEach(host => this.scheduleTick(host));
+        this.agents.forEach(host => this.scheduleTick(host));
+    }
+
+    private give<Input, Output>(host: CoreHost<Input, Output>, input: Input): void {
+        if (host.isRunning) {
+            host.core.accept(input);
+            this.scheduleTick(host);
+        }
+    }
+
+    private scheduleTick<Input, Output>(host: CoreHost<Input, Output>): void {
+        if (host.isTickQueued) {
+            return;
+        }
+        host.isTickQueued = true;
+        this.queue.schedule(this.clock.nowMilliseconds(), () => this.tick(host), undefined);
+    }
+
+    private tick<Input, Output>(host: CoreHost<Input, Output>): void {
+        host.isTickQueued = false;
+        if (!host.isRunning || host.isFrozen) {
+            return;
+        }
+        const outputs = host.core.tick();
+        const entry = this.entries.indexOf(host as unknown as CoreHost<EntryInput, EntryOutput>);
+        const agent = this.agents.indexOf(host as unknown as CoreHost<AgentInput, AgentOutput>);
+        for (const output of outputs) {
+            if (entry >= 0) {
+                this.performEntry(entry, output as EntryOutput);
+            }
+            else {
+                this.performAgent(agent, output as AgentOutput);
+            }
+        }
+    }
+
+    private performEntry(entry: number, output: EntryOutput): void {
+        if (output.kind === "answer") {
+            const taskCount = this.jobs.get(output.job)?.taskCount ?? 0;
+            this.record.answered(entry, output.job, output.answer, taskCount);
+        }
+        else if (output.kind === "frame") {
+            this.links.sendToAgent(output.connection, output.frame);
+        }
+    }
+
+    private performAgent(agent: number, output: AgentOutput): void {
+        switch (output.kind) {
+            case "connect":
+                this.links.connect(agent, Number(output.address));
+                return;
+            case "frame": {
+                this.lastFree.set(agent, output.frame.worker?.free.milliCores ?? -1);
+                this.links.sendToEntry(agent, Number(output.address), output.frame);
+                return;
+            }
+            case "start": {
+                const { order } = output;
+                const run = { job: order.job, task: order.task, run: order.run };
+                this.port.order(
+                    agent,
+                    output.worker,
+                    worker => worker.start(order, output.epoch, output.latestStart),
+                    outcome => {
+                        return { kind: "start-answered", worker: output.worker, run, outcome };
+                    },
+                );
+                return;
+            }
+            case "stop":
+                this.port.order(agent, output.worker, worker => worker.stop(output.run, output.epoch), outcome => {
+                    return { kind: "stop-answered", worker: output.worker, run: output.run, outcome };
+                });
+                return;
+            case "view":
+                this.port.view(agent, output.call, output);
+                return;
+            default:
+        }
+    }
+
+    private entryHost(index: number): CoreHost<EntryInput, EntryOutput> {
+        return getAt(this.entries, index);
+    }
+
+    private agentHost(index: number): CoreHost<AgentInput, AgentOutput> {
+        return getAt(this.agents, index);
+    }
+
+    private workerAt(index: number): FakeWorker {
+        return getAt(this.workers, index);
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -0,0 +1,222 @@
+/**
+ * A worker with leases, capacity and progress, on the deployment's clock, with faults that can be switched on.
+ */
+import type { ListedEnd, OrderOutcome, WorkerView } from "@lovagepitch/direct/agent/agentPorts";
+import { formatRunKey, type RunIdentity, type StartOrder } from "@lovagepitch/direct/model/frames";
+import { addResources, fitsInto, noResources, type Resources } from "@lovagepitch/direct/model/resources";
+import type { ViewOutcome, ViewRequest } from "@lovagepitch/direct/process/workerOrders";
+import type { ManualClock } from "@lovagepitch/utils/clock";
+import type { DirectRecord } from "./directRecord.js";
+
+/** Milliseconds that a worker takes to carry out a stop. */
+const stopMilliseconds = 30;
+
+/** How a worker treats orders and tasks. */
+export interface WorkerFaults {
+    /** Orders get no answer and are carried out this much later, in milliseconds; undefined for none. */
+    ordersDelayedBy: number | undefined;
+    /** Orders are carried out at once, but their answers are lost. */
+    losesAnswers: boolean;
+    /** Nothing reaches the worker and nothing comes back; tasks go on. */
+    isCutOff: boolean;
+    /** Tasks make no progress. */
+    isStalled: boolean;
+    /** Every task fails soon after its start. */
+    failsEverything: boolean;
+    /** Tasks take this many times as long. */
+    slowness: number;
+}
+
+interface RunningTask {
+    readonly identity: RunIdentity;
+    readonly needs: Resources;
+    readonly duration: number;
+    worked: number;
+    stopsAt: number | undefined;
+}
+
+/** One life of a worker. */
+export class FakeWorker {
+    public readonly faults: WorkerFaults = {
+        ordersDelayedBy: undefined,
+        losesAnswers: false,
+        isCutOff: false,
+        isStalled: false,
+        failsEverything: false,
+        slowness: 1,
+    };
+    /** True until the worker crashes. */
+    public isUp = true;
+    private readonly running = new Map<string, RunningTask>();
+    private readonly closedRuns = new Map<string, number>();
+    private ended: ListedEnd[] = [];
+    private endSequence = 0;
+    private leaseUntil = 0;
+    private highestEpoch = 0;
+    private advancedAt: number;
+
+    /**
+     * @param id - names this life
+     * @param capacity - what it has
+     * @param clock - the deployment's clock
+     * @param record - is told of starts and ends
+     * @param durationOf - the run time of a task on a sound worker, in milliseconds
+     */
+    public constructor(
+        public readonly id: string,
+        public readonly capacity: Resources,
+        private readonly clock: ManualClock,
+        private readonly record: DirectRecord,
+        private readonly durationOf: (run: RunIdentity) => number,
+    ) {
+        this.advancedAt = clock.nowMilliseconds();
+    }
+
+    /** True while something runs. */
+    public get isBusy(): boolean {
+        return this.running.size > 0;
+    }
+
+    /** Ends this life; everything that runs ends with it. */
+    public crash(): void {
+        this.advance();
+        this.isUp = false;
+        for (const task of this.running.values()) {
+            this.record.ended(this.id, task.identity, "lost");
+        }
+        this.running.clear();
+    }
+
+    /**
+     * Carries out a start.
+     *
+     * @param order - the task
+     * @param epoch - of the sender
+     * @param latestStart - on this worker's clock
+     * @returns the answer
+     */
+    public start(order: StartOrder, epoch: number, latestStart: number): OrderOutcome {
+        this.advance();
+        if (epoch < this.highestEpoch) {
+            return "outdated-epoch";
+        }
+        this.highestEpoch = epoch;
+        const identity = { job: order.job, task: order.task, run: order.run };
+        if (this.running.has(formatRunKey(identity))) {
+            return "accepted";
+        }
+        if (order.run <= (this.closedRuns.get(`${order.job}/${order.task}`) ?? 0)) {
+            return "superseded";
+        }
+        if (latestStart <= this.clock.nowMilliseconds()) {
+            return "rejected";
+        }
+        this.leaseUntil = Math.max(this.leaseUntil, latestStart);
+        this.running.set(formatRunKey(identity), {
+            identity,
+            needs: order.needs,
+            duration: this.faults.failsEverything ? 5 : this.durationOf(identity),
+            worked: 0,
+            stopsAt: undefined,
+        });
+        const occupied = [...this.running.values()].reduce((sum, task) => addResources(sum, task.needs), noResources);
+        this.record.started(this.id, identity, order.specification, fitsInto(occupied, this.capacity));
+        return "accepted";
+    }
+
+    /**
+     * Carries out a stop.
+     *
+     * @param run - the run
+     * @param epoch - of the sender
+     * @returns the answer
+     */
+    public stop(run: RunIdentity, epoch: number): OrderOutcome {
+        this.advance();
+        if (epoch < this.highestEpoch) {
+            return "outdated-epoch";
+        }
+        this.highestEpoch = epoch;
+        this.closeRun(run);
+        const task = this.running.get(formatRunKey(run));
+        if (task !== undefined) {
+            task.stopsAt ??= this.clock.nowMilliseconds() + stopMilliseconds;
+        }
+        return "accepted";
+    }
+
+    /**
+     * Lists what runs and what has ended.
+     *
+     * @param request - what is asked
+     * @returns the view
+     */
+    public view(request: ViewRequest): ViewOutcome {
+        this.advance();
+        if (request.epoch < this.highestEpoch) {
+            return { kind: "outdated-epoch", workerClock: this.clock.nowMilliseconds() };
+        }
+        if (request.leaseUntil !== undefined) {
+            this.highestEpoch = request.epoch;
+            this.leaseUntil = Math.max(this.leaseUntil, request.leaseUntil);
+        }
+        this.ended = this.ended.filter(end => end.sequence > request.acknowledgedEnds);
+        const view: WorkerView = {
+            workerClock: this.clock.nowMilliseconds(),
+            running: [...this.running.values()].map(task => ({
+                ...task.identity,
+                percent: Math.min(99, Math.floor(task.worked / task.duration * 100)),
+            })),
+            ended: this.ended,
+        };
+        return { kind: "view", view };
+    }
+
+    /** True when an end is listed that was not acknowledged. */
+    public hasNews(acknowledgedEnds: number): boolean {
+        this.advance();
+        return this.ended.some(end => end.sequence > acknowledgedEnds);
+    }
+
+    /** Lets tasks work up to now, millisecond by millisecond, so that ends come in order. */
+    public advance(): void {
+        const now = this.clock.nowMilliseconds();
+        for (; this.advancedAt < now && this.isUp; this.advancedAt += 1) {
+            for (const task of [...this.running.values()]) {
+                this.work(task, this.advancedAt);
+            }
+        }
+        this.advancedAt = now;
+    }
+
+    private work(task: RunningTask, at: number): void {
+        if (at > this.leaseUntil) {
+            this.end(task, "lost");
+            return;
+        }
+        if (task.stopsAt !== undefined && at >= task.stopsAt) {
+            this.end(task, "stopped");
+            return;
+        }
+        task.worked += this.faults.isStalled ? 0 : 1 / this.faults.slowness;
+        if (task.worked >= task.duration) {
+            this.end(
+                task,
+                this.faults.failsEverything || this.record.isBadJob(task.identity.job) ? "failed" : "succeeded",
+            );
+        }
+    }
+
+    private end(task: RunningTask, end: ListedEnd["end"]): void {
+        this.running.delete(formatRunKey(task.identity));
+        this.closeRun(task.identity);
+        this.endSequence += 1;
+        this.ended.push({ ...task.identity, sequence: this.endSequence, end });
+        this.record.ended(this.id, task.identity, end);
+    }
+
+    private closeRun(run: RunIdentity): void {
+        const key = `${run.job}/${run.task}`;
+        this.closedRuns.set(key, Math.max(run.run, this.closedRuns.get(key) ?? 0));
+    }
+}
--- /dev/null
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -0,0 +1,133 @@
+/**
+ * The way between agents and their workers, with the workers' faults.
+ */
+import type { AgentInput, AgentOutput, OrderOutcome } from "@lovagepitch/direct/agent/agentPorts";
+import type { ViewOutcome, ViewRequest } from "@lovagepitch/direct/process/workerOrders";
+import type { ManualClock } from "@lovagepitch/utils/clock";
+import type { EventQueue } from "../harness/eventQueue.js";
+import type { CoreHost } from "./coreHost.js";
+import type { FakeWorker } from "./fakeWorker.js";
+import { getAt } from "./getAt.js";
+
+/** One way, in milliseconds. */
+const linkMilliseconds = 1;
+
+/** After this time without an answer an order counts as unanswered, in milliseconds. */
+const orderMilliseconds = 100;
+
+/** Carries orders to workers and answers back. */
+export class WorkerPort {
+    /**
+     * @param clock - the deployment's clock
+     * @param queue - its events
+     * @param workers - present life of each worker
+     * @param agents - the agents' processes, in the same order
+     * @param give - hands an input to an agent
+     */
+    public constructor(
+        private readonly clock: ManualClock,
+        private readonly queue: EventQueue,
+        private readonly workers: readonly FakeWorker[],
+        private readonly agents: readonly CoreHost<AgentInput, AgentOutput>[],
+        private readonly give: (host: CoreHost<AgentInput, AgentOutput>, input: AgentInput) => void,
+    ) {}
+
+    /**
+     * Carries an order.
+     *
+     * @param agent - number of the agent
+     * @param life - the life that is meant
+     * @param carryOut - what the worker does
+     * @param toInput - makes the agent's input of the outcome
+     */
+    public order(
+        agent: number,
+        life: string,
+        carryOut: (
+            worker: FakeWorker,
+        ) => "accepted" | "rejected" | "superseded" | "outdated-epoch" | "unknown" | "other-life",
+        toInput: (outcome: OrderOutcome) => AgentInput,
+    ): void {
+        const worker = getAt(this.workers, agent);
+        const host = getAt(this.agents, agent);
+        const { incarnation } = host;
+        const answer = (outcome: OrderOutcome, delay: number): void => {
+            this.queue.schedule(this.clock.nowMilliseconds() + delay, () => {
+                if (host.incarnation === incarnation) {
+                    this.give(host, toInput(outcome));
+                }
+            }, undefined);
+        };
+        const { faults } = worker;
+        if (!worker.isUp || faults.isCutOff) {
+            answer("unknown", orderMilliseconds);
+            return;
+        }
+        if (worker.id !== life) {
+            answer("other-life", linkMilliseconds);
+            return;
+        }
+        const delay = faults.ordersDelayedBy ?? linkMilliseconds;
+        this.queue.schedule(this.clock.nowMilliseconds() + delay, () => {
+            // Ends elsewhere that lie before this instant are noted first.
+            this.workers.forEach(other => other.advance());
+            const outcome = worker.isUp ? carryOut(worker) : "unknown";
+            if (!faults.losesAnswers && faults.ordersDelayedBy === undefined) {
+                answer(outcome, linkMilliseconds);
+            }
+        }, undefined);
+        if (faults.losesAnswers || faults.ordersDelayedBy !== undefined) {
+            answer("unknown", orderMilliseconds);
+        }
+    }
+
+    /**
+     * Carries a request for a view.
+     *
+     * @param agent - number of the agent
+     * @param call - number of the call
+     * @param request - what is asked
+     */
+    public view(agent: number, call: number, request: ViewRequest): void {
+        const worker = getAt(this.workers, agent);
+        const host = getAt(this.agents, agent);
+        const { incarnation } = host;
+        const answer = (outcome: ViewOutcome): void => {
+            if (host.incarnation === incarnation) {
+                this.give(
+                    host,
+                    outcome.kind === "view"
+                        ? { kind: "view", call, view: outcome.view }
+                        : { kind: "view-failed", call, failure: outcome },
+                );
+            }
+        };
+        const deadline = this.clock.nowMilliseconds() + request.waitMilliseconds;
+        const poll = (): void => {
+            if (!worker.isUp || worker.faults.isCutOff) {
+                return;
+            }
+            if (worker.hasNews(request.acknowledgedEnds) || this.clock.nowMilliseconds() >= deadline) {
+                const outcome = worker.view(request);
+                this.schedule(linkMilliseconds, () => answer(outcome));
+                return;
+            }
+            this.queue.schedule(this.clock.nowMilliseconds() + 2, poll, undefined);
+        };
+        if (worker.isUp && !worker.faults.isCutOff && worker.id !== request.worker) {
+            this.schedule(linkMilliseconds, () => answer({ kind: "other-life" }));
+            return;
+        }
+        if (worker.isUp && !worker.faults.isCutOff) {
+            // The lease is extended when the request arrives, the view is taken when the answer is given.
+            worker.view({ ...request, acknowledgedEnds: request.acknowledgedEnds });
+            this.schedule(linkMilliseconds, poll);
+        }
+        const limit = request.waitMilliseconds + orderMilliseconds;
+        this.queue.schedule(this.clock.nowMilliseconds() + limit, () => answer({ kind: "unknown" }), undefined);
+    }
+
+    private schedule(delay: number, action: () => void): void {
+        this.queue.schedule(this.clock.nowMilliseconds() + delay, action, undefined);
+    }
+}
