--- a/admin/bundle.mjs
+++ b/admin/bundle.mjs
@@ -21,9 +21,13 @@
     setup(context) {
         context.onResolve({ filter: /^undici$/ }, () => ({ path: "connections", namespace: "undici-parts" }));
         context.onLoad({ filter: /.*/, namespace: "undici-parts" }, () => ({
-            contents: ["Pool", "Client"]
-                .map(name => `export { default as ${name} } from "undici/lib/dispatcher/${name.toLowerCase()}.js";`)
-                .join("\n"),
+            contents: `
+                import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
+                import api from "undici/lib/api/index.js";
+                Object.assign(Dispatcher.prototype, api);
+                export { default as Client } from "undici/lib/dispatcher/client.js";
+                export { default as Pool } from "undici/lib/dispatcher/pool.js";
+            `,
             resolveDir: process.cwd(),
         }));
     },
