fix(direct): slowness is judged by the worker, not by one run; run times are learned by route

Ruled out: late orders and lost answers (every stop carried the reason 'stalled' with steady progress). Change: a worker counts as slow when four runs agree, and a run is moved when it would end earlier at the speed of sound workers; single runs are judged only on a worker on trial. The longest task of a job is expected from the run times of its route.

--- a/admin/runTests.mjs
+++ b/admin/runTests.mjs
@@ -25,8 +25,10 @@
 const { runConfiguration } = await loadConfiguration({
     file: false,
     provided: {
-        paths: pathArguments.length > 0 ? pathArguments : ["packages/*/src/__tests__/**/*.feature"],
-        import: ["packages/*/dist/__tests__/**/*.js"],
+        paths: pathArguments.length > 0
+            ? pathArguments
+            : ["packages/*/src/__tests__/**/*.feature", "platform/src/__tests__/**/*.feature"],
+        import: ["packages/*/dist/__tests__/**/*.js", "platform/dist/__tests__/**/*.js"],
         name: nameArguments,
         order: "defined",
     },
--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/policies.steps.ts
@@ -0,0 +1,211 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import assert from "node:assert/strict";
+import type { DirectJob } from "../model/directJob.js";
+import { computeJobTimes } from "../policies/jobTimes.js";
+import { chooseReturnSeconds, DrainRate } from "../policies/returnTime.js";
+import { isHopeless, measureSlowness } from "../policies/runProgress.js";
+import { RunTimeSpread } from "../policies/runTimeSpread.js";
+import { compareWaitingJobs } from "../policies/waitingOrder.js";
+import { chooseWorker, type WorkerCandidate } from "../policies/workerChoice.js";
+import { permittedRuns, recordFailure, recordSuccess, soundHealth } from "../policies/workerHealth.js";
+import { listAddresses } from "../process/entryDirectory.js";
+import { findShutdownPhase } from "../process/entryShutdown.js";
+
+const failuresUntilSuspect = 2;
+const needs = { milliCores: 1600, memoryMegabytes: 64, accelerators: 0 };
+
+let stretch = 1;
+let allowanceMilliseconds = 0;
+let health = soundHealth;
+let now = 0;
+
+function createJob(callerWaitMilliseconds: number): DirectJob {
+    return {
+        id: "0000000000000001",
+        route: "route-a",
+        service: "service-a",
+        priority: 0,
+        specification: "",
+        taskCount: 1,
+        needs,
+        estimatedMilliseconds: 0,
+        requiredLabel: undefined,
+        maximumPerWorker: 1,
+        stretch,
+        allowanceMilliseconds,
+        maximumAttempts: 3,
+        callerWaitMilliseconds,
+    };
+}
+
+function createCandidate(agent: string, milliCores: number, isOnTrial: boolean): WorkerCandidate {
+    return { agent, available: { ...needs, milliCores }, isInOwnZone: false, isOnTrial };
+}
+
+Given("a route with a stretch of {float} and an allowance of {int} ms", (multiple: number, allowance: number) => {
+    stretch = multiple;
+    allowanceMilliseconds = allowance;
+});
+
+Then(
+    "a job of {int} ms tasks can start {int} ms after its arrival and still be on time",
+    (longest: number, slack: number) => {
+        assert.equal(Math.round(computeJobTimes(createJob(60_000), 1000, longest).latestStart), 1000 + slack);
+    },
+);
+
+Then("a job of {int} ms tasks is given up {int} ms after its arrival", (longest: number, limit: number) => {
+    assert.equal(Math.round(computeJobTimes(createJob(60_000), 1000, longest).giveUpAt), 1000 + limit);
+});
+
+Then(
+    "a job of {int} ms tasks whose caller waits {int} ms is given up {int} ms after its arrival",
+    (longest: number, wait: number, limit: number) => {
+        assert.equal(Math.round(computeJobTimes(createJob(wait), 1000, longest).giveUpAt), 1000 + limit);
+    },
+);
+
+Then("waiting jobs with latest starts 900, 300, 50 and 600 are ordered 300, 600, 900, 50 at 100 ms", () => {
+    const jobs = [900, 300, 50, 600].map(latestStart => ({ times: { latestStart, giveUpAt: 5000 } }));
+    jobs.sort((left, right) => compareWaitingJobs(left, right, 100));
+    assert.deepEqual(jobs.map(job => job.times.latestStart), [300, 600, 900, 50]);
+});
+
+When(/^a worker fails runs of (\d+) jobs( that failed elsewhere)?$/, (count: string, elsewhere: string | null) => {
+    health = soundHealth;
+    now = 0;
+    for (let index = 0; index < Number(count); index += 1) {
+        health = recordFailure(health, `job-${index}`, Boolean(elsewhere), now, failuresUntilSuspect);
+    }
+});
+
+When("it fails one more", () => {
+    health = recordFailure(health, "job-9", false, now, failuresUntilSuspect);
+});
+
+When("it succeeds once", () => {
+    health = recordSuccess(health);
+});
+
+When("its pause of {int} ms is over", (milliseconds: number) => {
+    assert.equal(permittedRuns(health, now + milliseconds - 1), 0);
+    now += milliseconds;
+});
+
+Then(/^it may run (\d+) tasks?$/, (count: string) => {
+    assert.equal(permittedRuns(health, now), Number(count));
+});
+
+Then("it may run any number of tasks", () => {
+    assert.equal(permittedRuns(health, now), Number.POSITIVE_INFINITY);
+});
+
+Then(
+    "{int} entries that see {int} equal workers choose each of them at least {int} times",
+    (entries: number, workers: number, least: number) => {
+        const random = new RandomSource(5);
+        const chosen = new Map<string, number>();
+        for (let entry = 0; entry < entries; entry += 1) {
+            const candidates = Array.from({ length: workers }, (_, index) => createCandidate(`w${index}`, 8000, false));
+            const agent = chooseWorker(candidates, needs, false, random)?.agent ?? "";
+            chosen.set(agent, (chosen.get(agent) ?? 0) + 1);
+        }
+        assert.equal(chosen.size, workers);
+        assert.ok([...chosen.values()].every(count => count >= least), JSON.stringify([...chosen]));
+    },
+);
+
+Then("a task with time to spare goes to a worker on trial", () => {
+    const candidates = [createCandidate("sound", 16_000, false), createCandidate("trial", 2000, true)];
+    assert.equal(chooseWorker(candidates, needs, true, new RandomSource(1))?.agent, "trial");
+});
+
+Then("a task without time to spare goes to a worker on trial only when no other has room", () => {
+    const trial = createCandidate("trial", 16_000, true);
+    const free = chooseWorker([createCandidate("sound", 2000, false), trial], needs, false, new RandomSource(1));
+    const full = chooseWorker([createCandidate("sound", 100, false), trial], needs, false, new RandomSource(1));
+    assert.deepEqual([free?.agent, full?.agent], ["sound", "trial"]);
+});
+
+Then(
+    "{int} core-milliseconds that drain at {int} each millisecond send callers away for {int} s",
+    (work: number, rate: number, seconds: number) => {
+        assert.equal(chooseReturnSeconds(work, rate), seconds);
+    },
+);
+
+Then(
+    "{int} core-milliseconds that end each millisecond for {int} s are measured as {int} within {int}",
+    (work: number, seconds: number, expected: number, tolerance: number) => {
+        const rate = new DrainRate(0);
+        for (let at = 0; at < seconds * 1000; at += 1) {
+            rate.record(work, at);
+        }
+        assert.ok(Math.abs(rate.read(seconds * 1000) - expected) <= tolerance);
+    },
+);
+
+Then(
+    "on a {word} worker a run of {int} ms with {int} percent after {int} ms, unchanged for {int} ms, is {word}",
+    (worker: string, estimated: number, percent: number, age: number, unchanged: number, verdict: string) => {
+        const speed = worker === "slow" ? 0.2 : undefined;
+        const isJudgedHopeless = isHopeless({ percent, age, unchanged, estimated }, speed, worker === "trial");
+        assert.equal(isJudgedHopeless, verdict === "hopeless");
+    },
+);
+
+Then(
+    /^runs at ([\d, and]+) percent of the expected progress (make|do not make) a worker slow$/,
+    (shares: string, verdict: string) => {
+        const runs = (shares.match(/\d+/g) ?? []).map(share => ({
+            percent: Number(share) / 2,
+            age: 100,
+            unchanged: 5,
+            estimated: 200,
+        }));
+        assert.equal(measureSlowness(runs) !== undefined, verdict === "make");
+    },
+);
+
+Then(
+    "after {int} run times between {float} and {float} of the estimate the longest of {int} is expected at {float} to {float}",
+    (count: number, least: number, most: number, tasks: number, from: number, to: number) => {
+        const spread = new RunTimeSpread();
+        const random = new RandomSource(3);
+        for (let index = 0; index < count; index += 1) {
+            spread.record(100 * (least + random.nextFraction() * (most - least)), 100);
+        }
+        const expected = spread.expectLongest(tasks, 100) / 100;
+        assert.ok(expected >= from && expected <= to, `${expected}`);
+    },
+);
+
+Then(
+    "before any run time the longest of {int} is expected at {float} to {float}",
+    (tasks: number, from: number, to: number) => {
+        const expected = new RunTimeSpread().expectLongest(tasks, 100) / 100;
+        assert.ok(expected >= from && expected <= to, `${expected}`);
+    },
+);
+
+Then(
+    "{int} ms into a stop of {int} ms with {int} open requests and {int} connections it is {word}",
+    (elapsed: number, kill: number, requests: number, connections: number, phase: string) => {
+        assert.equal(findShutdownPhase(elapsed, kill, requests, connections), phase);
+    },
+);
+
+Then("of the rows of entries only those that are complete and recent name an entry", () => {
+    const values: readonly unknown[] = [
+        { address: "10.1.0.3:7720", writtenAt: 90_000 },
+        { address: "10.1.0.4:7720", writtenAt: 10_000 },
+        { address: "somewhere", writtenAt: 90_000 },
+        { address: "10.1.0.5:7720" },
+        undefined,
+        7,
+        "text",
+    ];
+    const rows = values.map((value, index) => ({ key: String(index), value }));
+    assert.deepEqual(listAddresses({ rows, version: 9, storeMilliseconds: 100_000 }), ["10.1.0.3:7720"]);
+});
--- a/packages/lovagepitch-direct/src/agent/stalls.ts
+++ b/packages/lovagepitch-direct/src/agent/stalls.ts
@@ -1,7 +1,7 @@
 /**
  * Runs that make too little progress are stopped, and the worker gets nothing new for a while.
  */
-import { isHopeless, isSlowWorker, type RunProgress } from "../policies/runProgress.js";
+import { isHopeless, measureSlowness, type RunProgress } from "../policies/runProgress.js";
 import { recordStall } from "../policies/workerHealth.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { stopRun } from "./starts.js";
@@ -19,11 +19,11 @@
     state.progressJudgedAt = worker.answeredAt;
     const working = [...state.runs.values()].filter(row => row.state === "running" && row.order !== undefined);
     const progress = working.map(row => describeProgress(row, worker));
-    const workerIsSlow = isSlowWorker(progress);
+    const slowWorkerSpeed = measureSlowness(progress);
     working.forEach((row, index) => {
         const run = progress[index];
-        if (run !== undefined && isHopeless(run, workerIsSlow)) {
-            state.log("warn", "run makes too little progress", { ...row.identity, ...run, workerIsSlow });
+        if (run !== undefined && isHopeless(run, slowWorkerSpeed, state.health.isOnTrial)) {
+            state.log("warn", "run makes too little progress", { ...row.identity, ...run, slowWorkerSpeed });
             stopRun(state, row, "stalled");
             state.updateHealth(recordStall(state.health, state.now));
         }
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -11,6 +11,7 @@
 import type { WorkerStatus } from "../model/workerStatus.js";
 import type { JobTimes } from "../policies/jobTimes.js";
 import { DrainRate } from "../policies/returnTime.js";
+import type { RunTimeSpread } from "../policies/runTimeSpread.js";
 import type { WorkerHealth } from "../policies/workerHealth.js";
 import type { EntryOutput } from "./entryPorts.js";
 
@@ -97,6 +98,8 @@
     public readonly orders = new Map<string, PendingOrders>();
     public readonly entryAddresses = new Set<string>();
     public readonly drainRate: DrainRate;
+    /** Run times by route. */
+    public readonly runTimes = new Map<string, RunTimeSpread>();
     public configuration: DispatchConfiguration | undefined;
     public isShuttingDown = false;
     /** True when a task may find a worker that it did not find before. */
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -2,6 +2,7 @@
  * Results of runs: a task is finished, tried again, or fails its job.
  */
 import { type EndedRun, formatRunKey } from "../model/frames.js";
+import { RunTimeSpread } from "../policies/runTimeSpread.js";
 import { recordFailure, recordSuccess, type WorkerHealth } from "../policies/workerHealth.js";
 import { type AgentRow, type EntryState, formatTaskKey, type JobRow, type PlacedTask } from "./entryState.js";
 import { endJob } from "./jobEnds.js";
@@ -62,6 +63,7 @@
 function continueJob(state: EntryState, row: JobRow, placed: PlacedTask, ended: EndedRun): void {
     const { job } = row;
     if (ended.end === "succeeded") {
+        recordRunTime(state, row, ended);
         const succeededTasks = row.succeededTasks + 1;
         const updated = { ...row, succeededTasks, openRuns: row.openRuns - 1, hasRun: true };
         state.jobs.set(job.id, updated);
@@ -95,6 +97,12 @@
     }
 }
 
+function recordRunTime(state: EntryState, row: JobRow, ended: EndedRun): void {
+    const spread = state.runTimes.get(row.job.route) ?? new RunTimeSpread();
+    state.runTimes.set(row.job.route, spread);
+    spread.record(ended.ranMilliseconds, row.job.estimatedMilliseconds);
+}
+
 function forgetEndingRun(state: EntryState, job: string, runKey: string): void {
     const ending = state.endingRuns.get(job);
     if (ending?.has(runKey) !== true) {
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -28,7 +28,7 @@
         job,
         requests: [request],
         acceptedAt: state.now,
-        times: computeJobTimes(job, state.now, job.estimatedMilliseconds),
+        times: computeJobTimes(job, state.now, expectLongestTask(state, job)),
         waitingTasks: Array.from({ length: job.taskCount }, (_, task) => task),
         openRuns: 0,
         hasRun: false,
@@ -106,6 +106,11 @@
     }
 }
 
+function expectLongestTask(state: EntryState, job: DirectJob): number {
+    return state.runTimes.get(job.route)?.expectLongest(job.taskCount, job.estimatedMilliseconds)
+        ?? job.estimatedMilliseconds;
+}
+
 /** Core-milliseconds of the tasks that wait. */
 function measureWaitingWork(state: EntryState): number {
     let work = 0;
--- a/packages/lovagepitch-direct/src/policies/jobTimes.ts
+++ b/packages/lovagepitch-direct/src/policies/jobTimes.ts
@@ -3,8 +3,8 @@
  */
 import type { DirectJob } from "../model/directJob.js";
 
-/** Estimates are off by up to this share; a job is not given up before even the longest task allowed would be late. */
-const estimateError = 0.4;
+/** Few tasks take longer than this multiple of what is expected; a job is not given up before even such a one is late. */
+const longestMultiple = 2.5;
 
 /** A job that ends within this multiple of its objective is late, but still of use to most callers. */
 const lateMultiple = 3;
@@ -27,7 +27,7 @@
  */
 export function computeJobTimes(job: DirectJob, acceptedAt: number, longestTask: number): JobTimes {
     const slack = job.allowanceMilliseconds + (job.stretch - 1) * longestTask;
-    const longestObjective = job.allowanceMilliseconds + job.stretch * longestTask * (1 + estimateError);
+    const longestObjective = job.allowanceMilliseconds + job.stretch * longestTask * longestMultiple;
     return {
         latestStart: acceptedAt + slack,
         giveUpAt: acceptedAt + Math.min(lateMultiple * longestObjective, job.callerWaitMilliseconds),
--- a/packages/lovagepitch-direct/src/policies/runProgress.ts
+++ b/packages/lovagepitch-direct/src/policies/runProgress.ts
@@ -20,22 +20,22 @@
 const leastAgeShare = 0.2;
 
 /**
- * A run is given up when what remains of it takes longer than this multiple of the estimate. Estimates are off by up to
- * 40 %, so a sound run takes up to 1.67 of them; beyond 2.2 a new run elsewhere ends earlier.
+ * A single run is only judged by its speed on a worker that is on trial, since sound tasks of one kind differ by this much:
+ * one that takes longer than this multiple of the estimate is probably on a slow worker.
  */
-const hopelessMultiple = 2.2;
-
-/** The same when the worker as a whole is slow: the estimates of all its runs would have to be off. */
-const hopelessMultipleWhenSlow = 1.3;
+const longestSoundMultiple = 3;
 
 /** Allowance for a stop and a start elsewhere, in milliseconds. */
 const moveMilliseconds = 50;
 
-/** Work per time, by the estimates, below which a worker counts as slow. */
-const slowSpeed = 0.45;
+/** Work per time, by the estimates, below which a worker counts as slow; on sound workers it is about 0.75. */
+const slowSpeed = 0.35;
+
+/** Runs that must be judged together before a worker counts as slow. */
+const leastRuns = 4;
 
-/** Runs that must agree before a worker counts as slow. */
-const leastRuns = 3;
+/** A run on a slow worker is only moved when it would end this much earlier, as a share of its run time there. */
+const moveMargin = 1.3;
 
 /** Progress of one run. */
 export interface RunProgress {
@@ -50,35 +50,38 @@
 }
 
 /**
- * Tells whether a worker as a whole is slow.
+ * Measures how fast a worker as a whole is.
  *
  * @param runs - its runs
- * @returns true when enough runs together have done much less than was estimated
+ * @returns work done over time, by the estimates, when that is so little that the worker counts as slow
  */
-export function isSlowWorker(runs: readonly RunProgress[]): boolean {
+export function measureSlowness(runs: readonly RunProgress[]): number | undefined {
     const judged = runs.filter(run => run.age >= leastAgeMilliseconds);
     const worked = judged.reduce((sum, run) => sum + run.percent / 100 * run.estimated, 0);
     const age = judged.reduce((sum, run) => sum + run.age, 0);
-    return judged.length >= leastRuns && worked < slowSpeed * age;
+    return judged.length >= leastRuns && worked < slowSpeed * age ? worked / age : undefined;
 }
 
 /**
  * Tells whether a run should be stopped and started elsewhere.
  *
  * @param run - its progress
- * @param workerIsSlow - whether its worker as a whole is slow
+ * @param slowWorkerSpeed - speed of its worker when the worker counts as slow, undefined otherwise
+ * @param isOnTrial - true when the worker is tried with this run alone
  * @returns true when a new run on a sound worker would end earlier
  */
-export function isHopeless(run: RunProgress, workerIsSlow: boolean): boolean {
+export function isHopeless(run: RunProgress, slowWorkerSpeed: number | undefined, isOnTrial: boolean): boolean {
     if (run.unchanged > Math.max(leastStallMilliseconds, run.estimated * stallShareOfEstimate)) {
         return true;
     }
     if (run.age < Math.max(leastAgeMilliseconds, run.estimated * leastAgeShare)) {
         return false;
     }
-    const remaining = (100 - run.percent) * run.age / Math.max(1, run.percent);
-    const multiple = workerIsSlow ? hopelessMultipleWhenSlow : hopelessMultiple;
-    return remaining > multiple * run.estimated + moveMilliseconds;
+    const total = 100 * run.age / Math.max(1, run.percent);
+    if (slowWorkerSpeed !== undefined) {
+        return total - run.age > total * slowWorkerSpeed * moveMargin + moveMilliseconds;
+    }
+    return isOnTrial && total > longestSoundMultiple * run.estimated + moveMilliseconds;
 }
 
 /**
@@ -86,8 +89,8 @@
  *
  * @param ranMilliseconds - how long it took
  * @param estimated - the caller's estimate, in milliseconds
- * @returns false when the worker is still slow
+ * @returns false when the worker is probably still slow
  */
 export function isSoundRunTime(ranMilliseconds: number, estimated: number): boolean {
-    return ranMilliseconds <= hopelessMultiple * estimated + moveMilliseconds;
+    return ranMilliseconds <= longestSoundMultiple * estimated + moveMilliseconds;
 }
--- a/packages/lovagepitch-direct/src/process/configurationWatcher.ts
+++ b/packages/lovagepitch-direct/src/process/configurationWatcher.ts
@@ -4,6 +4,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import type { SharedRow, SharedRows } from "./sharedRows.js";
+import type { StoreReachability } from "./storeReachability.js";
 
 /**
  * How long one call waits for a change. A connection that has gone silent shows after this time, well within the two
@@ -28,26 +29,19 @@
     public abstract decode(row: SharedRow): DispatchConfiguration | undefined;
 }
 
-/** What the watcher tells its process. */
-export interface ConfigurationEvents {
-    readonly configured: (configuration: DispatchConfiguration) => void;
-    /** The store stopped answering, or answers again. */
-    readonly reachable: (isReachable: boolean, message: string) => void;
-}
-
 /** Reads the configuration, then waits for its changes, until the process ends. */
 export class ConfigurationWatcher {
-    private isReachable = true;
-
     /**
      * @param rows - the store
      * @param row - where the configuration lies
-     * @param events - is told of versions; they may repeat and be older than earlier ones
+     * @param reachability - is told whether the store answers
+     * @param configured - is told of versions; they may repeat and be older than earlier ones
      */
     public constructor(
         private readonly rows: SharedRows,
         private readonly row: ConfigurationRow,
-        private readonly events: ConfigurationEvents,
+        private readonly reachability: StoreReachability,
+        private readonly configured: (configuration: DispatchConfiguration) => void,
     ) {}
 
     /**
@@ -68,10 +62,10 @@
     private async readAll(): Promise<number | undefined> {
         const result = await this.rows.read(this.row.table);
         if (result.err) {
-            this.noteReachable(false, result.val.message);
+            this.reachability.note(false, result.val.message);
             return undefined;
         }
-        this.noteReachable(true, "read");
+        this.reachability.note(true, "read");
         this.handOver(result.val.rows);
         return result.val.version;
     }
@@ -81,12 +75,12 @@
         for (;;) {
             const result = await this.rows.watch(this.row.table, version, watchMilliseconds);
             if (result.ok) {
-                this.noteReachable(true, "watch");
+                this.reachability.note(true, "watch");
                 this.handOver(result.val.rows);
                 version = Math.max(version, result.val.version);
                 continue;
             }
-            this.noteReachable(false, result.val.message);
+            this.reachability.note(false, result.val.message);
             if (result.val.kind === "history-gone") {
                 return;
             }
@@ -98,15 +92,8 @@
         for (const row of rows) {
             const configuration = this.row.decode(row);
             if (configuration !== undefined) {
-                this.events.configured(configuration);
+                this.configured(configuration);
             }
         }
     }
-
-    private noteReachable(isReachable: boolean, message: string): void {
-        if (isReachable !== this.isReachable) {
-            this.isReachable = isReachable;
-            this.events.reachable(isReachable, message);
-        }
-    }
 }
--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -3,6 +3,7 @@
  */
 import { setTimeout as delay } from "node:timers/promises";
 import type { RowsView, SharedRows } from "./sharedRows.js";
+import type { StoreReachability } from "./storeReachability.js";
 
 /** Table of the entries' addresses. */
 const entriesTable = "lovagepitch-entries";
@@ -25,10 +26,12 @@
 
     /**
      * @param rows - the store
+     * @param reachability - is told whether the store answers
      * @param found - is told of the addresses after each reading
      */
     public constructor(
         private readonly rows: SharedRows,
+        private readonly reachability: StoreReachability,
         private readonly found: (addresses: readonly string[]) => void,
     ) {}
 
@@ -56,8 +59,10 @@
     private async readAll(): Promise<boolean> {
         const result = await this.rows.read(entriesTable);
         if (result.err) {
+            this.reachability.note(false, result.val.message);
             return false;
         }
+        this.reachability.note(true, "the entries' addresses were read");
         this.storeMilliseconds = result.val.storeMilliseconds;
         this.found(listAddresses(result.val));
         return true;
@@ -65,6 +70,9 @@
 
     private async writeOwn(address: string): Promise<boolean> {
         const result = await this.rows.write(entriesTable, address, { address, writtenAt: this.storeMilliseconds });
+        if (result.err) {
+            this.reachability.note(false, result.val.message);
+        }
         return result.ok;
     }
 }
--- a/packages/lovagepitch-testing/src/direct/directRecord.ts
+++ b/packages/lovagepitch-testing/src/direct/directRecord.ts
@@ -4,7 +4,7 @@
 import type { ListedEnd } from "@lovagepitch/direct/agent/agentPorts";
 import type { JobAnswer } from "@lovagepitch/direct/model/directJob";
 import type { RunIdentity } from "@lovagepitch/direct/model/frames";
-import type { ManualClock } from "@lovagepitch/utils/clock";
+import type { Clock } from "@lovagepitch/utils/clock";
 
 /** An answer that a caller got. */
 export interface RecordedAnswer {
@@ -31,7 +31,7 @@
     /**
      * @param clock - the deployment's clock
      */
-    public constructor(private readonly clock: ManualClock) {}
+    public constructor(private readonly clock: Clock) {}
 
     /**
      * Notes a job that was handed in.
--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -5,7 +5,7 @@
 import { formatRunKey, type RunIdentity, type StartOrder } from "@lovagepitch/direct/model/frames";
 import { addResources, fitsInto, noResources, type Resources } from "@lovagepitch/direct/model/resources";
 import type { ViewOutcome, ViewRequest } from "@lovagepitch/direct/process/workerOrders";
-import type { ManualClock } from "@lovagepitch/utils/clock";
+import type { Clock } from "@lovagepitch/utils/clock";
 import type { DirectRecord } from "./directRecord.js";
 
 /** Milliseconds that a worker takes to carry out a stop. */
@@ -65,7 +65,7 @@
     public constructor(
         public readonly id: string,
         public readonly capacity: Resources,
-        private readonly clock: ManualClock,
+        private readonly clock: Clock,
         private readonly record: DirectRecord,
         private readonly durationOf: (run: RunIdentity) => number,
     ) {
--- a/packages/lovagepitch-testing/src/launcher/processLauncher.ts
+++ b/packages/lovagepitch-testing/src/launcher/processLauncher.ts
@@ -118,10 +118,19 @@
      * @param name - name for messages
      * @param program - path of the program
      * @param programArguments - its arguments
+     * @param environment - variables beside those of this process
      * @returns the process
      */
-    public startNode(name: string, program: string, programArguments: readonly string[]): LaunchedProcess {
-        const child = spawn(process.execPath, [program, ...programArguments], { stdio: ["ignore", "pipe", "pipe"] });
+    public startNode(
+        name: string,
+        program: string,
+        programArguments: readonly string[],
+        environment: Readonly<Record<string, string>> = {},
+    ): LaunchedProcess {
+        const child = spawn(process.execPath, [program, ...programArguments], {
+            stdio: ["ignore", "pipe", "pipe"],
+            env: { ...process.env, ...environment },
+        });
         const launched = new LaunchedProcess(name, child);
         this.processes.push(launched);
         return launched;
