feat: metrics, the explain command, and what the users ask of developers

Change: counters of every event and a histogram of answers at the metrics address; a line for each placement; lovagepitch explain puts the lines of one job in order; DEVELOPERS.md.

--- a/packages/lovagepitch-cli/src/__tests__/commandLine.feature
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.feature
@@ -35,6 +35,7 @@
             | manifest show     | lovagepitch manifest show               |
             | submit            | lovagepitch submit job.jsonc            |
             | status            | lovagepitch status                      |
+            | explain           | lovagepitch explain 5c0e7a21d94b36f8    |
 
     Scenario: The entry is run with its settings
         When the operator runs "entry --settings entry.jsonc"
@@ -92,6 +93,18 @@
         And the command's error names "wrong.jsonc:1:3: the document: syntax error"
         And the command's error names "write JSON"
 
+    Scenario: The story of a job is put together from several logs
+        Given the operator's log "entry.log" of three processes
+        When the operator runs "explain 66be930ea9f22e40 entry.log agent.log"
+        Then the command's exit code is 0
+        And the command's output is the story of job "66be930ea9f22e40" in order
+
+    Scenario: A job that no log names
+        Given the operator's log "entry.log" of three processes
+        When the operator runs "explain 0000000000000000 entry.log"
+        Then the command's exit code is 1
+        And the command's error names "pass the logs of every entry and agent"
+
     Scenario: Nobody applies a manifest without a name
         Given the operator has no name
         When the operator runs "manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc --base 0"
--- a/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
@@ -104,6 +104,37 @@
     environment.files.set(name, line);
 });
 
+Given("the operator's log {string} of three processes", (name: string) => {
+    const job = "66be930ea9f22e40";
+    const createLine = (time: string, process: string, event: string, fields: object): string => {
+        return JSON.stringify({ time, level: "info", process, event, ...fields });
+    };
+    environment.files.set(
+        name,
+        [
+            createLine("2026-03-21T05:57:56.839Z", "entry-1", "job answered", { job, answer: "done" }),
+            `  4.3283 entry-1 ${
+                createLine("2026-03-21T05:57:55.328Z", "entry-1", "tasks placed", { job, tasks: [[0, 1, "a"]] })
+            }`,
+            createLine("2026-03-21T05:57:55.400Z", "entry-1", "job answered", { job: "other", answer: "done" }),
+            `not a log line that names ${job}`,
+        ].join("\n"),
+    );
+    const stalled = createLine("2026-03-21T05:57:55.900Z", "agent-a", "run makes too little progress", {
+        job,
+        task: 0,
+    });
+    environment.files.set("agent.log", stalled);
+});
+
+Then("the command's output is the story of job {string} in order", (job: string) => {
+    assert.deepEqual(environment.output, [
+        "2026-03-21T05:57:55.328Z entry-1: tasks placed tasks=[[0,1,\"a\"]]",
+        "2026-03-21T05:57:55.900Z agent-a: run makes too little progress task=0",
+        "2026-03-21T05:57:56.839Z entry-1: job answered answer=done",
+    ], job);
+});
+
 Given("the operator has no name", () => {
     environment.userName = undefined;
 });
--- a/packages/lovagepitch-cli/src/runCommandLine.ts
+++ b/packages/lovagepitch-cli/src/runCommandLine.ts
@@ -4,6 +4,7 @@
 import type { Result } from "@lovagepitch/utils/result";
 import yargs, { type Argv } from "yargs";
 import type { CommandEnvironment } from "./commandEnvironment.js";
+import { explainJob } from "./commands/explainJob.js";
 import { applyManifestFile, diffManifestFile, showManifest, validateManifestFile } from "./commands/manifestActions.js";
 import { showStatus } from "./commands/showStatus.js";
 import { submitJob } from "./commands/submitJob.js";
@@ -90,7 +91,11 @@
         .fail((message: string | undefined, error: Error | undefined) => {
             throw createUsageFailure(message, error);
         });
-    return addStatusCommand(addSubmitCommand(parser, environment, run), environment, run);
+    return addExplainCommand(
+        addStatusCommand(addSubmitCommand(parser, environment, run), environment, run),
+        environment,
+        run,
+    );
 }
 
 function addManifestCommands(parent: Argv, environment: CommandEnvironment, run: Run): Argv {
@@ -178,6 +183,27 @@
     );
 }
 
+function addExplainCommand(parser: Argv, environment: CommandEnvironment, run: Run): Argv {
+    return parser.command(
+        "explain <id> [files..]",
+        "Print the story of one job from the logs of entries and agents",
+        command =>
+            command
+                .positional("id", { type: "string", demandOption: true, describe: "Id of the job" })
+                .positional("files", {
+                    type: "string",
+                    array: true,
+                    default: ["-"],
+                    describe: "Logs; - reads standard input",
+                })
+                .example(
+                    "$0 explain 5c0e7a21d94b36f8 entry-*.log agent-*.log",
+                    "From the id of a failed job to its cause",
+                ),
+        argv => run(explainJob(environment, argv.id, argv.files)),
+    );
+}
+
 /** Errors of the parser itself are wrong usage; all others are passed on. */
 function createUsageFailure(message: string | undefined, error: Error | undefined): Error {
     if (error !== undefined && error.name !== "YError") {
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -21,7 +21,14 @@
 
 /** Outputs of the entry's core. */
 export type EntryOutput =
-    | { readonly kind: "answer"; readonly request: number; readonly job: string; readonly answer: JobAnswer }
+    | {
+        readonly kind: "answer";
+        readonly request: number;
+        readonly job: string;
+        readonly answer: JobAnswer;
+        /** Time since the job arrived. */
+        readonly afterMilliseconds: number;
+    }
     | { readonly kind: "frame"; readonly connection: number; readonly frame: EntryFrame }
     | {
         readonly kind: "log";
--- a/packages/lovagepitch-direct/src/entry/jobEnds.ts
+++ b/packages/lovagepitch-direct/src/entry/jobEnds.ts
@@ -20,15 +20,16 @@
         state.histories.delete(formatTaskKey(job.id, task));
     }
     stopRuns(state, job.id);
+    const afterMilliseconds = Math.round(state.now - row.acceptedAt);
     for (const request of row.requests) {
-        state.outputs.push({ kind: "answer", request, job: job.id, answer });
+        state.outputs.push({ kind: "answer", request, job: job.id, answer, afterMilliseconds });
     }
     state.log("info", "job answered", {
         job: job.id,
         route: job.route,
         answer: answer.kind,
         reason: "reason" in answer ? answer.reason : undefined,
-        afterMilliseconds: Math.round(state.now - row.acceptedAt),
+        afterMilliseconds,
         tasks: job.taskCount,
         succeededTasks: row.succeededTasks,
         callers: row.requests.length,
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -49,18 +49,37 @@
 }
 
 function placeJob(state: EntryState, row: JobRow): void {
-    const unplaced = row.waitingTasks.findIndex(task => !placeTask(state, row, task));
-    const placed = unplaced < 0 ? row.waitingTasks.length : unplaced;
-    if (placed > 0) {
-        state.jobs.set(row.job.id, {
-            ...row,
-            waitingTasks: row.waitingTasks.slice(placed),
-            openRuns: row.openRuns + placed,
-        });
+    const placements: Placement[] = [];
+    for (const task of row.waitingTasks) {
+        const placement = placeTask(state, row, task);
+        if (placement === undefined) {
+            break;
+        }
+        placements.push(placement);
+    }
+    if (placements.length === 0) {
+        return;
     }
+    const waitingTasks = row.waitingTasks.slice(placements.length);
+    state.jobs.set(row.job.id, { ...row, waitingTasks, openRuns: row.openRuns + placements.length });
+    state.log("info", "tasks placed", {
+        job: row.job.id,
+        tasks: placements.map(({ task, run, instance }) => [task, run, instance]),
+        waitingTasks: waitingTasks.length,
+        sinceArrival: Math.round(state.now - row.acceptedAt),
+        untilLatestStart: Math.round(row.times.latestStart - state.now),
+        configurationVersion: state.configuration?.version,
+    });
+}
+
+/** A task and where it went. */
+interface Placement {
+    readonly task: number;
+    readonly run: number;
+    readonly instance: string;
 }
 
-function placeTask(state: EntryState, row: JobRow, task: number): boolean {
+function placeTask(state: EntryState, row: JobRow, task: number): Placement | undefined {
     const { job } = row;
     const taskKey = formatTaskKey(job.id, task);
     const history = state.histories.get(taskKey);
@@ -69,7 +88,7 @@
     const chosen = chooseWorker(candidates, job.needs, timeToSpare > trialMilliseconds, state.random);
     const agent = chosen === undefined ? undefined : state.agents.get(chosen.agent);
     if (agent === undefined) {
-        return false;
+        return undefined;
     }
     const order: StartOrder = {
         job: job.id,
@@ -97,7 +116,7 @@
         runs: agent.runs + 1,
         unincluded: [...agent.unincluded, { sequence: agent.sequence + 1, needs: job.needs }],
     });
-    return true;
+    return { task, run: order.run, instance: agent.instance };
 }
 
 function listCandidates(state: EntryState, job: DirectJob, avoid: readonly string[]): WorkerCandidate[] {
--- a/packages/lovagepitch-direct/src/process/boundedLog.ts
+++ b/packages/lovagepitch-direct/src/process/boundedLog.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from "@lovagepitch/utils/clock";
 import { JsonEventLog } from "@lovagepitch/utils/logger";
+import type { DirectMetrics } from "./directMetrics.js";
 
 /** Lines of severity "info" that may be written in one second; a calm day of one entry writes about 40. */
 const infoLinesPerSecond = 120;
@@ -23,8 +24,9 @@
     /**
      * @param name - name of the process
      * @param clock - steady clock
+     * @param metrics - counts every event, also those that are left out
      */
-    public constructor(name: string, private readonly clock: Clock) {
+    public constructor(name: string, private readonly clock: Clock, private readonly metrics: DirectMetrics) {
         this.log = new JsonEventLog(name, "info");
     }
 
@@ -36,6 +38,7 @@
      * @param fields - facts that decided it
      */
     public write(level: "info" | "warn", event: string, fields: Readonly<Record<string, unknown>>): void {
+        this.metrics.countEvent(event);
         const now = this.clock.nowMilliseconds();
         if (now - this.windowStart >= windowMilliseconds) {
             this.startWindow(now);
@@ -43,6 +46,7 @@
         const bound = level === "info" ? infoLinesPerSecond : warningLinesPerSecond;
         if (this.written[level] >= bound) {
             this.omitted += 1;
+            this.metrics.countOmittedLine();
             return;
         }
         this.written[level] += 1;
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -9,6 +9,7 @@
 import { EntryConnections } from "../links/entryConnections.js";
 import type { WorkerReport } from "../model/workerStatus.js";
 import { BoundedLog } from "./boundedLog.js";
+import { DirectMetrics } from "./directMetrics.js";
 import type { WorkerOrders } from "./workerOrders.js";
 
 /** What an agent needs. */
@@ -25,13 +26,14 @@
     private readonly loop: TickLoop<AgentInput, AgentOutput>;
     private readonly connections: EntryConnections;
     private readonly log: BoundedLog;
+    private readonly metrics = new DirectMetrics();
 
     /**
      * @param options - identity, clock and the worker
      */
     public constructor(private readonly options: DirectAgentOptions) {
         const { identity, clock } = options;
-        this.log = new BoundedLog(identity.instance, clock);
+        this.log = new BoundedLog(identity.instance, clock, this.metrics);
         this.loop = new TickLoop(
             new AgentCore(identity, clock),
             clock,
@@ -83,6 +85,16 @@
         this.loop.accept({ kind: "shut-down" });
     }
 
+    /**
+     * Serves the process's metrics.
+     *
+     * @param address - host and port
+     * @returns when the port is bound; rejects when it cannot be
+     */
+    public serveMetrics(address: string): Promise<void> {
+        return this.metrics.serve(address);
+    }
+
     /**
      * Writes a log line.
      *
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -11,6 +11,7 @@
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
 import type { DispatchConfiguration, Route } from "../model/dispatchConfiguration.js";
 import { BoundedLog } from "./boundedLog.js";
+import { DirectMetrics } from "./directMetrics.js";
 
 /** What an entry needs. */
 export interface DirectEntryOptions {
@@ -35,6 +36,7 @@
     private readonly loop: TickLoop<EntryInput, EntryOutput>;
     private readonly listener: AgentListener;
     private readonly log: BoundedLog;
+    private readonly metrics = new DirectMetrics();
     private readonly waiting = new Map<number, (answer: JobAnswer) => void>();
     private nextRequest = 1;
     private wasReady = false;
@@ -44,9 +46,13 @@
      */
     public constructor(private readonly options: DirectEntryOptions) {
         const { identity, clock, random } = options;
-        this.log = new BoundedLog(identity.instance, clock);
+        this.log = new BoundedLog(identity.instance, clock, this.metrics);
         this.core = new EntryCore(identity, clock, random);
         this.loop = new TickLoop(this.core, clock, outputs => outputs.forEach(output => this.perform(output)));
+        this.metrics.addGauge("open_jobs", "Jobs without an answer", () => this.core.openJobs);
+        this.metrics.addGauge("configuration_version", "Version in force, 0 without one", () => {
+            return this.core.configuration?.version ?? 0;
+        });
         this.listener = new AgentListener({
             received: (connection, frame) => this.loop.accept({ kind: "frame", connection, frame }),
             disconnected: connection => this.loop.accept({ kind: "disconnected", connection }),
@@ -194,6 +200,16 @@
         this.listener.close();
     }
 
+    /**
+     * Serves the process's metrics.
+     *
+     * @param address - host and port
+     * @returns when the port is bound; rejects when it cannot be
+     */
+    public serveMetrics(address: string): Promise<void> {
+        return this.metrics.serve(address);
+    }
+
     /**
      * Writes a log line.
      *
@@ -211,6 +227,11 @@
                 const answered = this.waiting.get(output.request);
                 this.waiting.delete(output.request);
                 answered?.(output.answer);
+                this.metrics.observeAnswer(
+                    output.answer.kind,
+                    "reason" in output.answer ? output.answer.reason : "",
+                    output.afterMilliseconds,
+                );
                 return;
             }
             case "frame":
