--- a/admin/verify.sh
+++ b/admin/verify.sh
@@ -4,6 +4,7 @@
 cd "$(dirname "$0")/.."
 node admin/format.mjs --check
 npx --no-install tsc --build
+node admin/checkPlatformNames.mjs
 node admin/bundle.mjs
 npx --no-install eslint . --max-warnings 0
 npx --no-install knip --no-config-hints
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -108,6 +108,9 @@
     public health: WorkerHealth = soundHealth;
     /** Instant of the view whose progress was judged last. */
     public progressJudgedAt = 0;
+    /** Instant of the view at which the worker's speed was measured last, and the progress of its runs then. */
+    public measuredAt = 0;
+    public measuredPercents: ReadonlyMap<string, number> = new Map();
     public readonly outputs: AgentOutput[] = [];
     private occupied: Resources = noResources;
 
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -177,11 +177,19 @@
     if (end === "failed") {
         state.updateHealth(recordFailure(state.health, row.identity.job, false, state.now, failuresOfDifferentJobs));
     }
-    else if (end === "succeeded" && isSoundRunTime(state.now - row.runningSince, row.order.estimatedMilliseconds)) {
+    else if (
+        end === "succeeded" && startedOnTrial(state, row)
+        && isSoundRunTime(state.now - row.runningSince, row.order.estimatedMilliseconds)
+    ) {
         state.updateHealth(recordSuccess(state.health));
     }
 }
 
+/** A run that began before the worker's pause says nothing about the worker after it. */
+function startedOnTrial(state: AgentState, row: RunRow): boolean {
+    return !state.health.isOnTrial || row.orderedAt >= state.health.pausedUntil;
+}
+
 function compareWithListed(state: AgentState, call: number, listed: readonly ListedRun[]): void {
     const listedKeys = new Map(listed.map(run => [formatRunKey(run), run]));
     for (const row of [...state.runs.values()]) {
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -39,6 +39,7 @@
     readonly agent: string;
     readonly needs: Resources;
     readonly placedAt: number;
+    readonly estimatedMilliseconds: number;
 }
 
 /** What is remembered of a task between its runs. */
@@ -97,6 +98,7 @@
     public readonly agents = new Table<string, AgentRow>();
     public readonly orders = new Map<string, PendingOrders>();
     public readonly entryAddresses = new Set<string>();
+    /** Work that ends, in core-milliseconds. */
     public readonly drainRate: DrainRate;
     /** Run times by route. */
     public readonly runTimes = new Map<string, RunTimeSpread>();
--- a/packages/lovagepitch-direct/src/entry/jobEnds.ts
+++ b/packages/lovagepitch-direct/src/entry/jobEnds.ts
@@ -24,7 +24,8 @@
     for (const request of row.requests) {
         state.outputs.push({ kind: "answer", request, job: job.id, answer, afterMilliseconds });
     }
-    state.log("info", "job answered", {
+    const isAsWanted = answer.kind === "done" || answer.kind === "cancelled";
+    state.log(isAsWanted ? "info" : "warn", "job answered", {
         job: job.id,
         route: job.route,
         answer: answer.kind,
@@ -32,6 +33,11 @@
         afterMilliseconds,
         tasks: job.taskCount,
         succeededTasks: row.succeededTasks,
+        waitingTasks: row.waitingTasks.length,
+        openRuns: row.openRuns,
+        failedOn: row.failedOn.length,
+        latestStart: Math.round(row.times.latestStart - row.acceptedAt),
+        configurationVersion: state.configuration?.version,
         callers: row.requests.length,
     });
 }
--- a/packages/lovagepitch-direct/src/policies/returnTime.ts
+++ b/packages/lovagepitch-direct/src/policies/returnTime.ts
@@ -12,7 +12,7 @@
 /** Time constant of the drain rate, in milliseconds: long against one task, short against a burst. */
 const averagingMilliseconds = 2000;
 
-/** Measures how fast work ends. */
+/** Measures how much of something ends in one millisecond, over the last seconds. */
 export class DrainRate {
     private rate = 0;
     private updatedAt: number;
@@ -25,21 +25,21 @@
     }
 
     /**
-     * Notes work that has ended.
+     * Notes an amount that has ended.
      *
-     * @param work - core-milliseconds
+     * @param amount - in any unit
      * @param now - the time, in milliseconds
      */
-    public record(work: number, now: number): void {
+    public record(amount: number, now: number): void {
         this.decay(now);
-        this.rate += work / averagingMilliseconds;
+        this.rate += amount / averagingMilliseconds;
     }
 
     /**
      * Reads the rate.
      *
      * @param now - the time, in milliseconds
-     * @returns core-milliseconds that end in one millisecond
+     * @returns the amount that ends in one millisecond
      */
     public read(now: number): number {
         this.decay(now);
--- a/packages/lovagepitch-direct/src/policies/runProgress.ts
+++ b/packages/lovagepitch-direct/src/policies/runProgress.ts
@@ -49,17 +49,27 @@
     readonly estimated: number;
 }
 
+/** Progress of one run since an earlier look at it. */
+export interface ProgressStep {
+    /** How much was done meanwhile, in percent. */
+    readonly percent: number;
+    /** Time at work meanwhile, in milliseconds. */
+    readonly time: number;
+    /** The caller's estimate of the run time, in milliseconds. */
+    readonly estimated: number;
+}
+
 /**
  * Measures how fast a worker as a whole is.
  *
- * @param runs - its runs
+ * @param steps - what each of its runs did since the last measurement
  * @returns work done over time, by the estimates, when that is so little that the worker counts as slow
  */
-export function measureSlowness(runs: readonly RunProgress[]): number | undefined {
-    const judged = runs.filter(run => run.age >= leastAgeMilliseconds);
-    const worked = judged.reduce((sum, run) => sum + run.percent / 100 * run.estimated, 0);
-    const age = judged.reduce((sum, run) => sum + run.age, 0);
-    return judged.length >= leastRuns && worked < slowSpeed * age ? worked / age : undefined;
+export function measureSlowness(steps: readonly ProgressStep[]): number | undefined {
+    const judged = steps.filter(step => step.time >= leastAgeMilliseconds);
+    const worked = judged.reduce((sum, step) => sum + step.percent / 100 * step.estimated, 0);
+    const time = judged.reduce((sum, step) => sum + step.time, 0);
+    return judged.length >= leastRuns && worked < slowSpeed * time ? worked / time : undefined;
 }
 
 /**
@@ -84,6 +94,9 @@
     return isOnTrial && total > longestSoundMultiple * run.estimated + moveMilliseconds;
 }
 
+/** A run that ends a trial takes at most this multiple of the estimate: most sound ones do, and few slow ones. */
+const trialEndMultiple = 2;
+
 /**
  * Tells whether a run that succeeded took as long as a sound worker may take.
  *
@@ -92,5 +105,5 @@
  * @returns false when the worker is probably still slow
  */
 export function isSoundRunTime(ranMilliseconds: number, estimated: number): boolean {
-    return ranMilliseconds <= longestSoundMultiple * estimated + moveMilliseconds;
+    return ranMilliseconds <= trialEndMultiple * estimated + moveMilliseconds;
 }
--- a/packages/lovagepitch-direct/src/policies/waitingOrder.ts
+++ b/packages/lovagepitch-direct/src/policies/waitingOrder.ts
@@ -1,12 +1,14 @@
 /**
- * Load pattern: more work waits than finds room, of kinds with little and with much time to spare. The job whose
- * latest start comes first goes first; one that can no longer be on time goes behind all that can.
+ * Load pattern: more work waits than finds room, of kinds with little and with much time to spare. Jobs that are begun are
+ * finished first, since what they have done is lost otherwise; then the job whose latest start comes first.
  */
 import type { JobTimes } from "./jobTimes.js";
 
 /** What the order depends on. */
 export interface WaitingJob {
     readonly times: JobTimes;
+    /** True when a task of it runs or has run. */
+    readonly isBegun: boolean;
 }
 
 /**
@@ -14,14 +16,11 @@
  *
  * @param left - one job
  * @param right - another job
- * @param now - the time, in milliseconds
  * @returns negative when the left one goes first
  */
-export function compareWaitingJobs(left: WaitingJob, right: WaitingJob, now: number): number {
-    const leftIsLate = now > left.times.latestStart;
-    const rightIsLate = now > right.times.latestStart;
-    if (leftIsLate !== rightIsLate) {
-        return leftIsLate ? 1 : -1;
+export function compareWaitingJobs(left: WaitingJob, right: WaitingJob): number {
+    if (left.isBegun !== right.isBegun) {
+        return left.isBegun ? -1 : 1;
     }
     return left.times.latestStart - right.times.latestStart;
 }
--- a/packages/lovagepitch-direct/src/process/boundedLog.ts
+++ b/packages/lovagepitch-direct/src/process/boundedLog.ts
@@ -5,11 +5,11 @@
 import { JsonEventLog } from "@lovagepitch/utils/logger";
 import type { DirectMetrics } from "./directMetrics.js";
 
-/** Lines of severity "info" that may be written in one second; a calm day of one entry writes about 40. */
-const infoLinesPerSecond = 120;
+/** Lines of severity "info" that may be written in one second; a calm day of one entry writes about 80. */
+const infoLinesPerSecond = 200;
 
 /** Lines of severity "warn" that may be written in one second. */
-const warningLinesPerSecond = 60;
+const warningLinesPerSecond = 100;
 
 /** Length of the window that the bounds apply to, in milliseconds. */
 const windowMilliseconds = 1000;
