feat(direct): runs that cannot end on a draining worker are moved while there is time

Cause: the scenario 'Work that cannot end on a draining worker is moved while there is time' lost runs of 2 s on a worker that ends after 1 s: an agent took no new tasks there, but let the old ones die with the worker. Ruled out: moving everything at once; most runs end in the remaining time. Change: the remaining time that the worker reports is compared with what each run needs at its speed so far; a run that needs longer is stopped and reported as moved, which is not held against the worker.

--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -35,7 +35,7 @@
     readonly percent: number;
     readonly percentChangedAt: number;
     /** What the entry is told when the worker lists the run as stopped. */
-    readonly stopReason: "stopped" | "stalled" | "not-started";
+    readonly stopReason: "stopped" | "stalled" | "moved" | "not-started";
 }
 
 /** A start that waits for room. */
@@ -67,6 +67,8 @@
 /** The worker's present life. */
 export interface WorkerRow {
     readonly report: WorkerReport;
+    /** Earliest end of a draining worker; undefined when it is not draining or did not say. */
+    readonly endsAt: number | undefined;
     /** Orders carry it; the worker ignores orders of a lower one, which an earlier process of this agent sent. */
     readonly epoch: number;
     /** True once the worker has answered a call of this epoch that names its life. */
--- a/packages/lovagepitch-direct/src/agent/stalls.ts
+++ b/packages/lovagepitch-direct/src/agent/stalls.ts
@@ -2,7 +2,7 @@
  * Runs that make too little progress are stopped, and the worker gets nothing new for a while.
  */
 import { formatRunKey } from "../model/frames.js";
-import { isHopeless, measureSlowness, type RunProgress } from "../policies/runProgress.js";
+import { expectRemaining, isHopeless, measureSlowness, type RunProgress } from "../policies/runProgress.js";
 import { recordStall } from "../policies/workerHealth.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { stopRun } from "./starts.js";
@@ -31,9 +31,22 @@
             stopRun(state, row, "stalled");
             state.updateHealth(recordStall(state.health, state.now));
         }
+        else if (run !== undefined) {
+            moveFromEndingWorker(state, worker, row, run);
+        }
     });
 }
 
+/** Stops runs that cannot end before their worker does, while there is time to run them elsewhere. */
+function moveFromEndingWorker(state: AgentState, worker: WorkerRow, row: RunRow, run: RunProgress): void {
+    const remaining = expectRemaining(run);
+    if (worker.endsAt === undefined || remaining === undefined || worker.answeredAt + remaining <= worker.endsAt) {
+        return;
+    }
+    state.log("info", "run is moved off a worker that drains", { ...row.identity, ...run, remaining });
+    stopRun(state, row, "moved");
+}
+
 /** Measures the worker over the time since the last measurement, so that earlier progress does not hide a change. */
 function measureWorker(state: AgentState, worker: WorkerRow, working: readonly RunRow[]): number | undefined {
     if (worker.answeredAt - state.measuredAt < measureIntervalMilliseconds) {
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -43,7 +43,11 @@
         }
         // A worker that has begun to drain does not come back.
         const isDraining = report.isDraining || worker.report.isDraining;
-        state.worker = { ...worker, report: { ...report, isDraining } };
+        state.worker = {
+            ...worker,
+            report: { ...report, isDraining },
+            endsAt: findEnd(state, report) ?? worker.endsAt,
+        };
         state.markOutdated();
         return;
     }
@@ -60,6 +64,7 @@
     state.health = soundHealth;
     state.worker = {
         report,
+        endsAt: findEnd(state, report),
         // The worker's clock rises, so a process that starts later has the higher epoch.
         epoch: chooseEpoch(report.workerClock),
         isConfirmed: false,
@@ -75,6 +80,11 @@
     state.log("info", "worker registered", { worker: report.id, service: report.service, capacity: report.capacity });
 }
 
+function findEnd(state: AgentState, report: WorkerReport): number | undefined {
+    const { drainRemainingMilliseconds: remaining } = report;
+    return report.isDraining && remaining !== undefined ? state.now + remaining : undefined;
+}
+
 function chooseEpoch(workerClock: number): number {
     return Math.max(1, Math.floor(workerClock));
 }
@@ -163,12 +173,17 @@
         const row = state.runs.get(formatRunKey(ended));
         if (row !== undefined) {
             judgeWorker(state, row, ended.end);
-            endRun(state, row, ended.end === "stopped" && row.stopReason === "stalled" ? "stalled" : ended.end);
+            endRun(state, row, ended.end === "stopped" ? describeStop(row) : ended.end);
         }
     }
     compareWithListed(state, call, view.running);
 }
 
+/** A run that is listed as stopped had begun, whatever its start was taken for. */
+function describeStop(row: RunRow): "stopped" | "stalled" | "moved" {
+    return row.stopReason === "not-started" ? "stopped" : row.stopReason;
+}
+
 /** Judges the worker by the end of a run that it had accepted. */
 function judgeWorker(state: AgentState, row: RunRow, end: ListedEnd["end"]): void {
     if (row.order === undefined) {
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -25,8 +25,10 @@
     | "lost"
     /** It has not begun, and cannot begin any more. */
     | "not-started"
-    /** Stopped because it made no progress. */
-    | "stalled";
+    /** Stopped because it made too little progress. */
+    | "stalled"
+    /** Stopped because its worker is about to end. */
+    | "moved";
 
 /** A run and how it ended. */
 export interface EndedRun extends RunIdentity {
--- a/packages/lovagepitch-direct/src/policies/runProgress.ts
+++ b/packages/lovagepitch-direct/src/policies/runProgress.ts
@@ -72,6 +72,19 @@
     return judged.length >= leastRuns && worked < slowSpeed * time ? worked / time : undefined;
 }
 
+/**
+ * Expects how long a run goes on.
+ *
+ * @param run - its progress
+ * @returns milliseconds at its speed so far; undefined while it is too young to tell
+ */
+export function expectRemaining(run: RunProgress): number | undefined {
+    if (run.percent <= 0 || run.age < leastAgeMilliseconds) {
+        return undefined;
+    }
+    return (100 - run.percent) * run.age / run.percent;
+}
+
 /**
  * Tells whether a run should be stopped and started elsewhere.
  *
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
@@ -158,6 +158,14 @@
         And every direct job was done
         And the promises of direct jobs hold
 
+    Scenario: Work that cannot end on a draining worker is moved while there is time
+        When a direct job of long tasks starts
+        And worker 0 drains and ends after 1000 ms
+        And 4000 ms pass
+        Then every direct job was done
+        And no run was lost with its worker
+        And the promises of direct jobs hold
+
     Scenario Outline: Faults in random order, seed <seed>
         When 20 faults strike in random order under load with seed <seed>
         And 8000 ms pass
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
@@ -180,6 +180,16 @@
     world.deployment.drainWorker(index);
 });
 
+When("worker {int} drains and ends after {int} ms", (index: number, milliseconds: number) => {
+    world.deployment.drainWorker(index, milliseconds);
+    world.deployment.run(milliseconds);
+    world.deployment.restartWorker(index);
+});
+
+Then("no run was lost with its worker", () => {
+    assert.equal(world.deployment.record.runEnds("lost"), 0);
+});
+
 When("all connections between entries and agents go silent", () => {
     world.deployment.silenceConnections();
 });
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -46,7 +46,7 @@
         this.give(host, input);
     });
     private readonly jobs = new Map<string, DirectJob>();
-    private readonly draining = new Set<string>();
+    private readonly draining = new Map<string, number | undefined>();
     private readonly lastFree = new Map<number, number>();
     private nextRequest = 1;
     private nextLife = 1;
@@ -200,9 +200,13 @@
      * Has a worker report that it drains.
      *
      * @param index - which worker
+     * @param remainingMilliseconds - least time until it ends, when it says so
      */
-    public drainWorker(index: number): void {
-        this.draining.add(this.workerAt(index).id);
+    public drainWorker(index: number, remainingMilliseconds?: number): void {
+        const endsAt = remainingMilliseconds === undefined
+            ? undefined
+            : this.clock.nowMilliseconds() + remainingMilliseconds;
+        this.draining.set(this.workerAt(index).id, endsAt);
         this.report(index);
     }
 
@@ -250,6 +254,7 @@
         const worker = this.workerAt(index);
         const host = this.agentHost(index);
         this.reportSequence += 1;
+        const endsAt = this.draining.get(worker.id);
         if (host.isRunning && worker.isUp) {
             this.give(host, {
                 kind: "worker-reported",
@@ -259,7 +264,9 @@
                     capacity: worker.capacity,
                     labels: [],
                     isDraining: this.draining.has(worker.id),
-                    drainRemainingMilliseconds: undefined,
+                    drainRemainingMilliseconds: endsAt === undefined
+                        ? undefined
+                        : endsAt - this.clock.nowMilliseconds(),
                     workerClock: this.clock.nowMilliseconds(),
                     sequence: this.reportSequence,
                 },
