--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -11,8 +11,17 @@
 /** Pause before an entry's address is tried again; entries restart within a second or two. */
 const reconnectMilliseconds = 200;
 
-/** Changes of free capacity within this time share a frame, in milliseconds; ends of runs are told at once. */
-export const updateIntervalMilliseconds = 12;
+/**
+ * Changes of free capacity within this time share a frame, in milliseconds, while the worker is nearly full. Ends of runs are
+ * told to their entry at once, and orders that stand by fill the room meanwhile.
+ */
+export const updateIntervalMilliseconds = 20;
+
+/** The same while there is room, in milliseconds: no entry waits for it. */
+const relaxedIntervalMilliseconds = 50;
+
+/** Share of a worker's cores that is free while it is not nearly full. */
+const relaxedFreeShare = 0.25;
 
 /** A connection that brings nothing for this long is replaced; the entry's lease still has room for a new one. */
 const silentConnectionMilliseconds = 300;
@@ -200,7 +209,7 @@
 export function sendFrames(state: AgentState, lastSentAt: Map<string, number>): void {
     for (const row of [...state.entries.values()]) {
         const sentAt = row.hasGreeted ? lastSentAt.get(row.address) ?? 0 : 0;
-        const interval = row.isOutdated ? updateIntervalMilliseconds : heartbeatIntervalMilliseconds;
+        const interval = row.isOutdated ? chooseUpdateInterval(state) : heartbeatIntervalMilliseconds;
         const isDue = row.pendingEnds.length > 0 || state.now - sentAt >= interval;
         // Before its first frame an entry is told once who this is.
         const mayWrite = !row.hasGreeted || row.includedSequence > 0;
@@ -213,6 +222,12 @@
     }
 }
 
+function chooseUpdateInterval(state: AgentState): number {
+    const capacity = state.worker?.report.capacity.milliCores ?? 0;
+    const hasRoom = acceptsTasks(state) && state.free.milliCores >= relaxedFreeShare * capacity;
+    return hasRoom ? relaxedIntervalMilliseconds : updateIntervalMilliseconds;
+}
+
 function createFrame(state: AgentState, row: EntryRow): AgentFrame {
     const { identity, configuration } = state;
     const version = configuration?.version ?? 0;
