--- a/packages/lovagepitch-direct/src/model/dispatchConfiguration.ts
+++ b/packages/lovagepitch-direct/src/model/dispatchConfiguration.ts
@@ -5,7 +5,7 @@
 /** Jobs of one kind: where they come in and what is promised for them. */
 export interface Route {
     readonly name: string;
-    /** Host name that requests carry. */
+    /** Host name that requests carry, in lower case. */
     readonly host: string;
     /** Start of the path; the longest that matches selects the route. */
     readonly pathPrefix: string;
@@ -37,7 +37,7 @@
  * Finds the route of a request.
  *
  * @param configuration - the version in force
- * @param host - host name of the request, without a port
+ * @param host - host name of the request in lower case, without a port
  * @param path - path of the request, without a query
  * @returns the route with the longest matching prefix, or undefined when there is none
  */
--- a/packages/lovagepitch-direct/src/process/configurationWatcher.ts
+++ b/packages/lovagepitch-direct/src/process/configurationWatcher.ts
@@ -24,9 +24,9 @@
      * Decodes a row of the table.
      *
      * @param row - the row
-     * @returns the configuration, or undefined when the row holds something else
+     * @returns the configuration, or `unreadable`; undefined for a row that is not the configuration's
      */
-    public abstract decode(row: SharedRow): DispatchConfiguration | undefined;
+    public abstract decode(row: SharedRow): DispatchConfiguration | "unreadable" | undefined;
 }
 
 /** Reads the configuration, then waits for its changes, until the process ends. */
@@ -36,12 +36,14 @@
      * @param row - where the configuration lies
      * @param reachability - is told whether the store answers
      * @param configured - is told of versions; they may repeat and be older than earlier ones
+     * @param unreadable - is told of a row that cannot be read; the version in force stays
      */
     public constructor(
         private readonly rows: SharedRows,
         private readonly row: ConfigurationRow,
         private readonly reachability: StoreReachability,
         private readonly configured: (configuration: DispatchConfiguration) => void,
+        private readonly unreadable: () => void,
     ) {}
 
     /**
@@ -91,7 +93,10 @@
     private handOver(rows: readonly SharedRow[]): void {
         for (const row of rows) {
             const configuration = this.row.decode(row);
-            if (configuration !== undefined) {
+            if (configuration === "unreadable") {
+                this.unreadable();
+            }
+            else if (configuration !== undefined) {
                 this.configured(configuration);
             }
         }
