--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -3,7 +3,6 @@
  */
 import type { DirectJob } from "../model/directJob.js";
 import { formatRunKey, type StartOrder } from "../model/frames.js";
-import { addResources, noResources } from "../model/resources.js";
 import { compareWaitingJobs } from "../policies/waitingOrder.js";
 import { chooseWorker, type WorkerCandidate } from "../policies/workerChoice.js";
 import { permittedRuns } from "../policies/workerHealth.js";
@@ -22,11 +21,8 @@
 /** Waiting tasks are looked at again after this time, even when nothing has happened. */
 const placementIntervalMilliseconds = 25;
 
-/** Orders of one entry that may stand by at one agent. */
-const ordersStandingBy = 1;
-
 /** Longest time that a task waits for room at an agent, in milliseconds: about one task ends there in that time. */
-const longestWaitMilliseconds = 60;
+const longestWaitMilliseconds = 30;
 
 /** Time that a task loses on a worker that turns out to be slow, in milliseconds. */
 const trialMilliseconds = 200;
@@ -126,13 +122,10 @@
 }
 
 function listCandidates(state: EntryState, job: DirectJob, avoid: readonly string[]): WorkerCandidate[] {
-    // An order that stands by at the agent starts the moment that room is free, without a round trip.
-    const standBy = { ...noResources, milliCores: job.needs.milliCores * ordersStandingBy };
     const candidates: WorkerCandidate[] = [];
     const others: WorkerCandidate[] = [];
     for (const row of state.agents.values()) {
-        const free = availableAt(row);
-        const available = free === undefined ? undefined : addResources(free, standBy);
+        const available = availableAt(row);
         if (available === undefined || !isPermitted(state, row, job)) {
             continue;
         }
