--- a/packages/lovagepitch-direct/src/links/agentListener.ts
+++ b/packages/lovagepitch-direct/src/links/agentListener.ts
@@ -5,6 +5,7 @@
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
 import { FrameStream } from "./frameStream.js";
 import { isAgentFrame } from "./isFrame.js";
+import { listenAt } from "./listenAt.js";
 
 /** What the listener tells its entry. */
 export interface AgentListenerEvents {
@@ -33,13 +34,7 @@
      * @returns the port; rejects when it cannot be bound
      */
     public listen(host: string, port: number): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, () => {
-                const address = this.server.address();
-                resolve(typeof address === "object" ? address?.port ?? port : port);
-            });
-        });
+        return listenAt(this.server, { host, port });
     }
 
     /**
--- a/packages/lovagepitch-direct/src/links/entryConnections.ts
+++ b/packages/lovagepitch-direct/src/links/entryConnections.ts
@@ -5,6 +5,7 @@
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
 import { FrameStream } from "./frameStream.js";
 import { isEntryFrame } from "./isFrame.js";
+import { splitAddress } from "./listenAt.js";
 
 /** What the connections tell their agent. */
 export interface EntryConnectionEvents {
@@ -31,8 +32,7 @@
         const earlier = this.streams.get(address);
         this.streams.delete(address);
         earlier?.close("replaced by a new connection");
-        const separator = address.lastIndexOf(":");
-        const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator));
+        const socket = connect(splitAddress(address));
         const stream: FrameStream<EntryFrame, AgentFrame> = new FrameStream(socket, isEntryFrame, {
             received: frame => this.events.received(address, frame),
             ended: (refused, reason) => {
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -89,9 +89,9 @@
      * Serves the process's metrics.
      *
      * @param address - host and port
-     * @returns when the port is bound; rejects when it cannot be
+     * @returns the port; rejects when it cannot be bound
      */
-    public serveMetrics(address: string): Promise<void> {
+    public serveMetrics(address: string): Promise<number> {
         return this.metrics.serve(address);
     }
 
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -204,9 +204,9 @@
      * Serves the process's metrics.
      *
      * @param address - host and port
-     * @returns when the port is bound; rejects when it cannot be
+     * @returns the port; rejects when it cannot be bound
      */
-    public serveMetrics(address: string): Promise<void> {
+    public serveMetrics(address: string): Promise<number> {
         return this.metrics.serve(address);
     }
 
--- a/packages/lovagepitch-direct/src/process/directMetrics.ts
+++ b/packages/lovagepitch-direct/src/process/directMetrics.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { listenAt, splitAddress } from "../links/listenAt.js";
 
 /** Bounds of the histograms' buckets, in seconds: from the shortest tasks to the longest waits of callers. */
 const durationBuckets = [0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 5, 8];
@@ -76,19 +77,15 @@
      * Serves the metrics as text at every path.
      *
      * @param address - host and port
-     * @returns when the port is bound; rejects when it cannot be
+     * @returns the port; rejects when it cannot be bound
      */
-    public serve(address: string): Promise<void> {
+    public serve(address: string): Promise<number> {
         const server = createServer((_request, response) => {
             this.registry.metrics().then(
                 text => response.writeHead(200, { "content-type": this.registry.contentType }).end(text),
                 (error: unknown) => response.writeHead(500).end(String(error)),
             );
         });
-        const separator = address.lastIndexOf(":");
-        return new Promise((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), resolve);
-        });
+        return listenAt(server, splitAddress(address));
     }
 }
