--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
@@ -0,0 +1,86 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { Ok, type Result } from "@lovagepitch/utils/result";
+import { SteadyClock } from "@lovagepitch/utils/steadyClock";
+import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
+import { EntryDirectory } from "../process/entryDirectory.js";
+import { type RowsView, type SharedRow, SharedRows, type StoreFailure } from "../process/sharedRows.js";
+import { StoreReachability } from "../process/storeReachability.js";
+
+/** Rows of one table; a watch ends with the next write. */
+class MemoryRows extends SharedRows {
+    public calls = 0;
+    private readonly rows = new Map<string, SharedRow>();
+    private version = 1;
+    private wake: (() => void)[] = [];
+
+    public override read(): Promise<Result<RowsView, StoreFailure>> {
+        this.calls += 1;
+        return Promise.resolve(Ok({ rows: [...this.rows.values()], version: this.version, storeMilliseconds: 1000 }));
+    }
+
+    public override async watch(
+        _table: string,
+        version: number,
+        wait: number,
+    ): Promise<Result<RowsView, StoreFailure>> {
+        this.calls += 1;
+        if (version >= this.version) {
+            await new Promise<void>(resolve => {
+                this.wake.push(resolve);
+                setTimeout(resolve, wait).unref();
+            });
+        }
+        return Ok({ rows: [], version: this.version, storeMilliseconds: 1000 });
+    }
+
+    public override write(_table: string, key: string, value: unknown): Promise<Result<undefined, StoreFailure>> {
+        this.calls += 1;
+        this.version += 1;
+        this.rows.set(key, { key, value });
+        this.wake.splice(0).forEach(wake => wake());
+        return Promise.resolve(Ok(undefined));
+    }
+}
+
+const ownAddress = "10.1.0.1:7720";
+const otherAddress = "10.1.0.2:7720";
+
+let rows = new MemoryRows();
+let found: readonly string[] = [];
+
+Given("an entry directory over a store in memory", () => {
+    rows = new MemoryRows();
+    const reachability = new StoreReachability({ write: () => undefined });
+    void new EntryDirectory(rows, new SteadyClock(), reachability, addresses => {
+        found = addresses;
+    }).run(ownAddress);
+});
+
+When("another entry writes its address after {int} ms", async (milliseconds: number) => {
+    await delay(milliseconds);
+    await rows.write("lovagepitch-entries", otherAddress, { address: otherAddress, writtenAt: 1000 });
+});
+
+Then("the directory names it within {int} ms", async (milliseconds: number) => {
+    await delay(milliseconds);
+    assert.deepEqual([...found].sort(), [ownAddress, otherAddress]);
+});
+
+Then("{int} entries that start together make at most {int} calls within {int} ms", async (
+    entries: number,
+    most: number,
+    milliseconds: number,
+) => {
+    rows = new MemoryRows();
+    for (let entry = 0; entry < entries; entry += 1) {
+        const reachability = new StoreReachability({ write: () => undefined });
+        void new EntryDirectory(rows, new SteadyClock(), reachability, () => undefined).run(`10.1.1.${entry}:7720`);
+    }
+    await delay(milliseconds);
+    assert.ok(rows.calls <= most, `${rows.calls} calls`);
+});
+
+Then("the directory made at most {int} calls in that time", (most: number) => {
+    assert.ok(rows.calls <= most, `${rows.calls} calls`);
+});
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -14,9 +14,12 @@
 /** How long the worker may wait for an end: a small part of the lease, and often enough to notice missing progress. */
 const viewWaitMilliseconds = 75;
 
-/** Pause before the next call after one that failed. */
+/** Pause before the next call after one that failed, while something may still run there, in milliseconds. */
 const retryViewMilliseconds = 30;
 
+/** The same when nothing runs there, in milliseconds; a worker that returns is then found within it. */
+const retryIdleViewMilliseconds = 150;
+
 /**
  * Failures in a row, each of another job, that make the worker suspect. The agent does not know whether the jobs also fail
  * elsewhere, so it waits for one more than an entry does.
@@ -284,7 +287,7 @@
         ...worker,
         isResponsive: false,
         callInFlight: undefined,
-        nextCallAt: state.now + retryViewMilliseconds,
+        nextCallAt: state.now + (state.runs.size > 0 ? retryViewMilliseconds : retryIdleViewMilliseconds),
     };
 }
 
--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -1,6 +1,7 @@
 /**
  * Where entries listen for agents: each entry keeps a row in the store, and every process reads the rows now and then.
  */
+import type { Clock } from "@lovagepitch/utils/clock";
 import { setTimeout as delay } from "node:timers/promises";
 import type { RowsView, SharedRows } from "./sharedRows.js";
 import type { StoreReachability } from "./storeReachability.js";
@@ -8,14 +9,14 @@
 /** Table of the entries' addresses. */
 const entriesTable = "lovagepitch-entries";
 
-/** Pause between two readings, in milliseconds; an entry that was added is found within it. */
+/** Time between two readings without a change, in milliseconds. Entries learn of changes at once, and tell agents. */
 const readIntervalMilliseconds = 2000;
 
 /** Pause after a failed call, in milliseconds. */
 const retryMilliseconds = 300;
 
-/** An entry writes its row again after this many readings. */
-const readingsBetweenWrites = 5;
+/** An entry writes its row again after this time, in milliseconds; a quarter of the row's life. */
+const writeIntervalMilliseconds = 10_000;
 
 /** A row that was not written for this long is that of an entry that is gone, in milliseconds of the store's clock. */
 const rowLifetimeMilliseconds = 40_000;
@@ -23,14 +24,17 @@
 /** Finds the addresses of entries. */
 export class EntryDirectory {
     private storeMilliseconds: number | undefined;
+    private version = 0;
 
     /**
      * @param rows - the store
+     * @param clock - steady clock
      * @param reachability - is told whether the store answers
      * @param found - is told of the addresses after each reading
      */
     public constructor(
         private readonly rows: SharedRows,
+        private readonly clock: Clock,
         private readonly reachability: StoreReachability,
         private readonly found: (addresses: readonly string[]) => void,
     ) {}
@@ -42,13 +46,15 @@
      * @returns never
      */
     public async run(ownAddress: string | undefined): Promise<never> {
-        for (let reading = 0;;) {
+        let nextWriteAt = this.clock.nowMilliseconds();
+        for (;;) {
             const isRead = await this.readAll();
-            const isDue = ownAddress !== undefined && reading % readingsBetweenWrites === 0;
+            const isDue = ownAddress !== undefined && this.clock.nowMilliseconds() >= nextWriteAt;
             const isWritten = !isDue || (isRead && await this.writeOwn(ownAddress));
             if (isRead && isWritten) {
-                reading += 1;
-                await delay(readIntervalMilliseconds);
+                // By time, not by readings: each write has every entry read again.
+                nextWriteAt = isDue ? this.clock.nowMilliseconds() + writeIntervalMilliseconds : nextWriteAt;
+                await (ownAddress === undefined ? delay(readIntervalMilliseconds) : this.waitForChange());
             }
             else {
                 await delay(retryMilliseconds);
@@ -64,10 +70,19 @@
         }
         this.reachability.note(true, "the entries' addresses were read");
         this.storeMilliseconds = result.val.storeMilliseconds;
+        this.version = result.val.version;
         this.found(listAddresses(result.val));
         return true;
     }
 
+    private async waitForChange(): Promise<void> {
+        const result = await this.rows.watch(entriesTable, this.version, readIntervalMilliseconds);
+        if (result.err) {
+            // The history may be gone; the next reading shows what has changed.
+            await delay(retryMilliseconds);
+        }
+    }
+
     private async writeOwn(address: string): Promise<boolean> {
         const result = await this.rows.write(entriesTable, address, { address, writtenAt: this.storeMilliseconds });
         if (result.err) {
