--- a/packages/lovagepitch-direct/src/process/boundedLog.ts
+++ b/packages/lovagepitch-direct/src/process/boundedLog.ts
@@ -5,7 +5,7 @@
 import { JsonEventLog } from "@lovagepitch/utils/logger";
 import type { DirectMetrics } from "./directMetrics.js";
 
-/** Lines of severity "info" that may be written in one second; a calm day of one entry writes about 80. */
+/** Lines of severity "info" that may be written in one second; an entry at its usual load writes about 100. */
 const infoLinesPerSecond = 200;
 
 /** Lines of severity "warn" that may be written in one second. */
