feat(direct): urgent jobs first at agents, whole jobs, and one order ahead

Cause: with four entries a burst left most tasks of urgent jobs late. Change: agents start what waits there in the entries' order (begun, priority, latest start); begun and most urgent jobs may have one order ahead of room at each worker; while jobs compete, a job begins only when its missing tasks can find room in its spare time. Ranks count priorities that arrived lately. A view that lists a run confirms its start.

--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -17,7 +17,8 @@
     updateIntervalMilliseconds,
 } from "./entryLinks.js";
 import { stopStalledRuns } from "./stalls.js";
-import { receiveStartAnswer, receiveStopAnswer, repeatStops, startStandingBy } from "./starts.js";
+import { startStandingBy } from "./standingOrders.js";
+import { receiveStartAnswer, receiveStopAnswer, repeatStops } from "./starts.js";
 import {
     expireLease,
     receiveLeave,
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -42,6 +42,7 @@
 export interface StandingOrder {
     readonly order: StartOrder;
     readonly entry: string;
+    readonly receivedAt: number;
     /** Given back to its entry when it has not started by then. */
     readonly until: number;
 }
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -3,10 +3,12 @@
  */
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import { type AgentFrame, type EntryFrame, formatRunKey } from "../model/frames.js";
+import { addResources, noResources } from "../model/resources.js";
 import { entryLeaseMilliseconds, heartbeatIntervalMilliseconds } from "../model/timing.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import type { AgentState, EntryRow } from "./agentState.js";
-import { acceptsTasks, receiveStart, stopRun, withdrawStanding } from "./starts.js";
+import { withdrawStanding } from "./standingOrders.js";
+import { acceptsTasks, receiveStart, stopRun } from "./starts.js";
 
 /** Pause before an entry's address is tried again; entries restart within a second or two. */
 const reconnectMilliseconds = 200;
@@ -242,6 +244,10 @@
         labels: worker.report.labels,
         capacity: worker.report.capacity,
         free: state.free,
+        awaited: [...state.standingBy.values()].reduce(
+            (sum, { order }) => addResources(sum, order.needs),
+            noResources,
+        ),
         acceptsTasks: acceptsTasks(state),
         isOnTrial: state.health.isOnTrial,
     };
--- a/packages/lovagepitch-direct/src/agent/starts.ts
+++ b/packages/lovagepitch-direct/src/agent/starts.ts
@@ -7,13 +7,11 @@
 import type { OrderOutcome } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { endRun, reportEnd } from "./runEnds.js";
+import { standBy } from "./standingOrders.js";
 
 /** The worker rejects a start that reaches it later than this; its usual answer takes a few milliseconds. */
 const startWindowMilliseconds = 300;
 
-/** Orders that may wait for room at a time: about as many as start in the time that they may wait. */
-const mostStandingBy = 4;
-
 /** A stop without an answer is sent again after this time. */
 const repeatStopMilliseconds = 50;
 
@@ -37,59 +35,32 @@
     else if (obstacle === undefined) {
         startRun(state, worker, entry, order);
     }
-    else if (state.standingBy.size < mostStandingBy) {
-        state.standingBy.set(formatRunKey(order), { order, entry, until: state.now + order.mayWaitMilliseconds });
-    }
     else {
-        declineStart(state, entry, order);
+        standBy(state, entry, order);
     }
 }
 
 /**
- * Starts orders that wait for room, the most urgent first, and gives back those that have waited long enough.
+ * Gives an order back to its entry.
  *
  * @param state - the agent
+ * @param entry - incarnation of the entry
+ * @param order - the task
  */
-export function startStandingBy(state: AgentState): void {
-    if (state.standingBy.size === 0) {
-        return;
-    }
-    const waiting = [...state.standingBy.entries()].sort(([, left], [, right]) => left.until - right.until);
-    for (const [key, { order, entry, until }] of waiting) {
-        const { worker } = state;
-        const obstacle = worker === undefined ? "no worker" : findObstacle(state, worker, order);
-        if (worker !== undefined && obstacle === undefined) {
-            state.standingBy.delete(key);
-            startRun(state, worker, entry, order);
-        }
-        else if (obstacle !== "no room" || state.now >= until) {
-            state.standingBy.delete(key);
-            declineStart(state, entry, order);
-        }
-    }
+export function declineStart(state: AgentState, entry: string, order: StartOrder): void {
+    const ended: EndedRun = { ...identify(order), end: "not-started", ranMilliseconds: 0 };
+    reportEnd(state, entry, ended);
 }
 
 /**
- * Takes back an order that waits for room.
+ * Has the worker start a task.
  *
  * @param state - the agent
+ * @param worker - the worker
  * @param entry - incarnation of the entry
- * @param identity - the run
+ * @param order - the task
  */
-export function withdrawStanding(state: AgentState, entry: string, identity: RunIdentity): void {
-    const standing = state.standingBy.get(formatRunKey(identity));
-    if (standing?.entry === entry) {
-        state.standingBy.delete(formatRunKey(identity));
-        declineStart(state, entry, standing.order);
-    }
-}
-
-function declineStart(state: AgentState, entry: string, order: StartOrder): void {
-    const ended: EndedRun = { ...identify(order), end: "not-started", ranMilliseconds: 0 };
-    reportEnd(state, entry, ended);
-}
-
-function startRun(state: AgentState, worker: WorkerRow, entry: string, order: StartOrder): void {
+export function startRun(state: AgentState, worker: WorkerRow, entry: string, order: StartOrder): void {
     const { now } = state;
     state.addRun({
         identity: identify(order),
@@ -217,7 +188,15 @@
     }
 }
 
-function findObstacle(state: AgentState, worker: WorkerRow, order: StartOrder): string | undefined {
+/**
+ * Finds out why a task cannot start now.
+ *
+ * @param state - the agent
+ * @param worker - the worker
+ * @param order - the task
+ * @returns the reason, undefined when it can start
+ */
+export function findObstacle(state: AgentState, worker: WorkerRow, order: StartOrder): string | undefined {
     if (!acceptsTasks(state)) {
         return "worker takes no tasks now";
     }
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -218,8 +218,8 @@
                 endRun(state, row, row.state === "stopped" ? row.stopReason : "lost");
             }
         }
-        else if (run.percent !== row.percent) {
-            updateProgress(state, row, run.percent);
+        else {
+            updateRun(state, row, run);
         }
     }
     for (const run of listed) {
@@ -229,8 +229,22 @@
     }
 }
 
-function updateProgress(state: AgentState, row: RunRow, percent: number): void {
-    state.runs.set(formatRunKey(row.identity), { ...row, percent, percentChangedAt: state.now });
+function updateRun(state: AgentState, row: RunRow, listed: ListedRun): void {
+    const key = formatRunKey(row.identity);
+    if (row.state === "starting") {
+        // The answer to the start may be lost or late; the view shows that the worker has accepted it.
+        state.runs.set(key, {
+            ...row,
+            state: "running",
+            runningSince: state.now,
+            percent: listed.percent,
+            percentChangedAt: state.now,
+            visibleFromCall: state.nextCall,
+        });
+    }
+    else if (listed.percent !== row.percent) {
+        state.runs.set(key, { ...row, percent: listed.percent, percentChangedAt: state.now });
+    }
 }
 
 /** Stops a run that an earlier process of this agent started. */
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -10,6 +10,7 @@
 import { type Resources, subtractResources } from "../model/resources.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import type { JobTimes } from "../policies/jobTimes.js";
+import { PriorityRanks } from "../policies/priorityRanks.js";
 import { DrainRate } from "../policies/returnTime.js";
 import type { RunTimeSpread } from "../policies/runTimeSpread.js";
 import type { WorkerHealth } from "../policies/workerHealth.js";
@@ -99,6 +100,7 @@
     public readonly entryAddresses = new Set<string>();
     /** Work that ends, in core-milliseconds. */
     public readonly drainRate: DrainRate;
+    public readonly priorityRanks = new PriorityRanks();
     /** Run times by route. */
     public readonly runTimes = new Map<string, RunTimeSpread>();
     public configuration: DispatchConfiguration | undefined;
@@ -167,13 +169,16 @@
  * Works out what is free on an agent's worker.
  *
  * @param row - the agent
- * @returns the capacity that it reported, minus starts that it had not seen by then
+ * @returns the capacity that it reported, minus what waits there and starts that it had not seen by then
  */
 export function availableAt(row: AgentRow): Resources | undefined {
     if (row.worker === undefined) {
         return undefined;
     }
-    return row.unincluded.reduce((rest, start) => subtractResources(rest, start.needs), row.worker.free);
+    return row.unincluded.reduce(
+        (rest, start) => subtractResources(rest, start.needs),
+        subtractResources(row.worker.free, row.worker.awaited),
+    );
 }
 
 /**
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -1,22 +1,15 @@
 /**
  * Places waiting tasks on workers, and gives up jobs that cannot be of use any more.
  */
-import type { DirectJob } from "../model/directJob.js";
 import { formatRunKey, type StartOrder } from "../model/frames.js";
-import { compareWaitingJobs } from "../policies/waitingOrder.js";
-import { chooseWorker, type WorkerCandidate } from "../policies/workerChoice.js";
-import { permittedRuns } from "../policies/workerHealth.js";
-import { isUsable } from "./agentFrames.js";
-import {
-    type AgentRow,
-    availableAt,
-    type EntryState,
-    formatTaskKey,
-    type JobRow,
-    mayHaveStarted,
-} from "./entryState.js";
+import { mayBegin } from "../policies/jobBegin.js";
+import { allowOrderAhead } from "../policies/ordersAhead.js";
+import { compareWaitingWork } from "../policies/waitingOrder.js";
+import { chooseWorker } from "../policies/workerChoice.js";
+import { type EntryState, formatTaskKey, type JobRow, mayHaveStarted } from "./entryState.js";
 import { endJob } from "./jobEnds.js";
 import { refuseJob } from "./submissions.js";
+import { WorkerRooms } from "./workerRooms.js";
 
 /** Waiting tasks are looked at again after this time, even when nothing has happened. */
 const placementIntervalMilliseconds = 25;
@@ -41,19 +34,36 @@
     state.placedAt = state.now;
     const waiting = [...state.jobs.values()]
         .filter(row => row.waitingTasks.length > 0)
-        .map(row => ({ row, times: row.times, isBegun: mayHaveStarted(row) }))
-        .sort(compareWaitingJobs);
+        .map(row => ({
+            row,
+            isBegun: mayHaveStarted(row),
+            priority: row.job.priority,
+            latestStart: row.times.latestStart,
+        }))
+        .sort(compareWaitingWork);
+    const rooms = new WorkerRooms(state);
+    const isContended = waiting.length > 1 || rooms.areAwaited;
     for (const { row } of waiting) {
-        if (!state.endingRuns.has(row.job.id)) {
-            placeJob(state, row);
+        if (!state.endingRuns.has(row.job.id) && canContinue(state, rooms, row, isContended)) {
+            placeJob(state, rooms, row);
         }
     }
 }
 
-function placeJob(state: EntryState, row: JobRow): void {
+function canContinue(state: EntryState, rooms: WorkerRooms, row: JobRow, isContended: boolean): boolean {
+    return mayHaveStarted(row) || mayBegin({
+        rank: state.priorityRanks.rank(row.job.service, row.job.priority, state.now),
+        tasks: rooms.countRoom(row.job, "capacity"),
+        room: rooms.countRoom(row.job, "available"),
+        spareMilliseconds: row.times.latestStart - state.now,
+        isContended,
+    });
+}
+
+function placeJob(state: EntryState, rooms: WorkerRooms, row: JobRow): void {
     const placements: Placement[] = [];
     for (const task of row.waitingTasks) {
-        const placement = placeTask(state, row, task);
+        const placement = placeTask(state, rooms, row, task);
         if (placement === undefined) {
             break;
         }
@@ -81,11 +91,14 @@
     readonly instance: string;
 }
 
-function placeTask(state: EntryState, row: JobRow, task: number): Placement | undefined {
+function placeTask(state: EntryState, rooms: WorkerRooms, row: JobRow, task: number): Placement | undefined {
     const { job } = row;
     const taskKey = formatTaskKey(job.id, task);
     const history = state.histories.get(taskKey);
-    const candidates = listCandidates(state, job, history?.avoid ?? []);
+    const isBegun = mayHaveStarted(row);
+    const rank = state.priorityRanks.rank(job.service, job.priority, state.now);
+    const allowance = allowOrderAhead(isBegun, rank, job.needs);
+    const candidates = rooms.listCandidates(job, history?.avoid ?? [], allowance);
     const timeToSpare = row.times.latestStart - state.now;
     const chosen = chooseWorker(candidates, job.needs, timeToSpare > trialMilliseconds, state.random);
     const agent = chosen === undefined ? undefined : state.agents.get(chosen.agent);
@@ -101,6 +114,11 @@
         needs: job.needs,
         estimatedMilliseconds: job.estimatedMilliseconds,
         mayWaitMilliseconds: Math.max(0, Math.min(longestWaitMilliseconds, timeToSpare)),
+        urgency: {
+            priority: job.priority,
+            isBegun,
+            spareMilliseconds: Math.round(timeToSpare),
+        },
         maximumPerWorker: job.maximumPerWorker,
         requiredLabel: job.requiredLabel,
     };
@@ -113,6 +131,7 @@
         placedAt: state.now,
     });
     state.ordersFor(agent.agent).starts.push(order);
+    rooms.occupy(agent.agent, job.needs);
     state.agents.set(agent.agent, {
         ...agent,
         runs: agent.runs + 1,
@@ -121,28 +140,6 @@
     return { task, run: order.run, instance: agent.instance };
 }
 
-function listCandidates(state: EntryState, job: DirectJob, avoid: readonly string[]): WorkerCandidate[] {
-    const candidates: WorkerCandidate[] = [];
-    const others: WorkerCandidate[] = [];
-    for (const row of state.agents.values()) {
-        const available = availableAt(row);
-        if (available === undefined || !isPermitted(state, row, job)) {
-            continue;
-        }
-        const isInOwnZone = row.availabilityZone === state.identity.availabilityZone;
-        const isOnTrial = row.health.isOnTrial || row.worker?.isOnTrial === true;
-        const candidate = { agent: row.agent, available, isInOwnZone, isOnTrial };
-        (avoid.includes(row.agent) ? others : candidates).push(candidate);
-    }
-    return candidates.length > 0 ? candidates : others;
-}
-
-function isPermitted(state: EntryState, row: AgentRow, job: DirectJob): boolean {
-    return isUsable(state, row) && row.worker?.service === job.service
-        && (job.requiredLabel === undefined || row.worker.labels.includes(job.requiredLabel))
-        && row.runs < permittedRuns(row.health, state.now);
-}
-
 /**
  * Refuses jobs that can no longer start in time, and ends started ones whose result would be of no use.
  *
@@ -151,7 +148,8 @@
 export function giveUpJobs(state: EntryState): void {
     for (const row of [...state.jobs.values()]) {
         if (!mayHaveStarted(row) && state.now > row.times.latestStart) {
-            refuseJob(state, row, hasWorkers(state, row.job) ? "no-room-in-time" : "no-worker");
+            const hasWorkers = new WorkerRooms(state).countRoom(row.job, "capacity") > 0;
+            refuseJob(state, row, hasWorkers ? "no-room-in-time" : "no-worker");
         }
         else if (state.now > row.times.giveUpAt) {
             endJob(state, row, { kind: "interrupted", reason: "the result would be of no use any more" });
@@ -159,15 +157,6 @@
     }
 }
 
-function hasWorkers(state: EntryState, job: DirectJob): boolean {
-    for (const row of state.agents.values()) {
-        if (isPermitted(state, row, job)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /**
  * Finds the next instant at which a job has to be given up.
  *
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -36,6 +36,7 @@
         failedOn: [],
     };
     state.jobs.set(job.id, row);
+    state.priorityRanks.record(job.service, job.priority, state.now);
     state.mayPlace = true;
     if (state.isShuttingDown) {
         refuseJob(state, row, "shutting-down");
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -37,6 +37,16 @@
     readonly ranMilliseconds: number;
 }
 
+/** How urgent a task is, as far as its entry knew when it sent the order. */
+export interface OrderUrgency {
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    /** True when a task of the job runs or has run. */
+    readonly isBegun: boolean;
+    /** Time until the last instant at which the task can start and its job end on time, in milliseconds. */
+    readonly spareMilliseconds: number;
+}
+
 /** Order to start a task. */
 export interface StartOrder extends RunIdentity {
     readonly service: string;
@@ -45,6 +55,8 @@
     readonly estimatedMilliseconds: number;
     /** How long the order may wait for room at the agent before it is given back. */
     readonly mayWaitMilliseconds: number;
+    /** Decides which of the waiting orders is started first. */
+    readonly urgency: OrderUrgency;
     readonly maximumPerWorker: number;
     readonly requiredLabel: string | undefined;
 }
--- a/packages/lovagepitch-direct/src/model/resources.ts
+++ b/packages/lovagepitch-direct/src/model/resources.ts
@@ -43,6 +43,38 @@
     };
 }
 
+/**
+ * Multiplies amounts.
+ *
+ * @param resources - the amounts
+ * @param factor - how many times
+ * @returns the product
+ */
+export function scaleResources(resources: Resources, factor: number): Resources {
+    return {
+        milliCores: resources.milliCores * factor,
+        memoryMegabytes: resources.memoryMegabytes * factor,
+        accelerators: resources.accelerators * factor,
+    };
+}
+
+/**
+ * Counts how many tasks of one size find room.
+ *
+ * @param needs - what one task occupies
+ * @param available - what is free
+ * @returns a whole number, negative where something is missing already
+ */
+export function countFits(needs: Resources, available: Resources): number {
+    const fits = (need: number, free: number): number => need > 0 ? free / need : Number.POSITIVE_INFINITY;
+    const count = Math.min(
+        fits(needs.milliCores, available.milliCores),
+        fits(needs.memoryMegabytes, available.memoryMegabytes),
+        fits(needs.accelerators, available.accelerators),
+    );
+    return Math.floor(count);
+}
+
 /**
  * Tells whether a task finds room.
  *
--- a/packages/lovagepitch-direct/src/model/workerStatus.ts
+++ b/packages/lovagepitch-direct/src/model/workerStatus.ts
@@ -26,6 +26,8 @@
     readonly capacity: Resources;
     /** Capacity minus everything that runs, is being stopped, or may have been started. */
     readonly free: Resources;
+    /** What the orders need that wait at the agent for room. */
+    readonly awaited: Resources;
     /** False while the worker drains, is silent, or its agent shuts down. */
     readonly acceptsTasks: boolean;
     /** True while the worker is tried with one task at a time, because it failed or was slow. */
--- a/packages/lovagepitch-direct/src/policies/waitingOrder.ts
+++ b/packages/lovagepitch-direct/src/policies/waitingOrder.ts
@@ -1,26 +1,29 @@
 /**
  * Load pattern: more work waits than finds room, of kinds with little and with much time to spare. Jobs that are begun are
- * finished first, since what they have done is lost otherwise; then the job whose latest start comes first.
+ * finished first, since what they have done is lost otherwise; then the more urgent priority; then the job whose latest
+ * start comes first. Entries and agents use the same order.
  */
-import type { JobTimes } from "./jobTimes.js";
 
 /** What the order depends on. */
-export interface WaitingJob {
-    readonly times: JobTimes;
-    /** True when a task of it runs or has run. */
+export interface WaitingWork {
+    /** True when a task of the job runs or has run. */
     readonly isBegun: boolean;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    /** Last instant at which it can start and the job end on time, in milliseconds. */
+    readonly latestStart: number;
 }
 
 /**
- * Compares two waiting jobs.
+ * Compares what waits.
  *
- * @param left - one job
- * @param right - another job
+ * @param left - a job or a task
+ * @param right - another one
  * @returns negative when the left one goes first
  */
-export function compareWaitingJobs(left: WaitingJob, right: WaitingJob): number {
+export function compareWaitingWork(left: WaitingWork, right: WaitingWork): number {
     if (left.isBegun !== right.isBegun) {
         return left.isBegun ? -1 : 1;
     }
-    return left.times.latestStart - right.times.latestStart;
+    return left.priority - right.priority || left.latestStart - right.latestStart;
 }
