--- a/packages/lovagepitch-cli/src/__tests__/commandLine.feature
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.feature
@@ -18,6 +18,8 @@
             | manifest diff examples/cooperative/manifest.jsonc -s a --against b            | mutually exclusive |
             | manifest show --settings                                                      | settings           |
             | status --frob -s x                                                            | frob               |
+            | status                                                                        | --store ADDRESS    |
+            | status -s a --store b                                                         | mutually exclusive |
             | entry                                                                         | settings           |
 
     Scenario Outline: Help shows examples and exit codes
@@ -154,6 +156,33 @@
             | in force  | silent      | 3    | in-force, in-force, unreachable  |
             | in force  | gone        | 0    | in-force, in-force               |
 
+    Scenario Outline: The status of entries on the users' platform becomes an exit code
+        Given the users' store holds configuration version <version> and entries "10.0.0.1:7000" and "10.0.0.2:7000"
+        And the metrics at "10.0.0.1:9464" say version <first>
+        And the metrics at "10.0.0.2:9464" say version <second>
+        When the operator runs "status --store 10.0.0.9:7100 --json"
+        Then the command's exit code is <code>
+        And the JSON status shows states "<states>"
+
+        Examples:
+            | version | first | second | code | states                |
+            | 4       | 4     | 4      | 0    | in-force, in-force    |
+            | 4       | 3     | 4      | 1    | behind, in-force      |
+            | 4       | 4     | 5      | 0    | in-force, in-force    |
+            | 4       | 4     | -1     | 3    | in-force, unreachable |
+
+    Scenario Outline: The users' store cannot tell the configuration
+        Given the users' store <state>
+        When the operator runs "status --store 10.0.0.9:7100"
+        Then the command's exit code is <code>
+        And the command's error names "<text>"
+
+        Examples:
+            | state                               | code | text                  |
+            | is silent                           | 3    | 10.0.0.9:7100         |
+            | holds no configuration              | 1    | holds no configuration |
+            | holds an unreadable configuration   | 1    | cannot be read        |
+
     Scenario: Statuses are read over HTTP
         Given a process that answers GET /status on a port of its own
         Then the command line reads its status
--- a/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
@@ -2,6 +2,7 @@
 import type { JobResult } from "@lovagepitch/client/jobResult";
 import { digestManifest } from "@lovagepitch/configuration/digestManifest";
 import { parseManifest } from "@lovagepitch/configuration/loadManifest";
+import { Err, Ok } from "@lovagepitch/utils/result";
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { createServer, type Server } from "node:http";
@@ -177,6 +178,26 @@
     }
 });
 
+Given(
+    "the users' store holds configuration version {int} and entries {string} and {string}",
+    (configurationVersion: number, first: string, second: string) => {
+        environment.overview = Ok({ configurationVersion, entryAddresses: [first, second] });
+    },
+);
+
+Given("the metrics at {string} say version {int}", (address: string, version: number) => {
+    if (version >= 0) {
+        environment.metrics.set(address, `lovagepitch_open_jobs 0\nlovagepitch_configuration_version ${version}\n`);
+    }
+});
+
+Given(/^the users' store (is silent|holds no configuration|holds an unreadable configuration)$/, (state: string) => {
+    const configurationVersion = state === "holds no configuration" ? undefined : "unreadable";
+    environment.overview = state === "is silent"
+        ? Err({ kind: "unavailable", message: "no answer within 1000 ms; the store is asked again" })
+        : Ok({ configurationVersion, entryAddresses: [] });
+});
+
 Then("the JSON status shows states {string}", (expected: string) => {
     const report = JSON.parse(environment.output.join("")) as { readonly processes: readonly ProcessReport[] };
     assert.equal(report.processes.map(process => process.state).join(", "), expected);
--- a/packages/lovagepitch-cli/src/__tests__/testEnvironment.ts
+++ b/packages/lovagepitch-cli/src/__tests__/testEnvironment.ts
@@ -1,6 +1,8 @@
 /** Files, terminal and network in memory; the platform's repositories are the real ones. */
 import type { RunJobOptions, SubmissionIdentityKind } from "@lovagepitch/client/clientOptions";
 import type { JobResult } from "@lovagepitch/client/jobResult";
+import type { DeploymentOverview } from "@lovagepitch/direct/process/deploymentOverview";
+import type { StoreFailure } from "@lovagepitch/direct/process/sharedRows";
 import { Delay } from "@lovagepitch/platform/delay";
 import { ManifestRepository } from "@lovagepitch/platform/manifestRepository";
 import { RegistryRepository } from "@lovagepitch/platform/registryRepository";
@@ -41,6 +43,11 @@
     public readonly statuses = new Map<string, ProcessStatus>();
     public readonly submitted: SubmittedJob[] = [];
     public readonly startedEntries: string[] = [];
+    public readonly metrics = new Map<string, string>();
+    public overview: Result<DeploymentOverview, StoreFailure> = Ok({
+        configurationVersion: undefined,
+        entryAddresses: [],
+    });
     public jobResult: JobResult | undefined;
     private readonly retries = new RetryPolicy(new RandomSource(1), new NoDelay());
     public readonly registry = new RegistryRepository(this.table, this.retries, new ManualClock(1_700_000_000_000));
@@ -67,6 +74,16 @@
         return new PlatformAgentDirectory(this.registry);
     }
 
+    public override async readOverview(): Promise<Result<DeploymentOverview, StoreFailure>> {
+        await Promise.resolve();
+        return this.overview;
+    }
+
+    public override async readMetrics(address: string): Promise<string | undefined> {
+        await Promise.resolve();
+        return this.metrics.get(address);
+    }
+
     public override async readStatus(url: string): Promise<ProcessStatus | undefined> {
         await Promise.resolve();
         return this.statuses.get(url);
--- a/packages/lovagepitch-cli/src/commandEnvironment.ts
+++ b/packages/lovagepitch-cli/src/commandEnvironment.ts
@@ -4,6 +4,8 @@
 import type { RunJobOptions } from "@lovagepitch/client/clientOptions";
 import type { SubmissionIdentityKind } from "@lovagepitch/client/clientOptions";
 import type { JobResult } from "@lovagepitch/client/jobResult";
+import type { DeploymentOverview } from "@lovagepitch/direct/process/deploymentOverview";
+import type { StoreFailure } from "@lovagepitch/direct/process/sharedRows";
 import type { JobRequest } from "@lovagepitch/types/job";
 import type { OperatorSettings } from "@lovagepitch/types/settings";
 import type { Result } from "@lovagepitch/utils/result";
@@ -55,6 +57,22 @@
      */
     public abstract openAgentDirectory(settings: OperatorSettings): AgentDirectory;
 
+    /**
+     * Reads what the users' store tells about a deployment of direct jobs.
+     *
+     * @param storeAddress - host and port of the store
+     * @returns the overview, or why it could not be read
+     */
+    public abstract readOverview(storeAddress: string): Promise<Result<DeploymentOverview, StoreFailure>>;
+
+    /**
+     * Reads the metrics of a process.
+     *
+     * @param address - host and port
+     * @returns the text, or undefined when it gave none
+     */
+    public abstract readMetrics(address: string): Promise<string | undefined>;
+
     /**
      * Asks a process for its status.
      *
--- a/packages/lovagepitch-cli/src/commands/showStatus.ts
+++ b/packages/lovagepitch-cli/src/commands/showStatus.ts
@@ -83,7 +83,23 @@
     const configurationVersion = Math.max(acceptedVersion, ...versions);
     const processes = targets.map(target => createReport(target, statuses.get(target), configurationVersion));
     const report = { configurationVersion, tableReachable: accepted.ok && agents.ok, failures, processes };
-    writeReport(environment, report, options.json);
+    return finishReport(environment, report, options.json);
+}
+
+/**
+ * Writes a report, and turns it into the command's end.
+ *
+ * @param environment - files, terminal and network
+ * @param report - the report
+ * @param json - true to write JSON
+ * @returns nothing when all is well, or the failure
+ */
+export function finishReport(
+    environment: CommandEnvironment,
+    report: StatusReport,
+    json: boolean,
+): Result<void, CommandFailure> {
+    writeReport(environment, report, json);
     return judge(report);
 }
 
@@ -145,7 +161,7 @@
     const unreachable = report.processes.filter(process => process.state === "unreachable");
     const lagging = report.processes.filter(process => process.state !== "in-force" && process.state !== "unreachable");
     if (!report.tableReachable) {
-        return fail(exitCodes.unreachable, `The platform's table gave no answer: ${report.failures.join("; ")}`);
+        return fail(exitCodes.unreachable, `The store gave no answer: ${report.failures.join("; ")}`);
     }
     if (unreachable.length > 0) {
         const urls = unreachable.map(process => process.url).join(", ");
--- a/packages/lovagepitch-cli/src/runCommandLine.ts
+++ b/packages/lovagepitch-cli/src/runCommandLine.ts
@@ -7,12 +7,16 @@
 import { explainJob } from "./commands/explainJob.js";
 import { applyManifestFile, diffManifestFile, showManifest, validateManifestFile } from "./commands/manifestActions.js";
 import { showStatus } from "./commands/showStatus.js";
+import { showStoreStatus } from "./commands/showStoreStatus.js";
 import { submitJob } from "./commands/submitJob.js";
 import { CommandFailure, type ExitCode, exitCodes } from "./exitCode.js";
 
 const helpWidth = 100;
 const exitCodeHelp = "Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 unreachable, 4 conflict.";
 
+/** Where both programs serve metrics on the users' platform. */
+const defaultMetricsPort = 9464;
+
 const settingsOption = {
     type: "string",
     alias: "s",
@@ -176,13 +180,48 @@
         "Show each process's configuration version, readiness and store health",
         command =>
             command
-                .option("settings", { ...settingsOption, demandOption: true })
+                .option("settings", settingsOption)
+                .option("store", {
+                    type: "string",
+                    describe: "Host and port of the users' store, for entries of direct jobs",
+                    requiresArg: true,
+                })
+                .option("metrics-port", {
+                    type: "number",
+                    default: defaultMetricsPort,
+                    describe: "Port at which entries serve their metrics, with --store",
+                    requiresArg: true,
+                })
                 .option("json", { type: "boolean", default: false, describe: "Write JSON" })
-                .example("$0 status -s operator.jsonc --json", "Check a roll-out in a pipeline"),
-        argv => run(showStatus(environment, argv)),
+                .conflicts("settings", "store")
+                .example("$0 status -s operator.jsonc --json", "Check a roll-out in a pipeline")
+                .example("$0 status --store 10.0.0.5:7100", "Check entries on the users' platform"),
+        argv => run(chooseStatus(environment, argv)),
     );
 }
 
+function chooseStatus(
+    environment: CommandEnvironment,
+    options: {
+        readonly settings: string | undefined;
+        readonly store: string | undefined;
+        readonly metricsPort: number;
+        readonly json: boolean;
+    },
+): Promise<Result<void, CommandFailure>> {
+    const { settings, store } = options;
+    if (store !== undefined) {
+        return showStoreStatus(environment, { ...options, store });
+    }
+    if (settings === undefined) {
+        throw new CommandFailure(
+            exitCodes.usage,
+            "Name --settings FILE or --store ADDRESS; lovagepitch status --help shows both",
+        );
+    }
+    return showStatus(environment, { ...options, settings });
+}
+
 function addExplainCommand(parser: Argv, environment: CommandEnvironment, run: Run): Argv {
     return parser.command(
         "explain <id> [files..]",
--- a/packages/lovagepitch-cli/src/systemEnvironment.ts
+++ b/packages/lovagepitch-cli/src/systemEnvironment.ts
@@ -4,6 +4,8 @@
 import type { RunJobOptions, SubmissionIdentityKind } from "@lovagepitch/client/clientOptions";
 import type { JobResult } from "@lovagepitch/client/jobResult";
 import { LovagepitchClient } from "@lovagepitch/client/lovagepitchClient";
+import { type DeploymentOverview, readOverview } from "@lovagepitch/direct/process/deploymentOverview";
+import type { StoreFailure } from "@lovagepitch/direct/process/sharedRows";
 import { SystemDelay } from "@lovagepitch/platform/delay";
 import { HttpTable } from "@lovagepitch/platform/httpTable";
 import { ManifestRepository } from "@lovagepitch/platform/manifestRepository";
@@ -12,6 +14,8 @@
 import { RetryPolicy } from "@lovagepitch/platform/retryPolicy";
 import type { JobRequest } from "@lovagepitch/types/job";
 import type { OperatorSettings } from "@lovagepitch/types/settings";
+import { OperatorConfigurationRow } from "@lovagepitch/users-platform/operatorConfiguration";
+import { StoreRows } from "@lovagepitch/users-platform/storeRows";
 import { SystemClock } from "@lovagepitch/utils/clock";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import { Err, Ok, type Result } from "@lovagepitch/utils/result";
@@ -73,15 +77,21 @@
         return new PlatformAgentDirectory(registry);
     }
 
+    /** {@inheritDoc CommandEnvironment.readOverview} */
+    public override async readOverview(storeAddress: string): Promise<Result<DeploymentOverview, StoreFailure>> {
+        return readOverview(new StoreRows(storeAddress), new OperatorConfigurationRow());
+    }
+
+    /** {@inheritDoc CommandEnvironment.readMetrics} */
+    public override async readMetrics(address: string): Promise<string | undefined> {
+        return fetchText(`http://${address}/metrics`);
+    }
+
     /** {@inheritDoc CommandEnvironment.readStatus} */
     public override async readStatus(url: string): Promise<ProcessStatus | undefined> {
+        const body = await fetchText(`${url}/status`);
         try {
-            const response = await request(`${url}/status`, { signal: AbortSignal.timeout(statusTimeoutMilliseconds) });
-            const body = await response.body.text();
-            if (response.statusCode !== 200 || body.length > maximumStatusCharacters) {
-                return undefined;
-            }
-            return parseProcessStatus(JSON.parse(body));
+            return body === undefined ? undefined : parseProcessStatus(JSON.parse(body));
         }
         catch {
             return undefined;
@@ -136,3 +146,15 @@
         return new RetryPolicy(this.random, this.delay);
     }
 }
+
+/** Reads a short text; a process that gives none is reported as unreachable by the command. */
+async function fetchText(url: string): Promise<string | undefined> {
+    try {
+        const response = await request(url, { signal: AbortSignal.timeout(statusTimeoutMilliseconds) });
+        const body = await response.body.text();
+        return response.statusCode === 200 && body.length <= maximumStatusCharacters ? body : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -7,7 +7,7 @@
 import type { StoreReachability } from "./storeReachability.js";
 
 /** Table of the entries' addresses. */
-const entriesTable = "lovagepitch-entries";
+export const entriesTable = "lovagepitch-entries";
 
 /** Time between two readings without a change, in milliseconds. Entries learn of changes at once, and tell agents. */
 const readIntervalMilliseconds = 2000;
