--- a/packages/lovagepitch-bench/src/runDirectBench.ts
+++ b/packages/lovagepitch-bench/src/runDirectBench.ts
@@ -43,7 +43,9 @@
     `${values.output}/bench-direct.md`,
     `# Direct jobs under load
 
-Written by \`npm run bench:direct -- --seconds ${seconds} --seeds ${seeds.join(",")}\`: the real cores of entries and agents in one process,
+Written by \`npm run bench:direct -- --seconds ${seconds} --seeds ${
+        seeds.join(",")
+    }\`: the real cores of entries and agents in one process,
 with workers of 16 cores on a moved clock. The usual mix takes 79 % of eleven workers. Each cell: share of the jobs that were
 done within their objective / done later / refused.
 
