fix(agent): an entry that asks for an agent is told of it again until it has answered

Cause: an agent repeats its announcement until it hears from the entry, and took the entry's ping for that. On a busy machine the announcement is lost with a connection that was silent for 250 ms; the entry then pings the agent with each reading of the registry, which ended the repetition each time, so the entry never used the agent. Ruled out: the registry's polling (the entry read it at 5.6 s and saw the worker leave), the connections themselves (the other entry's worked). Change: only an answer other than a ping ends the repetition, and a ping before that is followed by the announcement at once. Three scenarios used the ping as an answer; they now send the answer, and a new one covers the lost announcement.

--- a/packages/lovagepitch-agent/src/__tests__/agentCore.steps.ts
+++ b/packages/lovagepitch-agent/src/__tests__/agentCore.steps.ts
@@ -174,6 +174,10 @@
     agent.send(entry, { type: "declineOffer", slots });
 });
 
+When("entry {word} answers the agent's ping", (entry: string) => {
+    agent.send(entry, { type: "pong" });
+});
+
 When("entry {word} pings the agent", (entry: string) => {
     agent.send(entry, { type: "ping" });
 });
--- a/packages/lovagepitch-agent/src/__tests__/agentOutcomes.feature
+++ b/packages/lovagepitch-agent/src/__tests__/agentOutcomes.feature
@@ -49,19 +49,30 @@
         And 60000 ms pass at the agent with heartbeats
         Then the agent sent entry A no report since then
 
-    Scenario: An agent announces itself until the entry has sent something
+    Scenario: An agent announces itself until the entry has answered
         Given an agent with 1 slot and 0 places to stand by
         When the agent reads entries "A,B" from the registry
         And 5000 ms pass at the agent with heartbeats
         Then the agent has sent 2 announcements to entry A
-        When entry A pings the agent
+        When entry A answers the agent's ping
         And 20000 ms pass at the agent with heartbeats
         Then the agent has sent 2 announcements to entry A
         And the agent has sent 6 announcements to entry B
 
+    Scenario: An entry that asks for the agent gets its announcement again, since the first one may be lost
+        Given an agent with 1 slot and 0 places to stand by
+        When the agent reads entries "A" from the registry
+        Then the agent has sent 1 announcement to entry A
+        When entry A pings the agent
+        Then the agent has sent 2 announcements to entry A
+        When entry A answers the agent's ping
+        And 20000 ms pass at the agent with heartbeats
+        Then the agent has sent 2 announcements to entry A
+
     Scenario: An agent announces a change and is silent otherwise
         Given an agent with 1 slot and 0 places to stand by
         When entry A pings the agent
+        And entry A answers the agent's ping
         And entry A pings the agent
         Then the agent has sent 1 announcement to entry A
         When the backend server announces services "alerts,settlement" to the agent
@@ -70,6 +81,7 @@
     Scenario: A ping is answered
         Given an agent with 1 slot and 0 places to stand by
         When entry A pings the agent
+        And entry A answers the agent's ping
         And the agent's messages are counted from here
         And entry A pings the agent
         Then the agent sent entry A "pong" since then
--- a/packages/lovagepitch-agent/src/core/systems/entries.ts
+++ b/packages/lovagepitch-agent/src/core/systems/entries.ts
@@ -16,9 +16,10 @@
  *
  * @param context - the tick
  * @param sender - the entry
+ * @param hasAnswered - false when it only asks for a sign of life, which it also does while it does not know the agent
  * @returns false when the batch comes from an incarnation that another has replaced
  */
-export function hearEntry(context: TickContext, sender: PeerIdentity): boolean {
+export function hearEntry(context: TickContext, sender: PeerIdentity, hasAnswered: boolean): boolean {
     const known = context.tables.entries.get(sender.address);
     if (known === undefined) {
         addEntry(context, sender);
@@ -32,7 +33,9 @@
         context.tables.entries.set(sender.address, {
             ...heard,
             incarnation: sender.incarnation,
-            announceAtMilliseconds: known.announced === undefined ? known.announceAtMilliseconds : undefined,
+            announceAtMilliseconds: known.announced !== undefined && hasAnswered
+                ? undefined
+                : known.announceAtMilliseconds,
         });
         if (known.unreachableSinceMilliseconds !== undefined) {
             hastenDeliveries(context, known.address);
@@ -51,6 +54,19 @@
     return true;
 }
 
+/**
+ * Has the agent announce itself at once to an entry that asks for it and has not answered the latest announcement.
+ *
+ * @param context - the tick
+ * @param address - address of the entry
+ */
+export function repeatAnnouncement(context: TickContext, address: PeerAddress): void {
+    const known = context.tables.entries.get(address);
+    if (known?.announceAtMilliseconds !== undefined) {
+        context.tables.entries.set(address, { ...known, announced: undefined });
+    }
+}
+
 function addEntry(context: TickContext, sender: PeerIdentity): void {
     if (context.tables.entries.size >= maximumEntries) {
         return;
--- a/packages/lovagepitch-agent/src/core/systems/handleInputs.ts
+++ b/packages/lovagepitch-agent/src/core/systems/handleInputs.ts
@@ -7,7 +7,7 @@
 import { receiveAnnouncement, receiveLeaving } from "./backendServer.js";
 import { adoptManifest, noticeVersion } from "./configuration.js";
 import { acknowledgeOutcomes } from "./deliverOutcomes.js";
-import { hearEntry, loseEntry, readEntries } from "./entries.js";
+import { hearEntry, loseEntry, readEntries, repeatAnnouncement } from "./entries.js";
 import { beginStop } from "./plannedStop.js";
 import { queryTasks, recallTasks } from "./recallTasks.js";
 import { receiveOutcome } from "./receiveOutcome.js";
@@ -62,7 +62,8 @@
 
 function handleBatch(context: TickContext, batch: PeerBatch): void {
     const isEntry = batch.role === "entry";
-    if (isEntry && !hearEntry(context, batch.sender)) {
+    const hasAnswered = batch.messages.some(message => message.type !== "ping");
+    if (isEntry && !hearEntry(context, batch.sender, hasAnswered)) {
         return;
     }
     const origin = { sender: batch.sender, configurationVersion: batch.configurationVersion };
@@ -95,6 +96,8 @@
 
 function handleEntryMessage(context: TickContext, origin: MessageOrigin, message: PeerMessage): void {
     switch (message.type) {
+        case "ping":
+            return repeatAnnouncement(context, origin.sender.address);
         case "startTasks":
             return receiveStarts(context, origin, message);
         case "recallTasks":
