refactor(direct): one type for the log lines that both cores ask for

Cause: reading the change as a newcomer, the same four fields stood in the outputs of the agent's and of the entry's core. Change: model/logLine.ts; types only.

--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -2,6 +2,7 @@
  * What goes into an agent's core and what comes out of it.
  */
 import type { AgentFrame, EntryFrame, RunIdentity, StartOrder } from "../model/frames.js";
+import type { LogLine } from "../model/logLine.js";
 import type { WorkerReport } from "../model/workerStatus.js";
 
 /** What became of an order to the worker. */
@@ -93,10 +94,5 @@
     }
     | { readonly kind: "connect"; readonly address: string }
     | { readonly kind: "frame"; readonly address: string; readonly frame: AgentFrame }
-    | {
-        readonly kind: "log";
-        readonly level: "info" | "warn";
-        readonly event: string;
-        readonly fields: Readonly<Record<string, unknown>>;
-    }
+    | LogLine
     | { readonly kind: "stopped" };
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -4,6 +4,7 @@
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
+import type { LogLine } from "../model/logLine.js";
 
 /** Inputs of the entry's core. */
 export type EntryInput =
@@ -30,9 +31,4 @@
         readonly afterMilliseconds: number;
     }
     | { readonly kind: "frame"; readonly connection: number; readonly frame: EntryFrame }
-    | {
-        readonly kind: "log";
-        readonly level: "info" | "warn";
-        readonly event: string;
-        readonly fields: Readonly<Record<string, unknown>>;
-    };
+    | LogLine;
