fix(testing): reserve the ports of test deployments in blocks

Cause: findFreePort bound port 0, closed it and returned the number. Ruled out: a retry, which hides it; port 0 in the settings, since the platform's settings name ports and a restarted process has to return to its port. Change: PortBlock reserves 64 ports below the range that the system assigns from. The first port stays bound as the reservation, across processes; the others are checked and handed out once. findFreePort is removed. The output of all processes of a failed scenario with real processes is kept under target/failed-scenarios.

--- a/packages/lovagepitch-testing/src/__tests__/realProcesses/realProcesses.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/realProcesses/realProcesses.steps.ts
@@ -1,5 +1,6 @@
-import { After, Given, Then, When } from "@cucumber/cucumber";
+import { After, Given, Status, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { LaunchedProcess } from "../../launcher/processLauncher.js";
 import { readStatus, type RealAgent, type RealEntry, sendControl } from "../../launcher/realProcesses.js";
@@ -191,7 +192,12 @@
     }
 });
 
-After(timeout, async () => {
+After(timeout, async ({ pickle, result }) => {
+    if (run !== undefined && result?.status !== Status.PASSED) {
+        const folder = join("target/failed-scenarios", `${pickle.name.replaceAll(" ", "-")}-${Date.now()}`);
+        await run.deployment.writeOutputs(folder);
+        console.log(`output of the processes of "${pickle.name}": ${folder}`);
+    }
     await run?.stop();
     run = undefined;
     stoppedProcess = undefined;
--- a/packages/lovagepitch-testing/src/launcher/processLauncher.ts
+++ b/packages/lovagepitch-testing/src/launcher/processLauncher.ts
@@ -2,6 +2,8 @@
  * Starts, signals and kills real processes for tests and the demo. The product itself never starts a process.
  */
 import { type ChildProcess, spawn } from "node:child_process";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
 import { createInterface } from "node:readline";
 import { setTimeout as sleep } from "node:timers/promises";
 
@@ -138,6 +140,22 @@
         return launched;
     }
 
+    /**
+     * Writes the kept output of every started process to files, one per process.
+     *
+     * @param folder - folder to create and write to
+     * @returns resolves when all files are written
+     */
+    public async writeOutputs(folder: string): Promise<void> {
+        await mkdir(folder, { recursive: true });
+        await Promise.all(this.processes.map((launched, position) =>
+            writeFile(
+                join(folder, `${position}-${launched.name.replaceAll(" ", "-")}.log`),
+                launched.lines.map(line => `${line}\n`).join(""),
+            )
+        ));
+    }
+
     /**
      * Kills all started processes.
      *
--- a/packages/lovagepitch-testing/src/launcher/realDeployment.ts
+++ b/packages/lovagepitch-testing/src/launcher/realDeployment.ts
@@ -11,7 +11,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { StartRecord } from "../checker/startRecord.js";
-import { findFreePort } from "./findFreePort.js";
+import { PortBlock } from "./portBlock.js";
 import { type LaunchedProcess, ProcessLauncher } from "./processLauncher.js";
 import { readStarts, readStatus, type RealAgent, type RealEntry, sendControl } from "./realProcesses.js";
 
@@ -53,6 +53,7 @@
     private relayedPlatformUrl = "";
     private settingsFolder = "";
     private operatorFile = "";
+    private reservedPorts: PortBlock | undefined;
 
     /**
      * @param options - processes and settings of the deployment
@@ -67,6 +68,7 @@
      */
     public async start(manifestFile: string): Promise<void> {
         this.settingsFolder = await mkdtemp(join(tmpdir(), "lovagepitch-"));
+        this.reservedPorts = await PortBlock.reserve();
         const platform = this.launcher.startNode("platform", platformProgram, ["--port", "0"]);
         const [, platformUrl] = await platform.waitForLine(/"url":"([^"]+)"/, startTimeoutMilliseconds);
         this.platformUrl = platformUrl ?? "";
@@ -184,6 +186,16 @@
         return record;
     }
 
+    /**
+     * Writes the output of all processes to files, to explain a failed test.
+     *
+     * @param folder - folder to create and write to
+     * @returns resolves when all files are written
+     */
+    public async writeOutputs(folder: string): Promise<void> {
+        await this.launcher.writeOutputs(folder);
+    }
+
     /**
      * Kills all processes and removes the settings files.
      *
@@ -191,16 +203,24 @@
      */
     public async stop(): Promise<void> {
         await this.launcher.stopAll();
+        await this.reservedPorts?.release();
         if (this.settingsFolder !== "") {
             await rm(this.settingsFolder, { recursive: true, force: true });
         }
     }
 
+    private get ports(): PortBlock {
+        if (this.reservedPorts === undefined) {
+            throw new Error("no ports are reserved; call start first");
+        }
+        return this.reservedPorts;
+    }
+
     private async createEntry(position: number, availabilityZone: string): Promise<RealEntry> {
         const example = await this.readExample("entry.jsonc");
         const settings = loadEntrySettings(example, "entry.jsonc").unwrap();
-        const port = await findFreePort();
-        const callerPort = await findFreePort();
+        const port = this.ports.takePort();
+        const callerPort = this.ports.takePort();
         const settingsFile = await this.writeSettings(`entry-${position}.json`, {
             ...settings,
             address: loopback,
@@ -221,8 +241,8 @@
     private async createAgent(position: number, availabilityZone: string): Promise<RealAgent> {
         const example = await this.readExample("agent.jsonc");
         const settings = loadAgentSettings(example, "agent.jsonc").unwrap();
-        const port = await findFreePort();
-        const localPort = await findFreePort();
+        const port = this.ports.takePort();
+        const localPort = this.ports.takePort();
         const worker = `${availabilityZone}-worker-${position + 1}`;
         const url = `http://${loopback}:${localPort}`;
         const settingsFile = await this.writeSettings(`agent-${position}.json`, {
