fix(entry): place and refuse jobs by the workers that their ids admit

Cause: a worker refuses tasks of an id that was issued before it registered. A job under such an id waited for the only worker it could run on, and every job behind it waited too; when that worker left, the job waited until its deadline. Change: placement bypasses jobs that only their id keeps from the free workers, and ends a job at once when every worker that its id admits has left: refused as not run under the next id, or failed when tasks had started.

--- a/packages/lovagepitch-agent/src/core/agentStatus.ts
+++ b/packages/lovagepitch-agent/src/core/agentStatus.ts
@@ -2,7 +2,7 @@
  * Status of an agent.
  */
 import type { AgentTables } from "./entities/agentTables.js";
-import type { BackendServerRow } from "./entities/rows.js";
+import type { BackendServerRow, EntryRow } from "./entities/rows.js";
 import type { AgentState } from "./lifecycles/agentLifecycle.js";
 
 /** Status of an agent, as `/status` returns it and the metrics export it. */
@@ -23,6 +23,8 @@
     readonly undeliveredSubmissions: number;
     readonly bids: number;
     readonly entries: number;
+    /** Reachable entries that have not confirmed the agent's announcement; they place no tasks on it yet. */
+    readonly unconfirmedEntries: number;
 }
 
 /**
@@ -48,5 +50,11 @@
         undeliveredSubmissions: tables.deliveries.size,
         bids: tables.bids.size,
         entries: tables.entries.size,
+        unconfirmedEntries: [...tables.entries.values()].filter(isUnconfirmed).length,
     };
 }
+
+function isUnconfirmed(entry: EntryRow): boolean {
+    const isAnnounced = entry.announcedFingerprint !== undefined && entry.nextAnnouncementAtMilliseconds === undefined;
+    return entry.unreachableSinceMilliseconds === undefined && !isAnnounced;
+}
--- a/packages/lovagepitch-entry/src/__tests__/entryCore.feature
+++ b/packages/lovagepitch-entry/src/__tests__/entryCore.feature
@@ -55,3 +55,21 @@
         When agent "a1" finishes 10 tasks every 100 ms for 2 s
         And a job of 800 tasks is submitted under a new id
         Then the scripted refusal "overloaded" asks for a retry after 3000 to 8000 ms
+
+    Scenario: A job that only a busy worker may run does not delay the jobs behind it
+        Given a scripted entry with agent "a1"
+        And a submitted job of 8 tasks
+        And a submitted job of 1 task
+        When agent "a2" becomes known
+        And a job of 2 tasks is submitted under a new id
+        Then 2 tasks of the scripted job were started at agent "a2"
+        When agent "a1" finishes the first scripted job
+        Then the second scripted job was started at agent "a1"
+
+    Scenario: A job is refused at once when the last worker that may run it leaves
+        Given a scripted entry with agent "a1"
+        And a submitted job of 8 tasks
+        And a submitted job of 1 task
+        When agent "a2" becomes known
+        And agent "a1" starts to leave
+        Then the scripted answer is a problem with execution "not-run"
--- a/packages/lovagepitch-entry/src/__tests__/entryCore.steps.ts
+++ b/packages/lovagepitch-entry/src/__tests__/entryCore.steps.ts
@@ -7,6 +7,7 @@
 let entry = new ScriptedEntry();
 let requests: number[] = [];
 let submission: SubmissionKey = "";
+let submissions: SubmissionKey[] = [];
 let tasks = 0;
 let starts: StartTasks[] = [];
 let destinations: string[] = [];
@@ -19,6 +20,7 @@
 function resetEntry(): void {
     entry = new ScriptedEntry();
     requests = [];
+    submissions = [];
     starts = [];
     destinations = [];
     registeredAgents = 0;
@@ -33,6 +35,7 @@
     const submitted = entry.submit(count, id);
     requests.push(submitted.request);
     ({ submission } = submitted);
+    submissions.push(submission);
     tasks = count;
     recordStarts();
 }
@@ -194,6 +197,32 @@
     assert.ok(!destinations.includes(createAgent(name).address));
 });
 
+When("agent {string} finishes the first scripted job", (name: string) => {
+    const first = starts[0]!.submission;
+    for (const start of starts.filter(other => other.submission === first)) {
+        entry.report(createAgent(name), start, { state: "succeeded", output: 1 });
+    }
+    recordStarts();
+});
+
+When("agent {string} starts to leave", (name: string) => {
+    entry.report(createAgent(name), starts[0]!, { state: "running" }, { slots: 0, leaving: true });
+    recordStarts();
+});
+
+Then("{int} tasks of the scripted job were started at agent {string}", (count: number, name: string) => {
+    const startedTasks = starts.flatMap((start, position) =>
+        start.submission === submission && destinations[position] === createAgent(name).address ? start.tasks : []
+    );
+    assert.equal(startedTasks.length, count);
+});
+
+Then("the second scripted job was started at agent {string}", (name: string) => {
+    const [, second] = submissions;
+    const position = starts.findIndex(start => start.submission === second);
+    assert.equal(destinations[position], createAgent(name).address);
+});
+
 Then("agent {string} receives at most {int} scripted starts", (name: string, maximumStarts: number) => {
     const receivedStarts = destinations.filter(destination => destination === createAgent(name).address).length;
     assert.ok(receivedStarts <= maximumStarts, `${receivedStarts} starts`);
--- a/packages/lovagepitch-entry/src/core/systems/admission.ts
+++ b/packages/lovagepitch-entry/src/core/systems/admission.ts
@@ -154,11 +154,7 @@
     }
     const registryVersion = identity?.registryVersion ?? state.registryVersion;
     if (!agents.some(agent => agent.registrationNumber <= registryVersion)) {
-        return createNotRunProblem("no-permitted-place", {
-            status: 503,
-            detail: "All permitted workers were registered after this submission id was issued.",
-            remedy: "Send the job again under the id in nextSubmission.",
-        });
+        return createRegisteredLaterProblem();
     }
     const oversizedIndex = job.tasks.findIndex(task => !agents.some(agent => isTaskWithinWorker(task, agent)));
     if (oversizedIndex >= 0) {
@@ -169,6 +165,19 @@
     return undefined;
 }
 
+/**
+ * Creates the refusal of a job that none of the present workers may run under its submission id.
+ *
+ * @returns a refusal that says that nothing has run
+ */
+export function createRegisteredLaterProblem(): Problem {
+    return createNotRunProblem("no-permitted-place", {
+        status: 503,
+        detail: "All permitted workers were registered after this submission id was issued.",
+        remedy: "Send the job again under the id in nextSubmission.",
+    });
+}
+
 /**
  * Tells whether a worker is large enough for a task.
  *
--- a/packages/lovagepitch-entry/src/core/systems/finishing.ts
+++ b/packages/lovagepitch-entry/src/core/systems/finishing.ts
@@ -4,6 +4,7 @@
 import type { SubmissionKey } from "@lovagepitch/types/identity";
 import type { JobAnswer, TaskAnswer, TaskExecution } from "@lovagepitch/types/job";
 import type { SubmissionResult } from "@lovagepitch/types/peerMessage";
+import type { Problem } from "@lovagepitch/types/problem";
 import type { EntryState } from "../entryState.js";
 import type { LiveSubmission } from "../tables/submissionRow.js";
 import { taskLifecycle } from "../tables/taskLifecycle.js";
@@ -61,6 +62,17 @@
     finishSubmission(state, live, { kind: "answer", answer }, reason);
 }
 
+/**
+ * Refuses a live submission of which no task was sent to an agent.
+ *
+ * @param state - entry state, updated in place
+ * @param live - submission to refuse; its `hasStartedTasks` is false
+ * @param problem - refusal, which says that nothing has run
+ */
+export function refuseSubmission(state: EntryState, live: LiveSubmission, problem: Problem): void {
+    finishSubmission(state, live, { kind: "problem", problem: state.recordRefusal(problem) }, problem.detail);
+}
+
 /**
  * Retains a final result for resubmissions.
  *
--- a/packages/lovagepitch-entry/src/core/systems/placement.ts
+++ b/packages/lovagepitch-entry/src/core/systems/placement.ts
@@ -8,13 +8,30 @@
 import { taskLifecycle } from "../tables/taskLifecycle.js";
 import type { NextTask } from "../tables/waitingQueue.js";
 import type { WorkClass } from "../tables/workClass.js";
-import { countServingEntries, estimateUsableWaitMilliseconds, isTaskWithinWorker } from "./admission.js";
+import {
+    countServingEntries,
+    createRegisteredLaterProblem,
+    estimateUsableWaitMilliseconds,
+    isTaskWithinWorker,
+} from "./admission.js";
 import { scheduleAgentCheck } from "./agentLiveness.js";
 import { scheduleProbe } from "./agentRegistry.js";
-import { failSubmission } from "./finishing.js";
+import { failSubmission, refuseSubmission } from "./finishing.js";
 
 /** Maximum number of agents that one placement compares. */
 const maximumComparedAgents = 48;
+/** Maximum number of jobs that one round of placement leaves out because of their submission ids. */
+const maximumBypassedJobs = 64;
+
+/** What became of the task that was next to be placed. */
+type PlacementOutcome =
+    | "placed"
+    /** The job was answered, because it cannot run any more. */
+    | "ended"
+    /** Only other jobs can be placed now: workers with free slots were registered after the job's id was issued. */
+    | "bypassed"
+    /** No worker has a free slot, or nothing waits. */
+    | "none";
 
 /**
  * Places as many waiting tasks as possible, one work class after the other.
@@ -24,16 +41,28 @@
 export function placeTasks(state: EntryState): void {
     for (const workClass of state.workClasses.values()) {
         const hadWaitingTasks = workClass.queue.size > 0;
-        let placedTasks = 0;
-        while (workClass.queue.size > 0 && placeNextTask(state, workClass)) {
-            placedTasks += 1;
-        }
+        const placedTasks = placeWaitingTasks(state, workClass);
         if (hadWaitingTasks) {
             workClass.drainRate.observe(state.now, workClass.queue.size > 0, placedTasks);
         }
     }
 }
 
+function placeWaitingTasks(state: EntryState, workClass: WorkClass): number {
+    let placedTasks = 0;
+    let bypassedJobs = 0;
+    while (workClass.queue.size > 0 && bypassedJobs < maximumBypassedJobs) {
+        const outcome = placeNextTask(state, workClass);
+        if (outcome === "none") {
+            break;
+        }
+        placedTasks += outcome === "placed" ? 1 : 0;
+        bypassedJobs += outcome === "bypassed" ? 1 : 0;
+    }
+    workClass.queue.restoreBypassedJobs();
+    return placedTasks;
+}
+
 /**
  * Lists the agents of a work class that a task can be placed on now, at most as many as one placement compares.
  *
@@ -74,15 +103,15 @@
     return agent.probeAtMilliseconds <= state.now && (state.outstandingTasks.get(agent.address)?.size ?? 0) === 0;
 }
 
-function placeNextTask(state: EntryState, workClass: WorkClass): boolean {
+function placeNextTask(state: EntryState, workClass: WorkClass): PlacementOutcome {
     const next = chooseNextTask(state, workClass);
     const live = next === undefined ? undefined : state.submissions.get(next.submission);
     if (next === undefined || live?.state !== "live") {
-        return false;
+        return "none";
     }
     if (!live.hasStartedTasks && isDeadlineUnreachable(state, workClass, live)) {
         failSubmission(state, live, "the deadline can no longer be met; nothing was started");
-        return true;
+        return "ended";
     }
     const task = live.job.tasks[next.index]!;
     const agents = listUsableAgents(state, workClass, live.identity.registryVersion).filter(agent =>
@@ -91,7 +120,7 @@
     const offeringAgent = agents.find(agent => agent.offeredSlots > 0);
     const agent = offeringAgent ?? state.policies.placement.choose(agents);
     if (agent === undefined) {
-        return false;
+        return handleUnplaceableTask(state, workClass, next, live);
     }
     if (agent.isEjected) {
         scheduleProbe(state, agent.address);
@@ -100,7 +129,39 @@
     state.adjustWaitingTasks(live.job.team, -1);
     state.adjustStartedTasks(live.job.team, 1);
     startTask(state, live, next.index, agent, offeringAgent === undefined ? "free slot" : "offered slot");
-    return true;
+    return "placed";
+}
+
+/**
+ * Ends a job whose last permitted worker has left, and bypasses a job that only its submission id keeps from a worker.
+ * Workers that were registered after the id was issued refuse its tasks.
+ */
+function handleUnplaceableTask(
+    state: EntryState,
+    workClass: WorkClass,
+    next: NextTask,
+    live: LiveSubmission,
+): PlacementOutcome {
+    const { registryVersion } = live.identity;
+    const present = workClass.candidates
+        .map(address => state.agents.get(address))
+        .filter(agent => agent !== undefined)
+        .filter(agent => !agent.load.leaving);
+    const laterAgents = present.filter(agent => agent.registrationNumber > registryVersion);
+    if (laterAgents.length === 0) {
+        return "none";
+    }
+    if (laterAgents.length < present.length) {
+        workClass.queue.bypassJob(next);
+        return "bypassed";
+    }
+    if (live.hasStartedTasks) {
+        failSubmission(state, live, "the workers that may run the remaining tasks have left");
+    }
+    else {
+        refuseSubmission(state, live, createRegisteredLaterProblem());
+    }
+    return "ended";
 }
 
 /** Tells whether a job has waited too long to meet its deadline; such a job fails before it takes a slot. */
--- a/packages/lovagepitch-entry/src/core/tables/waitingQueue.ts
+++ b/packages/lovagepitch-entry/src/core/tables/waitingQueue.ts
@@ -35,6 +35,7 @@
 export class WaitingQueue {
     private readonly jobs = new Map<SubmissionKey, WaitingJob>();
     private readonly teams = new Map<string, PriorityQueue<WaitingJob>>();
+    private bypassedJobs: WaitingJob[] = [];
     private waitingTasks = 0;
 
     /** Number of waiting tasks. */
@@ -120,6 +121,31 @@
         }
     }
 
+    /**
+     * Leaves out a job until `restoreBypassedJobs`, so that the jobs behind it can be placed.
+     *
+     * @param nextTask - task of the job, as returned by the latest `listNextTasks`
+     */
+    public bypassJob(nextTask: NextTask): void {
+        const queue = this.teams.get(nextTask.team);
+        const job = queue?.peek();
+        if (queue !== undefined && job?.submission === nextTask.submission) {
+            queue.pop();
+            job.isQueued = false;
+            this.bypassedJobs.push(job);
+        }
+    }
+
+    /** Returns the bypassed jobs to their positions. */
+    public restoreBypassedJobs(): void {
+        for (const job of this.bypassedJobs) {
+            if (!job.isQueued && job.indexes.length > 0) {
+                this.enqueue(job);
+            }
+        }
+        this.bypassedJobs = [];
+    }
+
     /**
      * Finds the earliest arrival among the teams' next jobs.
      *
