--- a/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
@@ -52,9 +52,9 @@
 Given("an entry directory on an in-memory store", () => {
     rows = new MemoryRows();
     const reachability = new StoreReachability({ write: () => undefined });
-    void new EntryDirectory(rows, new MonotonicClock(), reachability, addresses => {
-        foundAddresses = addresses;
-    }).run(ownAddress);
+    void new EntryDirectory(rows, new MonotonicClock(), reachability, entries => {
+        foundAddresses = entries.map(entry => entry.address);
+    }).run({ address: ownAddress, availabilityZone: "zone-a" });
 });
 
 When("another entry writes its address after {int} ms", async (milliseconds: number) => {
@@ -75,7 +75,10 @@
     rows = new MemoryRows();
     for (let entry = 0; entry < entries; entry += 1) {
         const reachability = new StoreReachability({ write: () => undefined });
-        void new EntryDirectory(rows, new MonotonicClock(), reachability, () => undefined).run(`10.1.1.${entry}:7720`);
+        void new EntryDirectory(rows, new MonotonicClock(), reachability, () => undefined).run({
+            address: `10.1.1.${entry}:7720`,
+            availabilityZone: "zone-a",
+        });
     }
     await delay(milliseconds);
     assert.ok(rows.calls <= maximumCalls, `${rows.calls} calls`);
--- a/packages/lovagepitch-direct/src/__tests__/policies.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/policies.steps.ts
@@ -8,7 +8,7 @@
 import { RunTimeDistribution } from "../policies/runTimeDistribution.js";
 import { chooseWorker, type WorkerCandidate } from "../policies/workerChoice.js";
 import { getMaximumRuns, initialWorkerHealth, recordFailure, recordSuccess } from "../policies/workerHealth.js";
-import { listAddresses } from "../process/entryDirectory.js";
+import { listEntries } from "../process/entryDirectory.js";
 import { findShutdownPhase } from "../process/shutdownPhase.js";
 
 const failuresUntilPause = 2;
@@ -202,5 +202,6 @@
         "text",
     ];
     const rows = values.map((value, index) => ({ key: String(index), value }));
-    assert.deepEqual(listAddresses({ rows, version: 9, storeMilliseconds: 100_000 }), ["10.1.0.3:7720"]);
+    const entries = listEntries({ rows, version: 9, storeMilliseconds: 100_000 });
+    assert.deepEqual(entries.map(entry => entry.address), ["10.1.0.3:7720"]);
 });
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -4,18 +4,13 @@
 import type { Clock } from "@lovagepitch/utils/clock";
 import { Core } from "@lovagepitch/utils/core";
 import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
 import type { AgentInput, AgentOutput } from "./agentPorts.js";
 import { type AgentIdentity, AgentState } from "./agentState.js";
-import {
-    connectEntries,
-    receiveAddresses,
-    receiveConnected,
-    receiveDisconnected,
-    receiveEntryFrame,
-    sendFrames,
-    stopOrphanedRuns,
-    updateIntervalMilliseconds,
-} from "./entryLinks.js";
+import { sendFrames } from "./entryFrames.js";
+import { stopOrphanedRuns } from "./entryLeases.js";
+import { connectEntries, receiveConnected, receiveDisconnected, receiveEntryFrame } from "./entryLinks.js";
+import { receiveEntryLocations, retireGuests, updatePartners } from "./knownEntries.js";
 import { startQueuedOrders } from "./orderQueue.js";
 import { receiveStartAnswer, receiveStopAnswer, resendStops } from "./runOrders.js";
 import { stopStalledRuns } from "./stalledRuns.js";
@@ -31,6 +26,9 @@
 /** Longest time between ticks, in milliseconds; bounds the delay until silence, stalls and due resends are detected. */
 const maximumTickIntervalMilliseconds = heartbeatIntervalMilliseconds / 4;
 
+/** Longest time between ticks while orders are queued, in milliseconds; a small part of the time that they may wait. */
+const queueCheckIntervalMilliseconds = 6;
+
 /** Core of an agent: turns inputs into worker calls, frames and log lines, without input or output of its own. */
 export class AgentCore extends Core<AgentInput, AgentOutput> {
     private readonly state: AgentState;
@@ -65,6 +63,8 @@
         startQueuedOrders(state);
         resendStops(state);
         requestView(state);
+        updatePartners(state);
+        retireGuests(state);
         connectEntries(state);
         sendFrames(state, this.lastSentAt);
         this.finishShutdown();
@@ -77,13 +77,13 @@
         if (state.hasStopped) {
             return undefined;
         }
-        const hasPendingUpdate = [...state.entries.values()].some(row =>
-            row.connection === "open" && row.hasPendingUpdate
-        );
-        return state.now
-            + (hasPendingUpdate || state.queuedOrders.size > 0
-                ? updateIntervalMilliseconds
-                : maximumTickIntervalMilliseconds);
+        let interval = state.queuedOrders.size > 0 ? queueCheckIntervalMilliseconds : maximumTickIntervalMilliseconds;
+        for (const row of state.entries.values()) {
+            if (row.connection === "open" && row.hasPendingUpdate) {
+                interval = Math.min(interval, getUpdateIntervalMilliseconds(row.awaitsCapacity));
+            }
+        }
+        return state.now + interval;
     }
 
     private receive(input: AgentInput): void {
@@ -112,7 +112,7 @@
             case "frame":
                 return receiveEntryFrame(state, input.address, input.frame);
             case "entries-found":
-                return receiveAddresses(state, input.addresses);
+                return receiveEntryLocations(state, input.entries);
             case "shut-down":
                 state.isShuttingDown = true;
                 state.markUpdatePending();
--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -1,6 +1,7 @@
 /**
  * Inputs and outputs of an agent's core.
  */
+import type { EntryLocation } from "../model/entryLocation.js";
 import type { AgentFrame, EntryFrame, RunIdentity, StartOrder } from "../model/frames.js";
 import type { LogLine } from "../model/logLine.js";
 import type { WorkerReport } from "../model/workerStatus.js";
@@ -66,7 +67,7 @@
     | { readonly kind: "connected"; readonly address: string }
     | { readonly kind: "disconnected"; readonly address: string; readonly wasRefused: boolean }
     | { readonly kind: "frame"; readonly address: string; readonly frame: EntryFrame }
-    | { readonly kind: "entries-found"; readonly addresses: readonly string[] }
+    | { readonly kind: "entries-found"; readonly entries: readonly EntryLocation[] }
     | { readonly kind: "shut-down" };
 
 /** Output of an agent's core. */
@@ -93,6 +94,7 @@
         readonly waitMilliseconds: number;
     }
     | { readonly kind: "connect"; readonly address: string }
+    | { readonly kind: "disconnect"; readonly address: string }
     | { readonly kind: "frame"; readonly address: string; readonly frame: AgentFrame }
     | LogLine
     | { readonly kind: "stopped" };
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "@lovagepitch/utils/clock";
 import { Table } from "@lovagepitch/utils/table";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import type { EntryLocation } from "../model/entryLocation.js";
 import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
 import { addResources, noResources, type Resources, subtractResources } from "../model/resources.js";
 import type { WorkerReport } from "../model/workerStatus.js";
@@ -51,9 +52,21 @@
     readonly expiresAt: number;
 }
 
+/** An entry of the deployment, whether or not the agent is connected to it. */
+export interface KnownEntry extends EntryLocation {
+    /** Since when connections to it have failed or been silent; undefined while there is no sign of that. */
+    readonly unreachableSince: number | undefined;
+}
+
 /** An entry that the agent is connected to or tries to connect to. */
 export interface EntryRow {
     readonly address: string;
+    /** A partner is connected all the time, a guest while it uses the worker. */
+    readonly role: "partner" | "guest";
+    /** Since when the guest is told that the worker accepts no tasks, so that the connection can be closed. */
+    readonly retiringSince: number | undefined;
+    /** When the entry last ordered a start, or became a guest. */
+    readonly lastUsedAt: number;
     readonly connection: "open" | "opening" | "closed";
     /** Incarnation of the entry's process; undefined until a frame has been received. */
     readonly incarnation: string | undefined;
@@ -66,6 +79,10 @@
     /** True once the agent has sent its first frame on this connection. */
     readonly hasSentFirstFrame: boolean;
     readonly configurationVersion: number;
+    /** True from the entry's request for a newer configuration until it is sent. */
+    readonly wantsConfiguration: boolean;
+    /** True while the entry has tasks that wait for capacity. */
+    readonly awaitsCapacity: boolean;
     readonly retryAt: number;
     readonly pendingEnds: readonly EndedRun[];
     /** True when the agent's state has changed since the latest frame to the entry. */
@@ -107,7 +124,10 @@
 export class AgentState {
     public readonly runs = new Table<string, RunRow>();
     public readonly queuedOrders = new Table<string, QueuedOrder>();
+    public readonly knownEntries = new Table<string, KnownEntry>();
     public readonly entries = new Table<string, EntryRow>();
+    /** Next instant at which the partners are chosen again, in milliseconds. */
+    public nextPartnerChoiceAt = 0;
     /** Recently ended runs by entry incarnation, for an entry that reconnects. */
     public readonly recentEnds = new Table<string, (EndedRun & { readonly endedAt: number })[]>();
     public worker: WorkerRow | undefined;
@@ -115,7 +135,10 @@
      * Latest report of a different incarnation of the worker; it takes effect when the current incarnation has ended.
      */
     public pendingReport: WorkerReport | undefined;
+    /** Newest configuration that an entry has sent; it is requested only for an entry that cannot reach the store. */
     public configuration: DispatchConfiguration | undefined;
+    /** Newest version that an entry has named. */
+    public configurationVersion = 0;
     public isShuttingDown = false;
     public hasStopped = false;
     public nextCall = 1;
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -0,0 +1,112 @@
+/**
+ * Frames to entries: ended runs, state of the worker, heartbeats, and configurations that entries have asked for.
+ */
+import type { AgentFrame } from "../model/frames.js";
+import { addResources, noResources } from "../model/resources.js";
+import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import type { WorkerStatus } from "../model/workerStatus.js";
+import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
+import type { AgentState, EntryRow } from "./agentState.js";
+import { acceptsTasks } from "./runOrders.js";
+
+/**
+ * Sends each entry the runs that have ended and the state that has changed since its latest frame, or a heartbeat when
+ * one is due.
+ *
+ * @param state - state of the agent
+ * @param lastSentAt - instant at which the latest frame was sent, by address
+ */
+export function sendFrames(state: AgentState, lastSentAt: Map<string, number>): void {
+    const worker = describeWorker(state);
+    for (const row of [...state.entries.values()]) {
+        const sentAt = row.hasSentFirstFrame ? lastSentAt.get(row.address) ?? 0 : 0;
+        const interval = row.hasPendingUpdate
+            ? getUpdateIntervalMilliseconds(row.awaitsCapacity)
+            : heartbeatIntervalMilliseconds;
+        const isDue = row.pendingEnds.length > 0 || isConfigurationDue(state, row) || state.now - sentAt >= interval;
+        // Until the entry has sent its first frame, it receives a single frame that identifies the agent.
+        const canSend = !row.hasSentFirstFrame || row.includedSequence > 0;
+        if (row.connection !== "open" || !isDue || !canSend) {
+            continue;
+        }
+        lastSentAt.set(row.address, state.now);
+        state.outputs.push({ kind: "frame", address: row.address, frame: createFrame(state, row, worker) });
+        state.entries.set(row.address, {
+            ...row,
+            hasSentFirstFrame: true,
+            hasPendingUpdate: false,
+            pendingEnds: [],
+            wantsConfiguration: row.wantsConfiguration && !isConfigurationDue(state, row),
+        });
+    }
+}
+
+/** Tells whether the entry has asked for a configuration that the agent has. */
+function isConfigurationDue(state: AgentState, row: EntryRow): boolean {
+    return row.wantsConfiguration && (state.configuration?.version ?? 0) > row.configurationVersion;
+}
+
+function createFrame(state: AgentState, row: EntryRow, worker: WorkerStatus | undefined): AgentFrame {
+    const { identity, configuration } = state;
+    const isRetiring = row.retiringSince !== undefined;
+    return {
+        agent: identity.incarnation,
+        instance: identity.instance,
+        availabilityZone: identity.availabilityZone,
+        sentAt: state.now,
+        includedSequence: row.includedSequence,
+        worker: worker === undefined || !isRetiring ? worker : { ...worker, acceptsTasks: false },
+        ended: row.hasSentFirstFrame ? row.pendingEnds : listRecentEnds(state, row),
+        openRuns: row.hasSentFirstFrame ? undefined : listOpenRuns(state, row),
+        configuration: {
+            version: state.configurationVersion,
+            configuration: isConfigurationDue(state, row) ? configuration : undefined,
+            isRequested: isConfigurationNeededFrom(state, row),
+        },
+    };
+}
+
+/** Tells whether the entry has a configuration that another entry has asked for. */
+function isConfigurationNeededFrom(state: AgentState, row: EntryRow): boolean {
+    if (row.configurationVersion <= (state.configuration?.version ?? 0)) {
+        return false;
+    }
+    for (const other of state.entries.values()) {
+        if (other.wantsConfiguration && other.configurationVersion < row.configurationVersion) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function describeWorker(state: AgentState): WorkerStatus | undefined {
+    const { worker } = state;
+    if (worker === undefined) {
+        return undefined;
+    }
+    return {
+        service: worker.report.service,
+        labels: worker.report.labels,
+        capacity: worker.report.capacity,
+        free: state.free,
+        awaited: [...state.queuedOrders.values()].reduce(
+            (sum, { order }) => addResources(sum, order.needs),
+            noResources,
+        ),
+        acceptsTasks: acceptsTasks(state),
+        isOnTrial: state.health.isOnTrial,
+    };
+}
+
+function listRecentEnds(state: AgentState, row: EntryRow): AgentFrame["ended"] {
+    return row.incarnation === undefined ? [] : state.recentEnds.get(row.incarnation) ?? [];
+}
+
+function listOpenRuns(state: AgentState, row: EntryRow): AgentFrame["openRuns"] {
+    const running = [...state.runs.values()].filter(run => run.entry !== undefined && run.entry === row.incarnation);
+    const queued = [...state.queuedOrders.values()].filter(({ entry }) => entry === row.incarnation);
+    return [
+        ...running.map(run => run.identity),
+        ...queued.map(({ order }) => ({ job: order.job, task: order.task, run: order.run })),
+    ];
+}
--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -1,10 +1,10 @@
 /**
- * Frames from and to agents: free capacity, ended runs, orders, and lost and restored connections.
+ * Frames from agents: free capacity, ended runs, and lost and restored connections.
  */
-import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
-import { type AgentFrame, type EntryFrame, formatRunKey } from "../model/frames.js";
-import { heartbeatIntervalMilliseconds, lostAgentTimeoutMilliseconds } from "../model/timing.js";
+import { type AgentFrame, formatRunKey } from "../model/frames.js";
+import { lostAgentTimeoutMilliseconds } from "../model/timing.js";
 import { initialWorkerHealth } from "../policies/workerHealth.js";
+import { receiveConfiguration, recordNamedVersion } from "./configurationRelay.js";
 import type { AgentRow, EntryState, PlacedTask } from "./entryState.js";
 import { receiveRunEnd } from "./runResults.js";
 
@@ -23,6 +23,7 @@
     const isFirstFrame = frame.openRuns !== undefined;
     if (previous === undefined) {
         state.log("info", "agent connected", { agent: frame.agent, instance: frame.instance });
+        state.capacitySearch.recordGain();
     }
     if (previous !== undefined && !isFirstFrame && previous.connection !== connection) {
         return;
@@ -41,12 +42,16 @@
             : previous?.unacknowledgedStarts.filter(start => start.sequence > frame.includedSequence) ?? [],
         health: previous?.health ?? initialWorkerHealth,
         configurationVersion: frame.configuration.version,
+        wantsConfiguration: frame.configuration.isRequested ?? false,
+        sentEntriesRevision: isFirstFrame ? 0 : previous?.sentEntriesRevision ?? 0,
+        knowsOfWaitingTasks: !isFirstFrame && previous?.knowsOfWaitingTasks === true,
         lastFrameSentAt: isFirstFrame
             ? Number.NEGATIVE_INFINITY
             : previous?.lastFrameSentAt ?? Number.NEGATIVE_INFINITY,
         openRunCount: previous?.openRunCount ?? 0,
     });
     state.isPlacementDue = true;
+    recordNamedVersion(state, frame.configuration.version);
     receiveConfiguration(state, frame.configuration.configuration, "agent");
     for (const ended of frame.ended) {
         receiveRunEnd(state, ended);
@@ -123,64 +128,3 @@
     return row.connection !== undefined && row.worker?.acceptsTasks === true
         && state.now - row.lastFrameReceivedAt <= agentSilenceLimitMilliseconds;
 }
-
-/**
- * Applies a version of the configuration; a version that is not newer than the one in force is ignored.
- *
- * @param state - state of the entry
- * @param configuration - received version; undefined when the message carried none
- * @param source - sender of the version
- */
-export function receiveConfiguration(
-    state: EntryState,
-    configuration: DispatchConfiguration | undefined,
-    source: "store" | "agent",
-): void {
-    if (configuration === undefined || configuration.version <= (state.configuration?.version ?? 0)) {
-        return;
-    }
-    state.configuration = configuration;
-    state.isPlacementDue = true;
-    state.log("info", "configuration in force", {
-        version: configuration.version,
-        routes: configuration.routes.length,
-        source,
-    });
-}
-
-/**
- * Sends each agent its pending orders, a newer configuration, or a heartbeat when one is due.
- *
- * @param state - state of the entry
- */
-export function sendFrames(state: EntryState): void {
-    const version = state.configuration?.version ?? 0;
-    for (const row of [...state.agents.values()]) {
-        const orders = state.pendingOrders.get(row.agent);
-        const isDue = orders !== undefined || state.now - row.lastFrameSentAt >= heartbeatIntervalMilliseconds
-            || version > row.configurationVersion;
-        if (row.connection === undefined || !isDue) {
-            continue;
-        }
-        const frame: EntryFrame = {
-            entry: state.identity.incarnation,
-            sequence: row.lastSentSequence + 1,
-            newestSentAt: row.newestSentAt,
-            starts: orders?.starts ?? [],
-            stops: orders?.stops ?? [],
-            entryAddresses: [...state.entryAddresses],
-            configuration: {
-                version,
-                configuration: version > row.configurationVersion ? state.configuration : undefined,
-            },
-        };
-        state.pendingOrders.delete(row.agent);
-        state.agents.set(row.agent, {
-            ...row,
-            lastSentSequence: frame.sequence,
-            lastFrameSentAt: state.now,
-            configurationVersion: Math.max(version, row.configurationVersion),
-        });
-        state.outputs.push({ kind: "frame", connection: row.connection, frame });
-    }
-}
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -6,14 +6,15 @@
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { type DispatchConfiguration, findRoute, type Route } from "../model/dispatchConfiguration.js";
 import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import { canReceiveTasks, receiveAgentFrame, receiveDisconnected, removeLostAgents } from "./agentFrames.js";
 import {
-    canReceiveTasks,
-    receiveAgentFrame,
-    receiveConfiguration,
-    receiveDisconnected,
-    removeLostAgents,
-    sendFrames,
-} from "./agentFrames.js";
+    forgetInvitations,
+    receiveCapacityRequest,
+    receiveEntryLocations,
+    requestCapacity,
+} from "./capacityRequests.js";
+import { receiveConfiguration } from "./configurationRelay.js";
+import { sendFrames } from "./entryFrames.js";
 import type { EntryInput, EntryOutput } from "./entryPorts.js";
 import { type EntryIdentity, EntryState, mayHaveStarted } from "./entryState.js";
 import { expireJobs, findNextExpiry, placeTasks } from "./placement.js";
@@ -122,6 +123,8 @@
         removeStoppedRuns(state);
         placeTasks(state);
         expireJobs(state);
+        requestCapacity(state);
+        forgetInvitations(state);
         sendFrames(state);
         return state.outputs.splice(0);
     }
@@ -148,8 +151,9 @@
             case "configured":
                 return receiveConfiguration(state, input.configuration, input.source);
             case "entries-found":
-                input.addresses.forEach(address => state.entryAddresses.add(address));
-                return;
+                return receiveEntryLocations(state, input.entries);
+            case "capacity-requested":
+                return receiveCapacityRequest(state, input.request);
             case "shut-down":
                 state.isShuttingDown = true;
                 return;
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -1,8 +1,10 @@
 /**
  * Inputs and outputs of an entry's core.
  */
+import type { CapacityRequest } from "../model/capacityRequest.js";
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import type { EntryLocation } from "../model/entryLocation.js";
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
 import type { LogLine } from "../model/logLine.js";
 
@@ -14,7 +16,9 @@
     | { readonly kind: "frame"; readonly connection: number; readonly frame: AgentFrame }
     | { readonly kind: "disconnected"; readonly connection: number }
     | { readonly kind: "configured"; readonly configuration: DispatchConfiguration; readonly source: "store" | "agent" }
-    | { readonly kind: "entries-found"; readonly addresses: readonly string[] }
+    | { readonly kind: "entries-found"; readonly entries: readonly EntryLocation[] }
+    /** Another entry needs capacity. */
+    | { readonly kind: "capacity-requested"; readonly request: CapacityRequest }
     /** Refuses new jobs from now on. */
     | { readonly kind: "shut-down" }
     /** Ends all open jobs. */
@@ -31,4 +35,6 @@
         readonly afterMilliseconds: number;
     }
     | { readonly kind: "frame"; readonly connection: number; readonly frame: EntryFrame }
+    /** Request to another entry. */
+    | { readonly kind: "request-capacity"; readonly address: string; readonly request: CapacityRequest }
     | LogLine;
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -6,9 +6,11 @@
 import { Table } from "@lovagepitch/utils/table";
 import type { DirectJob } from "../model/directJob.js";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import type { EntryLocation } from "../model/entryLocation.js";
 import type { RunIdentity, StartOrder } from "../model/frames.js";
 import { type Resources, subtractResources } from "../model/resources.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
+import { CapacitySearch } from "../policies/capacitySearch.js";
 import type { JobDeadlines } from "../policies/jobDeadlines.js";
 import { PriorityRanks } from "../policies/priorityRanks.js";
 import { DrainRate } from "../policies/retryAfter.js";
@@ -67,7 +69,14 @@
     /** Start orders that the agent's latest report of free resources does not reflect yet. */
     readonly unacknowledgedStarts: readonly { readonly sequence: number; readonly needs: Resources }[];
     readonly health: WorkerHealth;
+    /** Newest version that the agent has named. */
     readonly configurationVersion: number;
+    /** True while the agent needs this entry's configuration for another entry. */
+    readonly wantsConfiguration: boolean;
+    /** Value of `knownEntriesRevision` at the latest frame with addresses of entries to this connection. */
+    readonly sentEntriesRevision: number;
+    /** True when the latest frame to the agent said that tasks wait for capacity. */
+    readonly knowsOfWaitingTasks: boolean;
     readonly lastFrameSentAt: number;
     readonly openRunCount: number;
 }
@@ -76,6 +85,8 @@
 export interface PendingOrders {
     readonly starts: StartOrder[];
     readonly stops: RunIdentity[];
+    /** Entries that the agent is asked to connect to. */
+    readonly invitations: EntryLocation[];
 }
 
 /** Identity of the entry's own process. */
@@ -84,6 +95,8 @@
     readonly incarnation: string;
     readonly instance: string;
     readonly availabilityZone: string;
+    /** Host and port at which the entry listens for agents. */
+    readonly address: string;
 }
 
 /** Mutable state of an entry, shared by its systems. */
@@ -100,7 +113,18 @@
     public readonly stoppingRuns = new Table<string, ReadonlyMap<string, number>>();
     public readonly agents = new Table<string, AgentRow>();
     public readonly pendingOrders = new Map<string, PendingOrders>();
-    public readonly entryAddresses = new Set<string>();
+    /** All entries of the deployment that are known, by address. */
+    public readonly knownEntries = new Table<string, EntryLocation>();
+    /** Increases with each change of `knownEntries`. */
+    public knownEntriesRevision = 1;
+    public readonly capacitySearch = new CapacitySearch();
+    /** When an agent was last invited for an entry, by agent and address of that entry. */
+    public readonly invitedAt = new Map<string, number>();
+    /** Number of tasks that the latest placement could not place. */
+    public unplacedTasks = 0;
+    /** Instant at which an agent first named a newer configuration than the one in force. */
+    public newerConfigurationSince: number | undefined;
+    public configurationRequestedAt = Number.NEGATIVE_INFINITY;
     /** Rate at which work ends, in core-milliseconds per millisecond. */
     public readonly drainRate: DrainRate;
     public readonly priorityRanks = new PriorityRanks();
@@ -140,7 +164,7 @@
     public getPendingOrders(agent: string): PendingOrders {
         let orders = this.pendingOrders.get(agent);
         if (orders === undefined) {
-            orders = { starts: [], stops: [] };
+            orders = { starts: [], stops: [], invitations: [] };
             this.pendingOrders.set(agent, orders);
         }
         return orders;
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -41,12 +41,17 @@
             latestStart: row.deadlines.latestStart,
         }))
         .sort(compareWaitingWork);
+    state.unplacedTasks = 0;
+    if (waiting.length === 0) {
+        return;
+    }
     const round = new PlacementRound(state);
     const isContended = waiting.length > 1 || round.hasQueuedOrders;
     for (const { row } of waiting) {
         if (!state.stoppingRuns.has(row.job.id) && canPlaceJob(state, round, row, isContended)) {
             placeJob(state, round, row);
         }
+        state.unplacedTasks += state.jobs.get(row.job.id)?.waitingTasks.length ?? 0;
     }
 }
 
--- /dev/null
+++ b/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
@@ -0,0 +1,74 @@
+/**
+ * Requests for capacity between entries, one UDP datagram each. A lost one is replaced by the next, and no connection
+ * is kept for entries that rarely exchange any.
+ */
+import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
+import type { CapacityRequest } from "../model/capacityRequest.js";
+import { isCapacityRequest } from "./frameGuards.js";
+import { splitAddress } from "./listenAt.js";
+
+/** Sends and receives requests for capacity. */
+export class CapacityDatagrams {
+    private readonly socket: Socket = createSocket("udp4");
+
+    /**
+     * @param onRequest - called with each received request
+     * @param onFailure - called with the reason when a datagram cannot be sent or is not a request
+     */
+    public constructor(
+        private readonly onRequest: (request: CapacityRequest) => void,
+        private readonly onFailure: (reason: string) => void,
+    ) {
+        this.socket.on("message", data => this.receive(data.toString("utf8")));
+    }
+
+    /**
+     * Starts receiving.
+     *
+     * @param host - IP address to bind
+     * @param port - UDP port; 0 for any free one
+     * @returns resolves when the port is bound; rejects when it cannot be bound
+     */
+    public async listen(host: string, port: number): Promise<void> {
+        this.socket.bind(port, host);
+        await once(this.socket, "listening");
+        this.socket.on("error", error => this.onFailure(error.message));
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param address - host and port of the other entry
+     * @param request - request to send
+     */
+    public send(address: string, request: CapacityRequest): void {
+        const { host, port } = splitAddress(address);
+        this.socket.send(JSON.stringify(request), port, host, error => {
+            if (error !== null) {
+                this.onFailure(error.message);
+            }
+        });
+    }
+
+    /** Stops receiving. */
+    public close(): void {
+        this.socket.close();
+    }
+
+    private receive(text: string): void {
+        let value: unknown;
+        try {
+            value = JSON.parse(text);
+        }
+        catch {
+            value = undefined;
+        }
+        if (isCapacityRequest(value)) {
+            this.onRequest(value);
+        }
+        else {
+            this.onFailure("a datagram is not a request for capacity; only entries may send to this port");
+        }
+    }
+}
--- a/packages/lovagepitch-direct/src/links/entryConnections.ts
+++ b/packages/lovagepitch-direct/src/links/entryConnections.ts
@@ -60,6 +60,17 @@
         this.streams.get(address)?.send(frame);
     }
 
+    /**
+     * Closes the connection to an entry, if there is one.
+     *
+     * @param address - host and port of the entry
+     */
+    public closeOne(address: string): void {
+        const stream = this.streams.get(address);
+        this.streams.delete(address);
+        stream?.close("no longer used");
+    }
+
     /** Closes every connection. */
     public close(): void {
         for (const stream of [...this.streams.values()]) {
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -2,6 +2,7 @@
  * Type guards for frames. Only processes of the deployment can reach the port, so the guards only detect other
  * protocols and other versions; they do not validate every field of every message.
  */
+import type { CapacityRequest } from "../model/capacityRequest.js";
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
 
 /**
@@ -28,3 +29,16 @@
         && Array.isArray(frame.stops) && Array.isArray(frame.entryAddresses)
         && typeof frame.configuration?.version === "number";
 }
+
+/**
+ * Tells whether a value is a request for capacity.
+ *
+ * @param value - parsed JSON document
+ * @returns true when it has a request's fields
+ */
+export function isCapacityRequest(value: unknown): value is CapacityRequest {
+    const request = value as Partial<CapacityRequest> | undefined;
+    return typeof request?.from?.address === "string" && typeof request.service === "string"
+        && typeof request.agents === "number" && typeof request.needs?.milliCores === "number"
+        && typeof request.needs.memoryMegabytes === "number" && typeof request.needs.accelerators === "number";
+}
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -2,6 +2,7 @@
  * Messages between agents and entries. The agent opens the connection; each frame is one JSON document.
  */
 import type { DispatchConfiguration } from "./dispatchConfiguration.js";
+import type { EntryLocation } from "./entryLocation.js";
 import type { Resources } from "./resources.js";
 import type { WorkerStatus } from "./workerStatus.js";
 
@@ -61,11 +62,13 @@
     readonly requiredLabel: string | undefined;
 }
 
-/** Configuration version that the sender has, with the configuration itself if the receiver needs it. */
+/** Configuration version that the sender knows of, with the configuration itself if the receiver asked for it. */
 export interface ConfigurationNotice {
     readonly version: number;
-    /** Present when the receiver is known to have an older version. */
+    /** Present when the receiver has asked for it. */
     readonly configuration: DispatchConfiguration | undefined;
+    /** True when the sender needs the receiver's newer version; undefined in frames of earlier versions. */
+    readonly isRequested?: boolean;
 }
 
 /** Frame from an agent to an entry. */
@@ -98,8 +101,17 @@
     readonly newestSentAt: number;
     readonly starts: readonly StartOrder[];
     readonly stops: readonly RunIdentity[];
-    /** Host and port of entries that the agent should connect to. */
+    /** Host and port of all entries that the sender knows; empty when unchanged since an earlier frame. */
     readonly entryAddresses: readonly string[];
+    /**
+     * Availability zones of `entryAddresses`, in the same order, empty where unknown; undefined in frames of earlier
+     * versions.
+     */
+    readonly entryZones?: readonly string[];
+    /** True while tasks wait for capacity, so that the agent reports freed capacity at once. */
+    readonly awaitsCapacity?: boolean;
+    /** Entries that need the agent's capacity; the agent connects to them too. */
+    readonly invitations?: readonly EntryLocation[];
     readonly configuration: ConfigurationNotice;
 }
 
--- a/packages/lovagepitch-direct/src/process/deploymentOverview.ts
+++ b/packages/lovagepitch-direct/src/process/deploymentOverview.ts
@@ -3,7 +3,7 @@
  */
 import { Ok, type Result } from "@lovagepitch/utils/result";
 import type { ConfigurationRow } from "./configurationWatcher.js";
-import { entriesTable, listAddresses } from "./entryDirectory.js";
+import { entriesTable, listEntries } from "./entryDirectory.js";
 import type { SharedRows, StoreFailure } from "./sharedRows.js";
 
 /** Configuration version and entries of a deployment, read from its store. */
@@ -35,6 +35,6 @@
     const decoded = configurations.val.rows.map(row => configurationRow.decode(row)).find(value => value !== undefined);
     return Ok({
         configurationVersion: decoded === "unreadable" ? decoded : decoded?.version,
-        entryAddresses: listAddresses(entries.val),
+        entryAddresses: listEntries(entries.val).map(entry => entry.address),
     });
 }
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -7,6 +7,7 @@
 import type { AgentInput, AgentOutput } from "../agent/agentPorts.js";
 import type { AgentIdentity } from "../agent/agentState.js";
 import { EntryConnections } from "../links/entryConnections.js";
+import type { EntryLocation } from "../model/entryLocation.js";
 import type { WorkerReport } from "../model/workerStatus.js";
 import { DirectMetrics } from "./directMetrics.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
@@ -71,12 +72,12 @@
     }
 
     /**
-     * Adds addresses of entries to connect to.
+     * Adds entries, some of which the agent connects to.
      *
-     * @param addresses - host and port of each entry
+     * @param entries - locations of the entries
      */
-    public addEntries(addresses: readonly string[]): void {
-        this.loop.accept({ kind: "entries-found", addresses });
+    public addEntries(entries: readonly EntryLocation[]): void {
+        this.loop.accept({ kind: "entries-found", entries });
     }
 
     /** Stops accepting tasks, and stops the agent once all runs have ended. */
@@ -114,6 +115,9 @@
             case "connect":
                 this.connections.open(output.address);
                 return;
+            case "disconnect":
+                this.connections.closeOne(output.address);
+                return;
             case "log":
                 this.log.write(output.level, output.event, output.fields);
                 return;
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -8,8 +8,10 @@
 import type { EntryInput, EntryOutput } from "../entry/entryPorts.js";
 import type { EntryIdentity } from "../entry/entryState.js";
 import { AgentListener } from "../links/agentListener.js";
+import { CapacityDatagrams } from "../links/capacityDatagrams.js";
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
 import type { DispatchConfiguration, Route } from "../model/dispatchConfiguration.js";
+import type { EntryLocation } from "../model/entryLocation.js";
 import { DirectMetrics } from "./directMetrics.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
 
@@ -35,6 +37,7 @@
     private readonly core: EntryCore;
     private readonly loop: TickLoop<EntryInput, EntryOutput>;
     private readonly listener: AgentListener;
+    private readonly datagrams: CapacityDatagrams;
     private readonly log: RateLimitedLog;
     private readonly metrics = new DirectMetrics();
     private readonly answerCallbacks = new Map<number, (answer: JobAnswer) => void>();
@@ -53,6 +56,10 @@
         this.metrics.addGauge("configuration_version", "Version in force, 0 without one", () => {
             return this.core.configuration?.version ?? 0;
         });
+        this.datagrams = new CapacityDatagrams(
+            request => this.loop.accept({ kind: "capacity-requested", request }),
+            reason => this.log.write("warn", "request for capacity failed", { reason }),
+        );
         this.listener = new AgentListener({
             onFrame: (connection, frame) => this.loop.accept({ kind: "frame", connection, frame }),
             onDisconnected: connection => this.loop.accept({ kind: "disconnected", connection }),
@@ -88,6 +95,7 @@
      */
     public async start(): Promise<number> {
         const port = await this.listener.listen(this.options.host, this.options.port);
+        await this.datagrams.listen(this.options.host, port);
         this.log.write("info", "entry starts", { incarnation: this.options.identity.incarnation, port });
         this.loop.schedule();
         return port;
@@ -169,12 +177,12 @@
     }
 
     /**
-     * Adds addresses of entries, which are sent to agents.
+     * Adds entries, whose addresses are sent to agents.
      *
-     * @param addresses - host and port of each entry
+     * @param entries - locations of the entries
      */
-    public addEntries(addresses: readonly string[]): void {
-        this.loop.accept({ kind: "entries-found", addresses });
+    public addEntries(entries: readonly EntryLocation[]): void {
+        this.loop.accept({ kind: "entries-found", entries });
     }
 
     /** Logs that the entry is being taken out of the balancer's rotation. Requests that still arrive are served. */
@@ -198,6 +206,7 @@
         this.log.write("info", "entry stops", { openRequests: this.answerCallbacks.size });
         this.loop.stop();
         this.listener.close();
+        this.datagrams.close();
     }
 
     /**
@@ -237,6 +246,9 @@
             case "frame":
                 this.listener.send(output.connection, output.frame);
                 return;
+            case "request-capacity":
+                this.datagrams.send(output.address, output.request);
+                return;
             case "log":
                 this.log.write(output.level, output.event, output.fields);
         }
--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "@lovagepitch/utils/clock";
 import { setTimeout as delay } from "node:timers/promises";
+import type { EntryLocation } from "../model/entryLocation.js";
 import type { RowsView, SharedRows } from "./sharedRows.js";
 import type { StoreReachability } from "./storeReachability.js";
 
@@ -34,31 +35,31 @@
      * @param rows - rows of the store
      * @param clock - monotonic clock
      * @param reachability - records whether the store answers
-     * @param onAddresses - called with all current addresses after each read
+     * @param onEntries - called with all current entries after each read
      */
     public constructor(
         private readonly rows: SharedRows,
         private readonly clock: Clock,
         private readonly reachability: StoreReachability,
-        private readonly onAddresses: (addresses: readonly string[]) => void,
+        private readonly onEntries: (entries: readonly EntryLocation[]) => void,
     ) {}
 
     /**
      * Reads the addresses until the process ends.
      *
-     * @param ownAddress - host and port to publish in the store; undefined for a process that is not an entry
+     * @param own - location to publish in the store; undefined for a process that is not an entry
      * @returns a promise that never settles
      */
-    public async run(ownAddress: string | undefined): Promise<never> {
+    public async run(own: EntryLocation | undefined): Promise<never> {
         let nextWriteAt = this.clock.nowMilliseconds();
         for (;;) {
             const isRead = await this.readAll();
-            const isDue = ownAddress !== undefined && this.clock.nowMilliseconds() >= nextWriteAt;
-            const isWritten = !isDue || (isRead && await this.writeOwn(ownAddress));
+            const isDue = own !== undefined && this.clock.nowMilliseconds() >= nextWriteAt;
+            const isWritten = !isDue || (isRead && await this.writeOwn(own));
             if (isRead && isWritten) {
                 // Writes follow the clock and not the reads, because each write makes every entry read again.
                 nextWriteAt = isDue ? this.clock.nowMilliseconds() + writeIntervalMilliseconds : nextWriteAt;
-                await (ownAddress === undefined ? delay(readIntervalMilliseconds) : this.waitForChange());
+                await (own === undefined ? delay(readIntervalMilliseconds) : this.waitForChange());
             }
             else {
                 await delay(retryDelayMilliseconds);
@@ -75,7 +76,7 @@
         this.reachability.recordOutcome(true, "the entries' addresses were read");
         this.storeMilliseconds = result.val.storeMilliseconds;
         this.version = result.val.version;
-        this.onAddresses(listAddresses(result.val));
+        this.onEntries(listEntries(result.val));
         return true;
     }
 
@@ -87,8 +88,9 @@
         }
     }
 
-    private async writeOwn(address: string): Promise<boolean> {
-        const result = await this.rows.write(entriesTable, address, { address, writtenAt: this.storeMilliseconds });
+    private async writeOwn({ address, availabilityZone }: EntryLocation): Promise<boolean> {
+        const row = { address, availabilityZone, writtenAt: this.storeMilliseconds };
+        const result = await this.rows.write(entriesTable, address, row);
         if (result.err) {
             this.reachability.recordOutcome(false, result.val.message);
         }
@@ -97,20 +99,24 @@
 }
 
 /**
- * Lists the addresses of entries with a recent row. Rows that cannot be decoded are skipped.
+ * Lists the entries with a recent row. Rows that cannot be decoded are skipped.
  *
  * @param view - rows of the table of addresses
- * @returns host and port of each entry
+ * @returns location of each entry; rows of earlier versions name no availability zone
  */
-export function listAddresses(view: RowsView): readonly string[] {
-    const addresses: string[] = [];
+export function listEntries(view: RowsView): readonly EntryLocation[] {
+    const entries: EntryLocation[] = [];
     for (const { value } of view.rows) {
-        const row = value as { readonly address?: unknown; readonly writtenAt?: unknown } | null | undefined;
+        const row = value as Readonly<Record<"address" | "availabilityZone" | "writtenAt", unknown>> | null | undefined;
         const isRecent = typeof row?.writtenAt === "number"
             && view.storeMilliseconds - row.writtenAt <= rowLifetimeMilliseconds;
         if (isRecent && typeof row.address === "string" && /^[\d.]+:\d+$/.test(row.address)) {
-            addresses.push(row.address);
+            const { address, availabilityZone } = row;
+            entries.push({
+                address,
+                availabilityZone: typeof availabilityZone === "string" ? availabilityZone : undefined,
+            });
         }
     }
-    return addresses;
+    return entries;
 }
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -7,6 +7,7 @@
 import { EntryCore } from "@lovagepitch/direct/entry/entryCore";
 import type { EntryInput, EntryOutput } from "@lovagepitch/direct/entry/entryPorts";
 import type { DirectJob } from "@lovagepitch/direct/model/directJob";
+import type { EntryLocation } from "@lovagepitch/direct/model/entryLocation";
 import type { RunIdentity } from "@lovagepitch/direct/model/frames";
 import { ManualClock } from "@lovagepitch/utils/clock";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
@@ -28,6 +29,8 @@
     readonly entries: number;
     /** Number of workers; each has one agent. */
     readonly workers: number;
+    /** Number of availability zones, among which entries and workers take turns; 1 by default. */
+    readonly zones?: number;
     /** Capacity of each worker, in thousandths of a core. */
     readonly milliCores: number;
     /** Gives the duration of a run on a healthy worker, in milliseconds. */
@@ -41,6 +44,8 @@
     public readonly record = new DirectRecord(this.clock);
     public readonly queue = new EventQueue(this.clock);
     public readonly workers: FakeWorker[] = [];
+    /** Frames that entries and agents have sent. */
+    public frameCount = 0;
     private readonly entries: CoreHost<EntryInput, EntryOutput>[] = [];
     private readonly agents: CoreHost<AgentInput, AgentOutput>[] = [];
     private readonly workerPort = new WorkerPort(this.clock, this.queue, this.workers, this.agents, (host, input) => {
@@ -63,6 +68,8 @@
         for (let index = 0; index < options.entries; index += 1) {
             this.entries.push(createCoreHost(this.createEntryCore(index, 0)));
         }
+        const locations = this.entries.map((_, index) => this.locateEntry(index));
+        this.entries.forEach(host => this.deliverInput(host, { kind: "entries-found", entries: locations }));
         for (let index = 0; index < options.workers; index += 1) {
             this.workers.push(this.createWorker());
             this.agents.push(createCoreHost(this.createAgentCore(index, 0)));
@@ -229,7 +236,7 @@
         const identity = {
             incarnation: `entry-${index}-${incarnation}`,
             instance: `entry-${index}`,
-            availabilityZone: "zone-a",
+            ...this.locateEntry(index),
         };
         return new EntryCore(identity, this.clock, new RandomSource(this.options.seed * 1000 + index));
     }
@@ -238,7 +245,7 @@
         const identity = {
             incarnation: `agent-${index}-${incarnation}`,
             instance: `agent-${index}`,
-            availabilityZone: "zone-a",
+            availabilityZone: this.getZone(index),
         };
         return new AgentCore(identity, this.clock);
     }
@@ -251,8 +258,16 @@
     }
 
     private sendEntryAddresses(agent: number): void {
-        const addresses = this.entries.map((_, index) => String(index));
-        this.deliverInput(this.getAgentHost(agent), { kind: "entries-found", addresses });
+        const entries = this.entries.map((_, index) => this.locateEntry(index));
+        this.deliverInput(this.getAgentHost(agent), { kind: "entries-found", entries });
+    }
+
+    private locateEntry(index: number): EntryLocation & { readonly availabilityZone: string } {
+        return { address: String(index), availabilityZone: this.getZone(index) };
+    }
+
+    private getZone(index: number): string {
+        return `zone-${index % (this.options.zones ?? 1)}`;
     }
 
     private sendWorkerReport(index: number): void {
@@ -327,8 +342,13 @@
             this.record.recordAnswer(entry, output.job, output.answer, taskCount);
         }
         else if (output.kind === "frame") {
+            this.frameCount += 1;
             this.linkNetwork.sendToAgent(output.connection, output.frame);
         }
+        else if (output.kind === "request-capacity") {
+            const { address, request } = output;
+            this.linkNetwork.sendRequest(entry, Number(address), request);
+        }
     }
 
     private performAgentOutput(agent: number, output: AgentOutput): void {
@@ -336,8 +356,12 @@
             case "connect":
                 this.linkNetwork.connect(agent, Number(output.address));
                 return;
+            case "disconnect":
+                this.linkNetwork.close((entry, other) => entry === Number(output.address) && other === agent, true);
+                return;
             case "frame": {
                 this.lastReportedFreeMilliCores.set(agent, output.frame.worker?.free.milliCores ?? -1);
+                this.frameCount += 1;
                 this.linkNetwork.sendToEntry(agent, Number(output.address), output.frame);
                 return;
             }
--- a/packages/lovagepitch-testing/src/direct/linkNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/linkNetwork.ts
@@ -3,6 +3,7 @@
  */
 import type { AgentInput, AgentOutput } from "@lovagepitch/direct/agent/agentPorts";
 import type { EntryInput, EntryOutput } from "@lovagepitch/direct/entry/entryPorts";
+import type { CapacityRequest } from "@lovagepitch/direct/model/capacityRequest";
 import type { AgentFrame, EntryFrame } from "@lovagepitch/direct/model/frames";
 import type { ManualClock } from "@lovagepitch/utils/clock";
 import type { EventQueue } from "../harness/eventQueue.js";
@@ -25,7 +26,9 @@
 
 /** Connections that agents have opened to entries. */
 export class LinkNetwork {
-    private connections: Connection[] = [];
+    private readonly connections = new Map<number, Connection>();
+    /** Open connections by entry and agent. */
+    private readonly connectionsByEnds = new Map<string, Connection>();
     private nextConnection = 1;
 
     /**
@@ -50,7 +53,7 @@
      * @param frame - frame to send
      */
     public sendToAgent(connectionNumber: number, frame: EntryFrame): void {
-        const connection = this.connections.find(other => other.number === connectionNumber);
+        const connection = this.connections.get(connectionNumber);
         this.scheduleDelivery(connection, () => this.deliverToAgent(connection, frame));
     }
 
@@ -62,7 +65,7 @@
      * @param frame - frame to send
      */
     public sendToEntry(agent: number, entry: number, frame: AgentFrame): void {
-        const connection = this.connections.find(other => other.agent === agent && other.entry === entry);
+        const connection = this.connectionsByEnds.get(formatEnds(entry, agent));
         this.scheduleDelivery(connection, () => this.deliverToEntry(connection, frame));
     }
 
@@ -72,7 +75,7 @@
      * @param matches - selects connections by index of entry and agent
      */
     public silence(matches: (entry: number, agent: number) => boolean): void {
-        for (const connection of this.connections) {
+        for (const connection of this.connections.values()) {
             connection.isSilent ||= matches(connection.entry, connection.agent);
         }
     }
@@ -84,7 +87,10 @@
      * @param entry - index of the entry
      */
     public connect(agent: number, entry: number): void {
-        this.close((otherEntry, otherAgent) => otherAgent === agent && otherEntry === entry, true);
+        const earlier = this.connectionsByEnds.get(formatEnds(entry, agent));
+        if (earlier !== undefined) {
+            this.closeConnection(earlier, true);
+        }
         const host = getAt(this.entries, entry);
         const address = String(entry);
         if (host.isPartitioned || getAt(this.agents, agent).isPartitioned) {
@@ -96,7 +102,9 @@
             );
             return;
         }
-        this.connections.push({ number: this.nextConnection, entry, agent, isOpen: true, isSilent: false });
+        const connection = { number: this.nextConnection, entry, agent, isOpen: true, isSilent: false };
+        this.connections.set(connection.number, connection);
+        this.connectionsByEnds.set(formatEnds(entry, agent), connection);
         this.nextConnection += 1;
         this.scheduleAfterLatency(() => this.deliverInput(getAt(this.agents, agent), { kind: "connected", address }));
     }
@@ -108,24 +116,47 @@
      * @param byAgent - true if the agent closes them and needs no notification
      */
     public close(matches: (entry: number, agent: number) => boolean, byAgent = false): void {
-        for (const connection of this.connections.filter(other => matches(other.entry, other.agent))) {
-            connection.isOpen = false;
-            this.scheduleAfterLatency(() => {
-                this.deliverInput(getAt(this.entries, connection.entry), {
+        for (const connection of [...this.connections.values()]) {
+            if (matches(connection.entry, connection.agent)) {
+                this.closeConnection(connection, byAgent);
+            }
+        }
+    }
+
+    /**
+     * Sends a request for capacity from one entry to another as a datagram; it is lost when either is partitioned.
+     *
+     * @param from - index of the sending entry
+     * @param to - index of the receiving entry
+     * @param request - request to send
+     */
+    public sendRequest(from: number, to: number, request: CapacityRequest): void {
+        const isLost = (entry: number): boolean => getAt(this.entries, entry).isPartitioned;
+        if (!isLost(from) && !isLost(to)) {
+            this.scheduleAfterLatency(() =>
+                this.deliverInput(getAt(this.entries, to), { kind: "capacity-requested", request })
+            );
+        }
+    }
+
+    private closeConnection(connection: Connection, byAgent: boolean): void {
+        connection.isOpen = false;
+        this.connections.delete(connection.number);
+        this.connectionsByEnds.delete(formatEnds(connection.entry, connection.agent));
+        this.scheduleAfterLatency(() => {
+            this.deliverInput(getAt(this.entries, connection.entry), {
+                kind: "disconnected",
+                connection: connection.number,
+            });
+            if (!byAgent) {
+                const address = String(connection.entry);
+                this.deliverInput(getAt(this.agents, connection.agent), {
                     kind: "disconnected",
-                    connection: connection.number,
+                    address,
+                    wasRefused: false,
                 });
-                if (!byAgent) {
-                    const address = String(connection.entry);
-                    this.deliverInput(getAt(this.agents, connection.agent), {
-                        kind: "disconnected",
-                        address,
-                        wasRefused: false,
-                    });
-                }
-            });
-        }
-        this.connections = this.connections.filter(connection => connection.isOpen);
+            }
+        });
     }
 
     private scheduleDelivery(connection: Connection | undefined, onArrival: () => void): void {
@@ -162,3 +193,7 @@
         this.queue.schedule(this.clock.nowMilliseconds() + linkLatencyMilliseconds, action, undefined);
     }
 }
+
+function formatEnds(entry: number, agent: number): string {
+    return `${entry} ${agent}`;
+}
--- a/packages/lovagepitch-testing/src/direct/mixedLoad.ts
+++ b/packages/lovagepitch-testing/src/direct/mixedLoad.ts
@@ -68,6 +68,10 @@
 export interface MixedLoadOptions {
     readonly entries: number;
     readonly workers: number;
+    /** Number of availability zones; 1 by default. */
+    readonly zones?: number;
+    /** Share of the jobs that arrive at the first entry, in addition to its even share; 0 by default. */
+    readonly firstEntryShare?: number;
     /** Factor by which the default arrival rate of each kind is multiplied. */
     readonly rateFactor: number;
     readonly durationSeconds: number;
@@ -107,6 +111,7 @@
         this.deployment = new DirectDeployment({
             entries: options.entries,
             workers: options.workers,
+            zones: options.zones ?? 1,
             milliCores: 16_000,
             seed: options.seed,
             getTaskDurationMilliseconds: run =>
@@ -206,7 +211,8 @@
             arrivedAt: this.deployment.clock.nowMilliseconds(),
             objectiveMilliseconds: job.allowanceMilliseconds + job.stretch * Math.max(...taskDurations),
         });
-        this.deployment.submit(this.random.nextInteger(this.options.entries), job);
+        const isForFirst = this.random.nextFraction() < (this.options.firstEntryShare ?? 0);
+        this.deployment.submit(isForFirst ? 0 : this.random.nextInteger(this.options.entries), job);
     }
 
     /** Draws from a log-normal distribution with the given mean. */
