fix(entry): a new entry reads the registry after its own row is durable

Ruled out: more frequent reading, which only narrows the gap and costs reads. Change: the entry reads the registry at once when its row is durable, and is ready only after such a reading and, for at most 2 s, until the agents in it have announced themselves. An agent reads the registry after its own row is durable, so of any two that start together one finds the other.

--- a/packages/lovagepitch-entry/src/__tests__/httpServerFixture.ts
+++ b/packages/lovagepitch-entry/src/__tests__/httpServerFixture.ts
@@ -22,6 +22,7 @@
     configurationVersion: 12,
     registryVersion: 3,
     agents: 4,
+    unknownAgents: 0,
     knownSlots: 32,
     waitingTasks: 5,
     runningTasks: 6,
--- a/packages/lovagepitch-entry/src/core/entryCore.ts
+++ b/packages/lovagepitch-entry/src/core/entryCore.ts
@@ -30,6 +30,8 @@
     readonly configurationVersion: number;
     readonly registryVersion: number;
     readonly agents: number;
+    /** Serving agents of the registry that have not announced themselves to this entry; no task is placed on them. */
+    readonly unknownAgents: number;
     readonly knownSlots: number;
     readonly waitingTasks: number;
     readonly runningTasks: number;
@@ -114,6 +116,10 @@
             configurationVersion: this.state.configurationVersion,
             registryVersion: this.state.registryVersion,
             agents: agents.length,
+            unknownAgents:
+                this.state.registry.agents.filter(agent =>
+                    agent.state === "serving" && !this.state.agents.has(agent.address)
+                ).length,
             knownSlots: agents.reduce((sum, agent) => sum + agent.load.slots, 0),
             waitingTasks: this.state.waitingTasks,
             runningTasks: [...this.state.startedTasksByTeam.values()].reduce((sum, tasks) => sum + tasks, 0),
--- a/packages/lovagepitch-entry/src/http/operatorRoutes.ts
+++ b/packages/lovagepitch-entry/src/http/operatorRoutes.ts
@@ -8,7 +8,7 @@
 import { sendJson } from "./httpResponses.js";
 
 /** Conditions of readiness that are not met. */
-export type MissingCondition = "configuration" | "registry" | "stopping";
+export type MissingCondition = "configuration" | "registry" | "agents" | "stopping";
 
 /** Constructor arguments of the routes. */
 export interface OperatorRoutesDependencies {
--- a/packages/lovagepitch-entry/src/process/entryProcess.ts
+++ b/packages/lovagepitch-entry/src/process/entryProcess.ts
@@ -35,6 +35,8 @@
 import { StoreHealth } from "./storeHealth.js";
 
 const registryPollIntervalMilliseconds = 2_000;
+/** Longest time for which a new entry waits for the announcements of the agents in the registry. */
+const announcementTimeoutMilliseconds = 2_000;
 const maximumWaitingRequests = 20_000;
 /** Longest time that a graceful shutdown waits for open jobs. */
 const drainTimeoutMilliseconds = 120_000;
@@ -84,7 +86,9 @@
     private running: RunningComponents | undefined;
     /** Configuration version as of the last tick; cached because the core's status iterates over its tables. */
     private configurationVersion = 0;
-    private hasReadRegistry = false;
+    private isRegistered = false;
+    /** When the registry was first read after the own row was durable, in milliseconds since the epoch. */
+    private registryReadAtMilliseconds: number | undefined;
     private isStopping = false;
 
     /**
@@ -206,8 +210,13 @@
                 eventLog,
                 clock,
                 random,
+                onRegistered: () => this.handleRegistered(),
             }),
-            registryPoller: new Poller(registryPollIntervalMilliseconds, random, () => platformRequests.readRegistry()),
+            registryPoller: new Poller(
+                registryPollIntervalMilliseconds,
+                random,
+                () => this.readRegistry(platformRequests),
+            ),
             manifestPoller: new Poller(
                 settings.manifestPollMilliseconds,
                 random,
@@ -236,7 +245,6 @@
     }
 
     private accept(input: EntryInput): void {
-        this.hasReadRegistry ||= input.type === "registryRead";
         this.running?.loop.accept(input);
     }
 
@@ -280,12 +288,36 @@
     private listMissingConditions(): readonly MissingCondition[] {
         const conditions: readonly (readonly [MissingCondition, boolean])[] = [
             ["configuration", this.configurationVersion === 0],
-            ["registry", !this.hasReadRegistry],
+            ["registry", this.registryReadAtMilliseconds === undefined],
+            ["agents", this.isAwaitingAnnouncements()],
             ["stopping", this.isStopping],
         ];
         return conditions.filter(([, isMissing]) => isMissing).map(([condition]) => condition);
     }
 
+    /**
+     * Reads the registry at once. An agent that registered before this entry is in it; one that registers later finds
+     * the entry's row. So each of the two learns of the other.
+     */
+    private handleRegistered(): void {
+        this.isRegistered = true;
+        this.running?.registryPoller.run();
+    }
+
+    private async readRegistry(platformRequests: PlatformRequests): Promise<void> {
+        const { isRegistered } = this;
+        const isRead = await platformRequests.readRegistry();
+        if (isRegistered && isRead) {
+            this.registryReadAtMilliseconds ??= this.clock.nowMilliseconds();
+        }
+    }
+
+    /** Tells whether registered agents can still be expected to announce themselves; rows of lost agents remain. */
+    private isAwaitingAnnouncements(): boolean {
+        const waited = this.clock.nowMilliseconds() - (this.registryReadAtMilliseconds ?? 0);
+        return waited < announcementTimeoutMilliseconds && (this.running?.core.getStatus().unknownAgents ?? 0) > 0;
+    }
+
     private async drain(core: EntryCore): Promise<void> {
         const startedAt = performance.now();
         const isDrained = (): boolean => core.isDrained() && this.pendingRequests.size === 0;
--- a/packages/lovagepitch-entry/src/process/entryRegistrar.ts
+++ b/packages/lovagepitch-entry/src/process/entryRegistrar.ts
@@ -26,6 +26,8 @@
     readonly eventLog: EventLog;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Called once the row is durable. */
+    readonly onRegistered: () => void;
 }
 
 /** Registers an entry, renews its row, marks it as left at the end, and removes expired rows of all processes. */
@@ -81,6 +83,7 @@
         );
         if (registered.ok) {
             this.registration.stop();
+            this.dependencies.onRegistered();
             this.renewal.run();
             this.expiry.run();
         }
--- a/packages/lovagepitch-entry/src/process/platformRequests.ts
+++ b/packages/lovagepitch-entry/src/process/platformRequests.ts
@@ -54,12 +54,13 @@
     /**
      * Reads the registry.
      *
-     * @returns a promise that resolves when the core has the registry, or the input that it is unavailable
+     * @returns true when the core has the registry, false when it has the input that it is unavailable
      */
-    public async readRegistry(): Promise<void> {
+    public async readRegistry(): Promise<boolean> {
         const { clients, storeHealth, accept } = this.dependencies;
         const registry = storeHealth.record("readRegistry", await clients.registry.read());
         accept(registry.ok ? { type: "registryRead", registry: registry.val } : { type: "registryUnavailable" });
+        return registry.ok;
     }
 
     /**
--- a/packages/lovagepitch-testing/src/direct/mixedLoad.ts
+++ b/packages/lovagepitch-testing/src/direct/mixedLoad.ts
@@ -211,8 +211,9 @@
             arrivedAt: this.deployment.clock.nowMilliseconds(),
             objectiveMilliseconds: job.allowanceMilliseconds + job.stretch * Math.max(...taskDurations),
         });
-        const isForFirst = this.random.nextFraction() < (this.options.firstEntryShare ?? 0);
-        this.deployment.submit(isForFirst ? 0 : this.random.nextInteger(this.options.entries), job);
+        const { entries, firstEntryShare = 0 } = this.options;
+        const isForFirst = firstEntryShare > 0 && this.random.nextFraction() < firstEntryShare;
+        this.deployment.submit(isForFirst ? 0 : this.random.nextInteger(entries), job);
     }
 
     /** Draws from a log-normal distribution with the given mean. */
