--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -18,6 +18,12 @@
  */
 const viewWaitMilliseconds = 75;
 
+/**
+ * Longest time that a worker without runs may wait before it answers, in milliseconds. The lease of a run that starts
+ * meanwhile lasts beyond the answer.
+ */
+const idleViewWaitMilliseconds = 300;
+
 /** Delay before the next view call after a failed one while the worker may have runs, in milliseconds. */
 const viewRetryDelayMilliseconds = 30;
 
@@ -147,7 +153,7 @@
         epoch: worker.epoch,
         leaseExpiresAt: extendsLease ? Math.floor(state.now + worker.clockOffset + workerLeaseMilliseconds) : undefined,
         acknowledgedEndSequence: worker.acknowledgedEndSequence,
-        waitMilliseconds: extendsLease ? viewWaitMilliseconds : 0,
+        waitMilliseconds: extendsLease ? getViewWaitMilliseconds(state) : 0,
     });
     state.worker = {
         ...worker,
@@ -156,6 +162,10 @@
     };
 }
 
+function getViewWaitMilliseconds(state: AgentState): number {
+    return state.runs.size > 0 ? viewWaitMilliseconds : idleViewWaitMilliseconds;
+}
+
 /**
  * Processes a view of the worker.
  *
