--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -170,6 +170,21 @@
         return subtractResources(this.worker?.report.capacity ?? noResources, this.reserved);
     }
 
+    /**
+     * Lists the entries that have runs or queued orders at this agent.
+     *
+     * @returns incarnations of the entries
+     */
+    public listUsingEntries(): ReadonlySet<string> {
+        const using = new Set<string>();
+        for (const { entry } of [...this.runs.values(), ...this.queuedOrders.values()]) {
+            if (entry !== undefined) {
+                using.add(entry);
+            }
+        }
+        return using;
+    }
+
     /**
      * Adds a run and reserves its resources.
      *
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -3,7 +3,7 @@
  */
 import type { AgentFrame } from "../model/frames.js";
 import { addResources, noResources } from "../model/resources.js";
-import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import { heartbeatIntervalMilliseconds, idleHeartbeatIntervalMilliseconds } from "../model/timing.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
 import type { AgentState, EntryRow } from "./agentState.js";
@@ -18,11 +18,12 @@
  */
 export function sendFrames(state: AgentState, lastSentAt: Map<string, number>): void {
     const worker = describeWorker(state);
+    const using = state.listUsingEntries();
     for (const row of [...state.entries.values()]) {
         const sentAt = row.hasSentFirstFrame ? lastSentAt.get(row.address) ?? 0 : 0;
         const interval = row.hasPendingUpdate
             ? getUpdateIntervalMilliseconds(row.awaitsCapacity)
-            : heartbeatIntervalMilliseconds;
+            : getHeartbeatIntervalMilliseconds(using.has(row.incarnation ?? ""));
         const isDue = row.pendingEnds.length > 0 || isConfigurationDue(state, row) || state.now - sentAt >= interval;
         // Until the entry has sent its first frame, it receives a single frame that identifies the agent.
         const canSend = !row.hasSentFirstFrame || row.includedSequence > 0;
@@ -41,6 +42,10 @@
     }
 }
 
+function getHeartbeatIntervalMilliseconds(hasRuns: boolean): number {
+    return hasRuns ? heartbeatIntervalMilliseconds : idleHeartbeatIntervalMilliseconds;
+}
+
 /** Tells whether the entry has asked for a configuration that the agent has. */
 function isConfigurationDue(state: AgentState, row: EntryRow): boolean {
     return row.wantsConfiguration && (state.configuration?.version ?? 0) > row.configurationVersion;
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -2,7 +2,11 @@
  * The agent's connections to entries, and the frames that it receives from them.
  */
 import { type EntryFrame, formatRunKey } from "../model/frames.js";
-import { entryLeaseMilliseconds } from "../model/timing.js";
+import {
+    entryLeaseMilliseconds,
+    idleSilenceLimitMilliseconds,
+    silenceLimitMilliseconds,
+} from "../model/timing.js";
 import type { AgentState } from "./agentState.js";
 import { inviteEntry, receiveEntryLocations, recordReachable, recordUnreachable } from "./knownEntries.js";
 import { withdrawQueuedOrder } from "./orderQueue.js";
@@ -17,21 +21,19 @@
 /** Time after which an entry counts as failed for long, in milliseconds. */
 const persistentFailureMilliseconds = 3000;
 
-/**
- * A connection without a frame for this long is replaced, in milliseconds. Short enough that a new connection opens
- * before the entry's lease expires.
- */
-const connectionSilenceLimitMilliseconds = 300;
-
 /**
  * Opens connections that are due, and replaces connections without traffic.
  *
  * @param state - state of the agent
  */
 export function connectEntries(state: AgentState): void {
+    const using = state.listUsingEntries();
     for (const row of [...state.entries.values()]) {
-        const isSilent = row.connection !== "closed"
-            && state.now - row.lastActivityAt > connectionSilenceLimitMilliseconds;
+        // A connection that is being opened, or whose runs have a lease, is replaced before the lease expires.
+        const silenceLimit = row.connection === "opening" || using.has(row.incarnation ?? "")
+            ? silenceLimitMilliseconds
+            : idleSilenceLimitMilliseconds;
+        const isSilent = row.connection !== "closed" && state.now - row.lastActivityAt > silenceLimit;
         if (isSilent) {
             recordUnreachable(state, row.address);
         }
--- a/packages/lovagepitch-direct/src/agent/knownEntries.ts
+++ b/packages/lovagepitch-direct/src/agent/knownEntries.ts
@@ -6,7 +6,7 @@
 import type { AgentState, EntryRow } from "./agentState.js";
 
 /** Numbers of entries that an agent connects to. */
-const partnerLimits: PartnerLimits = { ownZone: 4, total: 8 };
+const partnerLimits: PartnerLimits = { ownZone: 3, total: 5 };
 
 /** Largest number of entries that an agent connects to beside its partners. */
 const maximumGuests = 8;
@@ -85,6 +85,7 @@
     const guests = [...state.entries.values()].filter(row => row.role === "guest");
     if (guests.length < maximumGuests) {
         state.entries.set(entry.address, createEntryRow(state, entry.address, "guest"));
+        state.log("info", "invited to an entry that needs capacity", { address: entry.address });
     }
 }
 
@@ -107,8 +108,10 @@
         ...choosePartners(state.identity, known, partnerLimits),
         ...choosePartners(state.identity, reachable, partnerLimits),
     ]);
+    let changes = 0;
     for (const address of partners) {
         const row = state.entries.get(address);
+        changes += row?.role === "partner" ? 0 : 1;
         state.entries.set(
             address,
             row === undefined
@@ -119,8 +122,13 @@
     for (const row of [...state.entries.values()]) {
         if (!partners.has(row.address) && row.role === "partner") {
             state.entries.set(row.address, { ...row, role: "guest", lastUsedAt: state.now });
+            changes += 1;
         }
     }
+    if (changes > 0) {
+        const unreachable = known.length - reachable.length;
+        state.log("info", "partners chosen", { partners: [...partners], known: known.length, unreachable });
+    }
 }
 
 /**
@@ -129,8 +137,9 @@
  * @param state - state of the agent
  */
 export function retireGuests(state: AgentState): void {
+    const using = state.listUsingEntries();
     for (const row of [...state.entries.values()]) {
-        if (row.role !== "guest" || isUsed(state, row)) {
+        if (row.role !== "guest" || using.has(row.incarnation ?? "")) {
             continue;
         }
         if (row.connection === "closed" && row.retryAt > state.now) {
@@ -139,6 +148,7 @@
         else if (row.retiringSince !== undefined && state.now - row.retiringSince >= retirementMilliseconds) {
             state.entries.delete(row.address);
             state.outputs.push({ kind: "disconnect", address: row.address });
+            state.log("info", "connection to entry no longer used", { address: row.address, entry: row.incarnation });
         }
         else if (row.retiringSince === undefined && state.now - row.lastUsedAt >= guestIdleMilliseconds) {
             state.entries.set(row.address, { ...row, retiringSince: state.now, hasPendingUpdate: true });
@@ -146,14 +156,6 @@
     }
 }
 
-function isUsed(state: AgentState, { incarnation }: EntryRow): boolean {
-    if (incarnation === undefined) {
-        return false;
-    }
-    const isOwn = (other: { readonly entry: string | undefined }): boolean => other.entry === incarnation;
-    return [...state.runs.values()].some(isOwn) || [...state.queuedOrders.values()].some(isOwn);
-}
-
 function forgetUnreachableEntries(state: AgentState): void {
     for (const { address, unreachableSince } of [...state.knownEntries.values()]) {
         if (unreachableSince !== undefined && state.now - unreachableSince > forgetDelayMilliseconds) {
--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -2,15 +2,16 @@
  * Frames from agents: free capacity, ended runs, and lost and restored connections.
  */
 import { type AgentFrame, formatRunKey } from "../model/frames.js";
-import { lostAgentTimeoutMilliseconds } from "../model/timing.js";
+import {
+    idleSilenceLimitMilliseconds,
+    lostAgentTimeoutMilliseconds,
+    silenceLimitMilliseconds,
+} from "../model/timing.js";
 import { initialWorkerHealth } from "../policies/workerHealth.js";
 import { receiveConfiguration, recordNamedVersion } from "./configurationRelay.js";
 import type { AgentRow, EntryState, PlacedTask } from "./entryState.js";
 import { receiveRunEnd } from "./runResults.js";
 
-/** An agent without a frame for this long receives no new tasks, in milliseconds; three heartbeats. */
-const agentSilenceLimitMilliseconds = 300;
-
 /**
  * Processes a frame from an agent.
  *
@@ -125,6 +126,7 @@
  * @returns true when it is connected, has sent a frame recently and its worker accepts tasks
  */
 export function canReceiveTasks(state: EntryState, row: AgentRow): boolean {
+    const silenceLimit = row.openRunCount > 0 ? silenceLimitMilliseconds : idleSilenceLimitMilliseconds;
     return row.connection !== undefined && row.worker?.acceptsTasks === true
-        && state.now - row.lastFrameReceivedAt <= agentSilenceLimitMilliseconds;
+        && state.now - row.lastFrameReceivedAt <= silenceLimit;
 }
--- a/packages/lovagepitch-direct/src/entry/capacityRequests.ts
+++ b/packages/lovagepitch-direct/src/entry/capacityRequests.ts
@@ -59,6 +59,7 @@
             state.outputs.push({ kind: "request-capacity", address: other.address, request });
         }
     }
+    state.log("info", "capacity requested", { waitingTasks: state.unplacedTasks, agents, connected: state.agents.size });
 }
 
 function findWaitingJob(state: EntryState): DirectJob | undefined {
@@ -87,10 +88,16 @@
             available !== undefined && fitsInto(request.needs, available) && isEligible(state, row, request)
         )
         .sort((left, right) => (right.available?.milliCores ?? 0) - (left.available?.milliCores ?? 0));
-    for (const { row } of candidates.slice(0, request.agents)) {
+    const invited = candidates.slice(0, request.agents);
+    for (const { row } of invited) {
         state.invitedAt.set(formatInvitationKey(row, request), state.now);
         state.getPendingOrders(row.agent).invitations.push(request.from);
     }
+    state.log("info", "agents invited for another entry", {
+        address: request.from.address,
+        requested: request.agents,
+        invited: invited.length,
+    });
 }
 
 function isEligible(state: EntryState, row: AgentRow, request: CapacityRequest): boolean {
--- a/packages/lovagepitch-direct/src/entry/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/entryFrames.ts
@@ -2,7 +2,7 @@
  * Frames to agents: orders, heartbeats, addresses of entries, invitations, and the configuration if an agent asks for it.
  */
 import type { EntryFrame } from "../model/frames.js";
-import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import { heartbeatIntervalMilliseconds, idleHeartbeatIntervalMilliseconds } from "../model/timing.js";
 import { isConfigurationRequestDue } from "./configurationRelay.js";
 import type { AgentRow, EntryState } from "./entryState.js";
 
@@ -36,13 +36,17 @@
 
 function isFrameDue(state: EntryState, row: AgentRow): boolean {
     return state.pendingOrders.has(row.agent)
-        || state.now - row.lastFrameSentAt >= heartbeatIntervalMilliseconds
+        || state.now - row.lastFrameSentAt >= getHeartbeatIntervalMilliseconds(row)
         || (state.configuration?.version ?? 0) > row.configurationVersion
         || row.wantsConfiguration
         || isConfigurationRequestDue(state, row)
         || (state.unplacedTasks > 0 && !row.knowsOfWaitingTasks);
 }
 
+function getHeartbeatIntervalMilliseconds(row: AgentRow): number {
+    return row.openRunCount > 0 ? heartbeatIntervalMilliseconds : idleHeartbeatIntervalMilliseconds;
+}
+
 function createFrame(state: EntryState, row: AgentRow): EntryFrame {
     const orders = state.pendingOrders.get(row.agent);
     const entries = row.sentEntriesRevision < state.knownEntriesRevision ? [...state.knownEntries.values()] : [];
--- a/packages/lovagepitch-direct/src/model/timing.ts
+++ b/packages/lovagepitch-direct/src/model/timing.ts
@@ -14,9 +14,18 @@
  */
 export const entryLeaseMilliseconds = 500;
 
-/** Longest interval between frames on a connection between agent and entry when there is nothing else to send. */
+/** Longest interval between frames on a connection between agent and entry while the entry has runs at the agent. */
 export const heartbeatIntervalMilliseconds = 100;
 
+/** Longest interval between frames on a connection without runs, where no lease has to be renewed. */
+export const idleHeartbeatIntervalMilliseconds = 250;
+
+/** A peer that has sent no frame for this long while the entry has runs at the agent counts as silent. */
+export const silenceLimitMilliseconds = 300;
+
+/** A peer that has sent no frame for this long on a connection without runs counts as silent. */
+export const idleSilenceLimitMilliseconds = 750;
+
 /** Allowance for the delay between a decision and its effect: timers, queues and the worker's time to stop a run. */
 export const reactionAllowanceMilliseconds = 60;
 
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -232,6 +232,16 @@
         return this.lastReportedFreeMilliCores.get(agent) ?? -1;
     }
 
+    /**
+     * Counts the open connections between entries and agents.
+     *
+     * @param matches - selects connections by index of entry and agent
+     * @returns number of selected connections
+     */
+    public countConnections(matches: (entry: number, agent: number) => boolean): number {
+        return this.linkNetwork.count(matches);
+    }
+
     private createEntryCore(index: number, incarnation: number): EntryCore {
         const identity = {
             incarnation: `entry-${index}-${incarnation}`,
--- a/packages/lovagepitch-testing/src/direct/linkNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/linkNetwork.ts
@@ -80,6 +80,16 @@
         }
     }
 
+    /**
+     * Counts open connections.
+     *
+     * @param matches - selects connections by index of entry and agent
+     * @returns number of selected connections
+     */
+    public count(matches: (entry: number, agent: number) => boolean): number {
+        return [...this.connections.values()].filter(({ entry, agent }) => matches(entry, agent)).length;
+    }
+
     /**
      * Opens a connection from an agent to an entry and closes an earlier one between the two.
      *
