--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -2,11 +2,7 @@
  * The agent's connections to entries, and the frames that it receives from them.
  */
 import { type EntryFrame, formatRunKey } from "../model/frames.js";
-import {
-    entryLeaseMilliseconds,
-    idleSilenceLimitMilliseconds,
-    silenceLimitMilliseconds,
-} from "../model/timing.js";
+import { entryLeaseMilliseconds, idleSilenceLimitMilliseconds, silenceLimitMilliseconds } from "../model/timing.js";
 import type { AgentState } from "./agentState.js";
 import { inviteEntry, receiveEntryLocations, recordReachable, recordUnreachable } from "./knownEntries.js";
 import { withdrawQueuedOrder } from "./orderQueue.js";
--- a/packages/lovagepitch-direct/src/entry/capacityRequests.ts
+++ b/packages/lovagepitch-direct/src/entry/capacityRequests.ts
@@ -59,7 +59,11 @@
             state.outputs.push({ kind: "request-capacity", address: other.address, request });
         }
     }
-    state.log("info", "capacity requested", { waitingTasks: state.unplacedTasks, agents, connected: state.agents.size });
+    state.log("info", "capacity requested", {
+        waitingTasks: state.unplacedTasks,
+        agents,
+        connected: state.agents.size,
+    });
 }
 
 function findWaitingJob(state: EntryState): DirectJob | undefined {
