--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -13,12 +13,13 @@
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import { EventQueue } from "../harness/eventQueue.js";
 import { type CoreHost, createCoreHost } from "./coreHost.js";
-import { defaultJob, testedService } from "./defaultJob.js";
+import { defaultJob } from "./defaultJob.js";
 import { DirectRecord } from "./directRecord.js";
 import { FakeWorker } from "./fakeWorker.js";
 import { getAt } from "./getAt.js";
 import { LinkNetwork } from "./linkNetwork.js";
 import { WorkerPort } from "./workerPort.js";
+import { WorkerReports } from "./workerReports.js";
 
 /** Interval between two reports of a worker. */
 const reportIntervalMilliseconds = 1500;
@@ -55,11 +56,10 @@
         this.deliverInput(host, input);
     });
     private readonly jobs = new Map<string, DirectJob>();
-    private readonly drainEndTimes = new Map<string, number | undefined>();
+    private readonly workerReports = new WorkerReports(this.clock);
     private readonly lastReportedFreeMilliCores = new Map<number, number>();
     private nextRequestId = 1;
     private nextWorkerNumber = 1;
-    private reportSequence = 1;
 
     /**
      * @param options - number of processes, capacity of the workers, task durations and seed
@@ -215,10 +215,7 @@
      * @param remainingMilliseconds - minimum time until the worker stops, in milliseconds; undefined if not reported
      */
     public drainWorker(index: number, remainingMilliseconds?: number): void {
-        const endsAt = remainingMilliseconds === undefined
-            ? undefined
-            : this.clock.nowMilliseconds() + remainingMilliseconds;
-        this.drainEndTimes.set(this.getWorker(index).id, endsAt);
+        this.workerReports.startDraining(this.getWorker(index).id, remainingMilliseconds);
         this.sendWorkerReport(index);
     }
 
@@ -283,24 +280,8 @@
     private sendWorkerReport(index: number): void {
         const worker = this.getWorker(index);
         const host = this.getAgentHost(index);
-        this.reportSequence += 1;
-        const endsAt = this.drainEndTimes.get(worker.id);
         if (host.isRunning && worker.isUp) {
-            this.deliverInput(host, {
-                kind: "worker-reported",
-                report: {
-                    id: worker.id,
-                    service: testedService,
-                    capacity: worker.capacity,
-                    labels: [],
-                    isDraining: this.drainEndTimes.has(worker.id),
-                    drainRemainingMilliseconds: endsAt === undefined
-                        ? undefined
-                        : endsAt - this.clock.nowMilliseconds(),
-                    workerClock: this.clock.nowMilliseconds(),
-                    sequence: this.reportSequence,
-                },
-            });
+            this.deliverInput(host, { kind: "worker-reported", report: this.workerReports.create(worker) });
         }
     }
 
--- /dev/null
+++ b/packages/lovagepitch-testing/src/direct/workerReports.ts
@@ -0,0 +1,53 @@
+/**
+ * Periodic reports of simulated workers to their agents.
+ */
+import type { WorkerReport } from "@lovagepitch/direct/model/workerStatus";
+import type { ManualClock } from "@lovagepitch/utils/clock";
+import { testedService } from "./defaultJob.js";
+import type { FakeWorker } from "./fakeWorker.js";
+
+/** Creates reports and records which workers drain. */
+export class WorkerReports {
+    private readonly drainEndTimes = new Map<string, number | undefined>();
+    private sequence = 1;
+
+    /**
+     * @param clock - clock of the deployment
+     */
+    public constructor(private readonly clock: ManualClock) {}
+
+    /**
+     * Lets a worker report from now on that it is draining.
+     *
+     * @param worker - incarnation of the worker
+     * @param remainingMilliseconds - minimum time until the worker stops, in milliseconds; undefined if not reported
+     */
+    public startDraining(worker: string, remainingMilliseconds: number | undefined): void {
+        this.drainEndTimes.set(
+            worker,
+            remainingMilliseconds === undefined ? undefined : this.clock.nowMilliseconds() + remainingMilliseconds,
+        );
+    }
+
+    /**
+     * Creates the next report of a worker.
+     *
+     * @param worker - worker that reports
+     * @returns the report
+     */
+    public create(worker: FakeWorker): WorkerReport {
+        this.sequence += 1;
+        const now = this.clock.nowMilliseconds();
+        const endsAt = this.drainEndTimes.get(worker.id);
+        return {
+            id: worker.id,
+            service: testedService,
+            capacity: worker.capacity,
+            labels: [],
+            isDraining: this.drainEndTimes.has(worker.id),
+            drainRemainingMilliseconds: endsAt === undefined ? undefined : endsAt - now,
+            workerClock: now,
+            sequence: this.sequence,
+        };
+    }
+}
