--- a/packages/lovagepitch-direct/src/__tests__/partners.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/partners.steps.ts
@@ -3,11 +3,16 @@
 import type { EntryLocation } from "../model/entryLocation.js";
 import { heartbeatIntervalMilliseconds } from "../model/timing.js";
 import { CapacitySearch } from "../policies/capacitySearch.js";
-import { choosePartners, type PartnerChooser } from "../policies/partnerChoice.js";
+import { choosePartners, rankPartner } from "../policies/partnerChoice.js";
 import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
 
 const limits = { ownZone: 3, total: 5 };
 
+interface Agent {
+    readonly instance: string;
+    readonly availabilityZone: string;
+}
+
 let waitingTasks = 0;
 let gainsAgents = false;
 
@@ -18,13 +23,18 @@
     }));
 }
 
-function createAgents(count: number, zones: number): readonly PartnerChooser[] {
+function createAgents(count: number, zones: number): readonly Agent[] {
     return Array.from({ length: count }, (_, index) => ({
         instance: `agent-${index}`,
         availabilityZone: `zone-${index % zones}`,
     }));
 }
 
+function choose(agent: Agent, entries: readonly EntryLocation[]): readonly string[] {
+    const ranked = entries.map(entry => ({ ...entry, rank: rankPartner(agent.instance, entry.address) }));
+    return choosePartners(agent.availabilityZone, ranked, limits);
+}
+
 /** Lists the instants at which requests are made, in milliseconds, and the number of agents of each. */
 function listRequests(untilMilliseconds: number): readonly { readonly at: number; readonly agents: number }[] {
     const search = new CapacitySearch();
@@ -46,7 +56,7 @@
     (agents: number, zones: number, count: number) => {
         const entries = createEntries(count, zones);
         for (const agent of createAgents(agents, zones)) {
-            assert.deepEqual(choosePartners(agent, entries, limits), entries.map(entry => entry.address));
+            assert.deepEqual(choose(agent, entries), entries.map(entry => entry.address));
         }
     },
 );
@@ -56,7 +66,7 @@
     (agents: number, zones: number, chosen: number, count: number, ownZone: number) => {
         const entries = createEntries(count, zones);
         for (const agent of createAgents(agents, zones)) {
-            const partners = new Set(choosePartners(agent, entries, limits));
+            const partners = new Set(choose(agent, entries));
             const own = entries.filter(entry =>
                 partners.has(entry.address) && entry.availabilityZone === agent.availabilityZone
             );
@@ -70,7 +80,7 @@
     "with {int} agents and {int} entries in {int} zones each entry is chosen by {int} to {int} agents",
     (agents: number, count: number, zones: number, minimum: number, maximum: number) => {
         const entries = createEntries(count, zones);
-        const choices = createAgents(agents, zones).flatMap(agent => choosePartners(agent, entries, limits));
+        const choices = createAgents(agents, zones).flatMap(agent => choose(agent, entries));
         for (const { address } of entries) {
             const choosing = choices.filter(choice => choice === address).length;
             assert.ok(choosing >= minimum && choosing <= maximum, `${address} is chosen by ${choosing} agents`);
@@ -84,8 +94,8 @@
         const entries = createEntries(count, 5);
         const [gone, ...rest] = entries;
         for (const agent of createAgents(160, 5)) {
-            const before = choosePartners(agent, entries, limits);
-            const after = new Set(choosePartners(agent, rest, limits));
+            const before = choose(agent, entries);
+            const after = new Set(choose(agent, rest));
             const lost = before.filter(address => !after.has(address));
             assert.deepEqual(lost, before.includes(gone?.address ?? "") ? [gone?.address] : []);
         }
@@ -94,7 +104,7 @@
 
 Then("an agent in a zone without entries chooses {int} of {int} entries", (chosen: number, count: number) => {
     const agent = { instance: "agent-0", availabilityZone: "zone-without-entries" };
-    assert.equal(new Set(choosePartners(agent, createEntries(count, 5), limits)).size, chosen);
+    assert.equal(new Set(choose(agent, createEntries(count, 5))).size, chosen);
 });
 
 When("{int} tasks wait from 0 ms on", (tasks: number) => {
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -4,10 +4,10 @@
 import type { Clock } from "@lovagepitch/utils/clock";
 import { Table } from "@lovagepitch/utils/table";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
-import type { EntryLocation } from "../model/entryLocation.js";
 import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
 import { addResources, noResources, type Resources, subtractResources } from "../model/resources.js";
 import type { WorkerReport } from "../model/workerStatus.js";
+import type { PartnerCandidate } from "../policies/partnerChoice.js";
 import { initialWorkerHealth, type WorkerHealth } from "../policies/workerHealth.js";
 import type { AgentOutput } from "./agentPorts.js";
 
@@ -53,7 +53,7 @@
 }
 
 /** An entry of the deployment, whether or not the agent is connected to it. */
-export interface KnownEntry extends EntryLocation {
+export interface KnownEntry extends PartnerCandidate {
     /** Since when connections to it have failed or been silent; undefined while there is no sign of that. */
     readonly unreachableSince: number | undefined;
 }
--- a/packages/lovagepitch-direct/src/agent/entryLeases.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLeases.ts
@@ -12,6 +12,9 @@
  * @param state - state of the agent
  */
 export function stopOrphanedRuns(state: AgentState): void {
+    if (state.runs.size === 0 && state.queuedOrders.size === 0) {
+        return;
+    }
     const leaseRenewedAt = new Map<string, number>();
     for (const row of state.entries.values()) {
         if (row.incarnation !== undefined) {
--- a/packages/lovagepitch-direct/src/agent/knownEntries.ts
+++ b/packages/lovagepitch-direct/src/agent/knownEntries.ts
@@ -2,7 +2,7 @@
  * Entries that the agent knows, and the choice of those that it connects to.
  */
 import type { EntryLocation } from "../model/entryLocation.js";
-import { choosePartners, type PartnerLimits } from "../policies/partnerChoice.js";
+import { choosePartners, type PartnerLimits, rankPartner } from "../policies/partnerChoice.js";
 import type { AgentState, EntryRow } from "./agentState.js";
 
 /** Numbers of entries that an agent connects to. */
@@ -36,7 +36,8 @@
     for (const { address, availabilityZone } of entries) {
         const known = state.knownEntries.get(address);
         if (known === undefined || (availabilityZone !== undefined && known.availabilityZone !== availabilityZone)) {
-            state.knownEntries.set(address, { unreachableSince: undefined, ...known, address, availabilityZone });
+            const rank = known?.rank ?? rankPartner(state.identity.instance, address);
+            state.knownEntries.set(address, { unreachableSince: undefined, ...known, address, availabilityZone, rank });
             state.nextPartnerChoiceAt = state.now;
         }
     }
@@ -105,8 +106,8 @@
         unreachableSince === undefined || state.now - unreachableSince < substitutionDelayMilliseconds
     );
     const partners = new Set([
-        ...choosePartners(state.identity, known, partnerLimits),
-        ...choosePartners(state.identity, reachable, partnerLimits),
+        ...choosePartners(state.identity.availabilityZone, known, partnerLimits),
+        ...choosePartners(state.identity.availabilityZone, reachable, partnerLimits),
     ]);
     let changes = 0;
     for (const address of partners) {
--- a/packages/lovagepitch-direct/src/policies/partnerChoice.ts
+++ b/packages/lovagepitch-direct/src/policies/partnerChoice.ts
@@ -14,38 +14,42 @@
     readonly total: number;
 }
 
-/** Instance that chooses its partners. */
-export interface PartnerChooser {
-    /** Name of the instance; the choice is the same after a restart. */
-    readonly instance: string;
-    readonly availabilityZone: string;
+/** An entry and its position among the candidates of one agent. */
+export interface PartnerCandidate extends EntryLocation {
+    /** Result of `rankPartner`; entries with higher ranks are preferred. */
+    readonly rank: number;
 }
 
 /**
  * Chooses the entries that an agent connects to.
  *
- * @param agent - instance and availability zone of the agent
+ * @param availabilityZone - availability zone of the agent
  * @param entries - entries to choose from
  * @param limits - largest numbers of entries
  * @returns addresses of the chosen entries; all of them when there are no more than the total limit
  */
 export function choosePartners(
-    agent: PartnerChooser,
-    entries: readonly EntryLocation[],
+    availabilityZone: string,
+    entries: readonly PartnerCandidate[],
     limits: PartnerLimits,
 ): readonly string[] {
     if (entries.length <= limits.total) {
         return entries.map(entry => entry.address);
     }
-    const ranked = entries
-        .map(entry => ({ ...entry, rank: computeRank(agent.instance, entry.address) }))
-        .sort((left, right) => right.rank - left.rank);
-    const own = ranked.filter(entry => entry.availabilityZone === agent.availabilityZone);
-    const others = ranked.filter(entry => entry.availabilityZone !== agent.availabilityZone);
+    const ranked = [...entries].sort((left, right) => right.rank - left.rank);
+    const own = ranked.filter(entry => entry.availabilityZone === availabilityZone);
+    const others = ranked.filter(entry => entry.availabilityZone !== availabilityZone);
     const ownChosen = own.slice(0, Math.max(limits.ownZone, limits.total - others.length));
     return [...ownChosen, ...others.slice(0, limits.total - ownChosen.length)].map(entry => entry.address);
 }
 
-function computeRank(instance: string, address: string): number {
+/**
+ * Computes the rank of an entry for an agent.
+ *
+ * @param instance - name of the agent's instance; the rank is the same after a restart
+ * @param address - host and port of the entry
+ * @returns an evenly distributed integer
+ */
+export function rankPartner(instance: string, address: string): number {
     return createHash("sha256").update(`${instance} ${address}`).digest().readUInt32BE(0);
 }
