--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -24,10 +24,7 @@
 } from "./workerViews.js";
 
 /** Longest time between ticks, in milliseconds; bounds the delay until silence, stalls and due resends are detected. */
-const maximumTickIntervalMilliseconds = heartbeatIntervalMilliseconds / 4;
-
-/** Longest time between ticks without runs and orders, in milliseconds. */
-const idleTickIntervalMilliseconds = heartbeatIntervalMilliseconds / 2;
+const maximumTickIntervalMilliseconds = heartbeatIntervalMilliseconds / 2;
 
 /** Longest time between ticks while orders are queued, in milliseconds; a small part of the time that they may wait. */
 const queueCheckIntervalMilliseconds = 6;
@@ -80,13 +77,7 @@
         if (state.hasStopped) {
             return undefined;
         }
-        let interval = idleTickIntervalMilliseconds;
-        if (state.queuedOrders.size > 0) {
-            interval = queueCheckIntervalMilliseconds;
-        }
-        else if (state.runs.size > 0) {
-            interval = maximumTickIntervalMilliseconds;
-        }
+        let interval = state.queuedOrders.size > 0 ? queueCheckIntervalMilliseconds : maximumTickIntervalMilliseconds;
         for (const row of state.entries.values()) {
             if (row.connection === "open" && row.hasPendingUpdate) {
                 interval = Math.min(interval, getUpdateIntervalMilliseconds(row.awaitsCapacity));
