feat(direct): ask one entry at a time for a configuration; tests of versions in a fleet

Cause: the agent asked every entry with a newer version at once; each answer may be hundreds of kilobytes. Seen: a version that one of 12 entries cannot read reaches it within 1.5 s with at most 4 documents; versions that all read are not sent at all.

--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -139,6 +139,7 @@
     public configuration: DispatchConfiguration | undefined;
     /** Newest version that an entry has named. */
     public configurationVersion = 0;
+    public configurationRequestedAt = Number.NEGATIVE_INFINITY;
     public isShuttingDown = false;
     public hasStopped = false;
     public nextCall = 1;
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -7,6 +7,7 @@
 import type { WorkerStatus } from "../model/workerStatus.js";
 import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
 import type { AgentState, EntryRow } from "./agentState.js";
+import { findConfigurationSource } from "./configurationSource.js";
 import { acceptsTasks } from "./runOrders.js";
 
 /**
@@ -19,19 +20,25 @@
 export function sendFrames(state: AgentState, lastSentAt: Map<string, number>): void {
     const worker = describeWorker(state);
     const using = state.listUsingEntries();
+    const configurationSource = findConfigurationSource(state);
     for (const row of [...state.entries.values()]) {
         const sentAt = row.hasSentFirstFrame ? lastSentAt.get(row.address) ?? 0 : 0;
         const interval = row.hasPendingUpdate
             ? getUpdateIntervalMilliseconds(row.awaitsCapacity)
             : getHeartbeatIntervalMilliseconds(using.has(row.incarnation ?? ""));
-        const isDue = row.pendingEnds.length > 0 || isConfigurationDue(state, row) || state.now - sentAt >= interval;
+        const isSource = row.address === configurationSource;
+        const isDue = row.pendingEnds.length > 0 || isConfigurationDue(state, row) || isSource
+            || state.now - sentAt >= interval;
         // Until the entry has sent its first frame, it receives a single frame that identifies the agent.
         const canSend = !row.hasSentFirstFrame || row.includedSequence > 0;
         if (row.connection !== "open" || !isDue || !canSend) {
             continue;
         }
         lastSentAt.set(row.address, state.now);
-        state.outputs.push({ kind: "frame", address: row.address, frame: createFrame(state, row, worker) });
+        if (isSource) {
+            state.configurationRequestedAt = state.now;
+        }
+        state.outputs.push({ kind: "frame", address: row.address, frame: createFrame(state, row, worker, isSource) });
         state.entries.set(row.address, {
             ...row,
             hasSentFirstFrame: true,
@@ -51,7 +58,12 @@
     return row.wantsConfiguration && (state.configuration?.version ?? 0) > row.configurationVersion;
 }
 
-function createFrame(state: AgentState, row: EntryRow, worker: WorkerStatus | undefined): AgentFrame {
+function createFrame(
+    state: AgentState,
+    row: EntryRow,
+    worker: WorkerStatus | undefined,
+    isConfigurationRequested: boolean,
+): AgentFrame {
     const { identity, configuration } = state;
     const isRetiring = row.retiringSince !== undefined;
     return {
@@ -66,24 +78,11 @@
         configuration: {
             version: state.configurationVersion,
             configuration: isConfigurationDue(state, row) ? configuration : undefined,
-            isRequested: isConfigurationNeededFrom(state, row),
+            isRequested: isConfigurationRequested,
         },
     };
 }
 
-/** Tells whether the entry has a configuration that another entry has asked for. */
-function isConfigurationNeededFrom(state: AgentState, row: EntryRow): boolean {
-    if (row.configurationVersion <= (state.configuration?.version ?? 0)) {
-        return false;
-    }
-    for (const other of state.entries.values()) {
-        if (other.wantsConfiguration && other.configurationVersion < row.configurationVersion) {
-            return true;
-        }
-    }
-    return false;
-}
-
 function describeWorker(state: AgentState): WorkerStatus | undefined {
     const { worker } = state;
     if (worker === undefined) {
--- a/packages/lovagepitch-testing/src/__tests__/direct/directFleets.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directFleets.feature
@@ -19,3 +19,18 @@
         And 1500 ms pass in the fleet
         Then every other entry has at least 13 agents
         And the guarantees hold in the fleet
+
+    Scenario: A version that one entry cannot read from the store reaches it through agents, without a burst
+        Given 12 entries and 40 workers in 4 zones in a fleet
+        When all entries of the fleet read version 2 of the configuration
+        And all entries of the fleet but one read version 3 of the configuration
+        And 1500 ms pass in the fleet
+        Then every entry of the fleet has version 3
+        And at most 4 configurations were sent in the fleet
+
+    Scenario: Versions that every entry reads from the store are not sent between processes
+        Given 12 entries and 40 workers in 4 zones in a fleet
+        When all entries of the fleet read version 2 of the configuration
+        And 1500 ms pass in the fleet
+        Then every entry of the fleet has version 2
+        And at most 0 configurations were sent in the fleet
--- a/packages/lovagepitch-testing/src/__tests__/direct/directFleets.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directFleets.steps.ts
@@ -1,28 +1,38 @@
-import { Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { DirectDeployment } from "../../direct/directDeployment.js";
+import { DirectDeployment } from "../../direct/directDeployment.js";
 import { defaultJobKinds, type KindResult, MixedLoad } from "../../direct/mixedLoad.js";
 
+const fleetEntries = 12;
+const callerLimits = {
+    maximumHeaderBytes: 16_384,
+    maximumBodyBytes: 20_000,
+    headerTimeoutMilliseconds: 3000,
+    idleTimeoutMilliseconds: 15_000,
+};
+
 let mixedLoad: MixedLoad | undefined;
+let fleet: DirectDeployment | undefined;
 
 function getDeployment(): DirectDeployment {
-    assert.ok(mixedLoad, "no load was run");
-    return mixedLoad.deployment;
+    assert.ok(fleet, "no fleet was started");
+    return fleet;
 }
 
 When(
     /^(\d+) entries and (\d+) workers in (\d+) zones receive ([\d.]+) times the default job mix for (\d+) s(, half of it at one entry)?$/,
-    (entries: string, workers: string, zones: string, factor: string, seconds: string, skewed: string | undefined) => {
+    (entries: string, workers: string, zones: string, factor: string, seconds: string, skewed: string | null) => {
         mixedLoad = new MixedLoad({
             entries: Number(entries),
             workers: Number(workers),
             zones: Number(zones),
-            firstEntryShare: skewed === undefined ? 0 : 0.5,
+            firstEntryShare: skewed === null ? 0 : 0.5,
             rateFactor: Number(factor) * Number(workers) / 11,
             durationSeconds: Number(seconds),
             seed: 1,
         });
         mixedLoad.run();
+        fleet = mixedLoad.deployment;
     },
 );
 
@@ -47,18 +57,53 @@
 
 Then("no agent is connected to more than {int} entries", (maximum: number) => {
     for (const index of getDeployment().workers.keys()) {
-        const count = getDeployment().countConnections((_, agent) => agent === index);
+        const count = getDeployment().linkNetwork.count((_, agent) => agent === index);
         assert.ok(count > 0 && count <= maximum, `agent ${index} has ${count} connections`);
     }
 });
 
 Then("every other entry has at least {int} agents", (minimum: number) => {
     for (let index = 4; index < 12; index += 1) {
-        const count = getDeployment().countConnections(entry => entry === index);
+        const count = getDeployment().linkNetwork.count(entry => entry === index);
         assert.ok(count >= minimum, `entry ${index} has ${count} connections`);
     }
 });
 
+Given(
+    "{int} entries and {int} workers in {int} zones in a fleet",
+    (entries: number, workers: number, zones: number) => {
+        fleet = new DirectDeployment({
+            entries,
+            workers,
+            zones,
+            milliCores: 16_000,
+            seed: 1,
+            getTaskDurationMilliseconds: () => 100,
+        });
+    },
+);
+
+When(
+    /^all entries of the fleet( but one)? read version (\d+) of the configuration$/,
+    // Cucumber passes null for a group that did not match.
+    (exception: string | null, version: string) => {
+        for (let entry = exception === null ? 0 : 1; entry < fleetEntries; entry += 1) {
+            getDeployment().configure(entry, { version: Number(version), routes: [], callerLimits });
+        }
+    },
+);
+
+Then("every entry of the fleet has version {int}", (version: number) => {
+    for (let entry = 0; entry < fleetEntries; entry += 1) {
+        assert.equal(getDeployment().getConfigurationVersion(entry), version, `entry ${entry}`);
+    }
+});
+
+Then("at most {int} configurations were sent in the fleet", (maximum: number) => {
+    const { configurationCount } = getDeployment().linkNetwork;
+    assert.ok(configurationCount <= maximum, `${configurationCount} configurations`);
+});
+
 When("{int} ms pass in the fleet", (milliseconds: number) => {
     getDeployment().advance(milliseconds);
 });
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -7,6 +7,7 @@
 import { EntryCore } from "@lovagepitch/direct/entry/entryCore";
 import type { EntryInput, EntryOutput } from "@lovagepitch/direct/entry/entryPorts";
 import type { DirectJob } from "@lovagepitch/direct/model/directJob";
+import type { DispatchConfiguration } from "@lovagepitch/direct/model/dispatchConfiguration";
 import type { EntryLocation } from "@lovagepitch/direct/model/entryLocation";
 import type { RunIdentity } from "@lovagepitch/direct/model/frames";
 import { ManualClock } from "@lovagepitch/utils/clock";
@@ -45,14 +46,12 @@
     public readonly record = new DirectRecord(this.clock);
     public readonly queue = new EventQueue(this.clock);
     public readonly workers: FakeWorker[] = [];
-    /** Frames that entries and agents have sent. */
-    public frameCount = 0;
     private readonly entries: CoreHost<EntryInput, EntryOutput>[] = [];
     private readonly agents: CoreHost<AgentInput, AgentOutput>[] = [];
     private readonly workerPort = new WorkerPort(this.clock, this.queue, this.workers, this.agents, (host, input) => {
         this.deliverInput(host, input);
     });
-    private readonly linkNetwork = new LinkNetwork(this.clock, this.queue, this.entries, this.agents, (host, input) => {
+    public readonly linkNetwork = new LinkNetwork(this.clock, this.queue, this.entries, this.agents, (host, input) => {
         this.deliverInput(host, input);
     });
     private readonly jobs = new Map<string, DirectJob>();
@@ -230,13 +229,23 @@
     }
 
     /**
-     * Counts the open connections between entries and agents.
+     * Lets an entry read a configuration from the store.
      *
-     * @param matches - selects connections by index of entry and agent
-     * @returns number of selected connections
+     * @param entry - index of the entry
+     * @param configuration - configuration that it reads
      */
-    public countConnections(matches: (entry: number, agent: number) => boolean): number {
-        return this.linkNetwork.count(matches);
+    public configure(entry: number, configuration: DispatchConfiguration): void {
+        this.deliverInput(this.getEntryHost(entry), { kind: "configured", configuration, source: "store" });
+    }
+
+    /**
+     * Gets the configuration version that an entry has in force.
+     *
+     * @param entry - index of the entry
+     * @returns the version; 0 without a configuration
+     */
+    public getConfigurationVersion(entry: number): number {
+        return (this.getEntryHost(entry).core as EntryCore).configuration?.version ?? 0;
     }
 
     private createEntryCore(index: number, incarnation: number): EntryCore {
@@ -333,7 +342,6 @@
             this.record.recordAnswer(entry, output.job, output.answer, taskCount);
         }
         else if (output.kind === "frame") {
-            this.frameCount += 1;
             this.linkNetwork.sendToAgent(output.connection, output.frame);
         }
         else if (output.kind === "request-capacity") {
@@ -352,32 +360,12 @@
                 return;
             case "frame": {
                 this.lastReportedFreeMilliCores.set(agent, output.frame.worker?.free.milliCores ?? -1);
-                this.frameCount += 1;
                 this.linkNetwork.sendToEntry(agent, Number(output.address), output.frame);
                 return;
             }
-            case "start": {
-                const { order } = output;
-                const run = { job: order.job, task: order.task, run: order.run };
-                this.workerPort.sendOrder(
-                    agent,
-                    output.worker,
-                    worker => worker.start(order, output.epoch, output.latestStart),
-                    outcome => {
-                        return { kind: "start-answered", worker: output.worker, run, outcome };
-                    },
-                );
-                return;
-            }
+            case "start":
             case "stop":
-                this.workerPort.sendOrder(
-                    agent,
-                    output.worker,
-                    worker => worker.stop(output.run, output.epoch),
-                    outcome => {
-                        return { kind: "stop-answered", worker: output.worker, run: output.run, outcome };
-                    },
-                );
+                this.workerPort.perform(agent, output);
                 return;
             case "view":
                 this.workerPort.requestView(agent, output.call, output);
--- a/packages/lovagepitch-testing/src/direct/linkNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/linkNetwork.ts
@@ -26,6 +26,10 @@
 
 /** Connections that agents have opened to entries. */
 export class LinkNetwork {
+    /** Frames that entries and agents have sent. */
+    public frameCount = 0;
+    /** Those of them that carried a configuration. */
+    public configurationCount = 0;
     private readonly connections = new Map<number, Connection>();
     /** Open connections by entry and agent. */
     private readonly connectionsByEnds = new Map<string, Connection>();
@@ -53,6 +57,7 @@
      * @param frame - frame to send
      */
     public sendToAgent(connectionNumber: number, frame: EntryFrame): void {
+        this.countFrame(frame);
         const connection = this.connections.get(connectionNumber);
         this.scheduleDelivery(connection, () => this.deliverToAgent(connection, frame));
     }
@@ -65,6 +70,7 @@
      * @param frame - frame to send
      */
     public sendToEntry(agent: number, entry: number, frame: AgentFrame): void {
+        this.countFrame(frame);
         const connection = this.connectionsByEnds.get(formatEnds(entry, agent));
         this.scheduleDelivery(connection, () => this.deliverToEntry(connection, frame));
     }
@@ -169,6 +175,11 @@
         });
     }
 
+    private countFrame({ configuration }: AgentFrame | EntryFrame): void {
+        this.frameCount += 1;
+        this.configurationCount += configuration.configuration === undefined ? 0 : 1;
+    }
+
     private scheduleDelivery(connection: Connection | undefined, onArrival: () => void): void {
         if (connection !== undefined && connection.isOpen && !connection.isSilent) {
             this.scheduleAfterLatency(() => {
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -32,6 +32,34 @@
         private readonly deliverInput: (host: CoreHost<AgentInput, AgentOutput>, input: AgentInput) => void,
     ) {}
 
+    /**
+     * Sends an agent's start or stop order to its worker.
+     *
+     * @param agent - index of the agent
+     * @param output - order of the agent's core
+     */
+    public perform(agent: number, output: AgentOutput & { readonly kind: "start" | "stop" }): void {
+        if (output.kind === "start") {
+            const { order, worker } = output;
+            const run = { job: order.job, task: order.task, run: order.run };
+            this.sendOrder(
+                agent,
+                worker,
+                target => target.start(order, output.epoch, output.latestStart),
+                outcome => ({ kind: "start-answered", worker, run, outcome }),
+            );
+        }
+        else {
+            const { run, worker } = output;
+            this.sendOrder(
+                agent,
+                worker,
+                target => target.stop(run, output.epoch),
+                outcome => ({ kind: "stop-answered", worker, run, outcome }),
+            );
+        }
+    }
+
     /**
      * Sends an order to a worker.
      *
@@ -40,7 +68,7 @@
      * @param execute - executes the order at the worker
      * @param createInput - converts the outcome to an input of the agent
      */
-    public sendOrder(
+    private sendOrder(
         agent: number,
         workerId: string,
         execute: (
