--- a/packages/lovagepitch-testing/src/__tests__/direct/directFleets.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directFleets.feature
@@ -34,3 +34,9 @@
         And 1500 ms pass in the fleet
         Then every entry of the fleet has version 2
         And at most 0 configurations were sent in the fleet
+
+    Scenario: Agents leave an entry that no longer needs their capacity
+        When 12 entries and 40 workers in 4 zones receive 0.6 times the default job mix for 2 s, half of it at one entry
+        Then an entry of the fleet has asked others for capacity
+        And no agent is connected to more than 5 entries
+        And the guarantees hold in the fleet
--- a/packages/lovagepitch-testing/src/__tests__/direct/directFleets.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directFleets.steps.ts
@@ -62,6 +62,10 @@
     }
 });
 
+Then("an entry of the fleet has asked others for capacity", () => {
+    assert.ok(getDeployment().linkNetwork.requestCount > 0);
+});
+
 Then("every other entry has at least {int} agents", (minimum: number) => {
     for (let index = 4; index < 12; index += 1) {
         const count = getDeployment().linkNetwork.count(entry => entry === index);
--- a/packages/lovagepitch-testing/src/direct/linkNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/linkNetwork.ts
@@ -30,6 +30,8 @@
     public frameCount = 0;
     /** Those of them that carried a configuration. */
     public configurationCount = 0;
+    /** Requests for capacity that entries have sent. */
+    public requestCount = 0;
     private readonly connections = new Map<number, Connection>();
     /** Open connections by entry and agent. */
     private readonly connectionsByEnds = new Map<string, Connection>();
@@ -147,6 +149,7 @@
      * @param request - request to send
      */
     public sendRequest(from: number, to: number, request: CapacityRequest): void {
+        this.requestCount += 1;
         const isLost = (entry: number): boolean => getAt(this.entries, entry).isPartitioned;
         if (!isLost(from) && !isLost(to)) {
             this.scheduleAfterLatency(() =>
