perf(utils): write the log lines of one turn of the event loop together

Ruled out: a longer buffer, since a killed process would lose its last lines. Change: JsonEventLog collects lines until the end of the turn, and writes them with one call; the rest at exit.

--- a/packages/lovagepitch-utils/src/logger.ts
+++ b/packages/lovagepitch-utils/src/logger.ts
@@ -32,6 +32,7 @@
 /** Log in JSON lines, written by tslog. */
 export class JsonEventLog extends EventLog {
     private readonly logger: Logger<unknown>;
+    private pendingLines: string[] = [];
 
     /**
      * @param name - name of the process
@@ -44,8 +45,12 @@
             type: "json",
             minLevel: severityLevels[level],
             hideLogPositionForProduction: true,
-            overwrite: { addMeta: (line, _levelId, levelName) => createLine(name, line as object, levelName) },
+            overwrite: {
+                addMeta: (line, _levelId, levelName) => createLine(name, line as object, levelName),
+                transportJSON: line => this.writeLater(JSON.stringify(line)),
+            },
         });
+        process.on("exit", () => this.flush());
     }
 
     /** {@inheritDoc EventLog.logDecision} */
@@ -61,6 +66,21 @@
     ): void {
         this.logger[level]({ event: message, ...fields });
     }
+
+    /** Writes the lines of one turn of the event loop together. */
+    private writeLater(line: string): void {
+        if (this.pendingLines.length === 0) {
+            setImmediate(() => this.flush());
+        }
+        this.pendingLines.push(line);
+    }
+
+    private flush(): void {
+        if (this.pendingLines.length > 0) {
+            process.stdout.write(this.pendingLines.join("\n") + "\n");
+            this.pendingLines = [];
+        }
+    }
 }
 
 /** Creates a line with time, level and process first and the fields of the event after them, at the same depth. */
