fix(direct): keep requests for a configuration until they are answered

Cause: found in reading: a heartbeat between a request for a configuration and its answer cleared the request. Change: an agent keeps it until the entry names the newest version, an entry until it has sent the document. The end of a connection without runs is logged as information. Seen: direct features pass; the loss itself has no scenario of its own.

--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -116,7 +116,8 @@
         lastActivityAt: state.now,
         includedSequence: frame.sequence,
         configurationVersion: frame.configuration.version,
-        wantsConfiguration: frame.configuration.isRequested ?? false,
+        wantsConfiguration: (row.wantsConfiguration || frame.configuration.isRequested === true)
+            && frame.configuration.version < state.configurationVersion,
         awaitsCapacity: frame.awaitsCapacity ?? false,
         hasPendingUpdate: row.hasPendingUpdate || frame.starts.length > 0,
         lastUsedAt: frame.starts.length > 0 ? state.now : row.lastUsedAt,
--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -43,7 +43,7 @@
             : previous?.unacknowledgedStarts.filter(start => start.sequence > frame.includedSequence) ?? [],
         health: previous?.health ?? initialWorkerHealth,
         configurationVersion: frame.configuration.version,
-        wantsConfiguration: frame.configuration.isRequested ?? false,
+        wantsConfiguration: previous?.wantsConfiguration === true || frame.configuration.isRequested === true,
         sentEntriesRevision: isFirstFrame ? 0 : previous?.sentEntriesRevision ?? 0,
         knowsOfWaitingTasks: !isFirstFrame && previous?.knowsOfWaitingTasks === true,
         lastFrameSentAt: isFirstFrame
@@ -101,7 +101,8 @@
         }
         state.agents.delete(row.agent);
         state.pendingOrders.delete(row.agent);
-        state.log("warn", "unresponsive agent removed", {
+        const hasLeft = row.connection === undefined && row.openRunCount === 0;
+        state.log(hasLeft ? "info" : "warn", hasLeft ? "agent that has left removed" : "unresponsive agent removed", {
             agent: row.agent,
             instance: row.instance,
             silence: Math.round(silence),
--- a/packages/lovagepitch-direct/src/entry/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/entryFrames.ts
@@ -7,7 +7,7 @@
 import type { AgentRow, EntryState } from "./entryState.js";
 
 /**
- * Sends each agent its pending orders, a newer configuration, or a heartbeat when one is due.
+ * Sends each agent its pending orders, the number of a newer configuration, or a heartbeat when one is due.
  *
  * @param state - state of the entry
  */
