perf(direct): agents that know entries read the directory every 10 s

Ruled out: no reading at all, since an agent that has lost all entries needs it. Change: an agent reads every 2 s until it has found an entry, then every 10 s. Seen: two scenarios of the directory; the first fails with an interval of 2 s.

--- a/packages/lovagepitch-direct/src/__tests__/entryDirectory.feature
+++ b/packages/lovagepitch-direct/src/__tests__/entryDirectory.feature
@@ -9,3 +9,9 @@
 
     Scenario: Reads triggered by the writes of other entries cause no further writes
         Then 12 entries that start together make at most 400 calls within 1000 ms
+
+    Scenario: An agent that has found entries reads rarely, because entries tell it of changes
+        Then an agent that finds an entry makes at most 1 call within 2500 ms
+
+    Scenario: An agent that has found no entry goes on reading
+        Then an agent that finds no entry makes at least 2 calls within 2500 ms
--- a/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
@@ -87,3 +87,21 @@
 Then("the directory made at most {int} calls in that time", (maximumCalls: number) => {
     assert.ok(rows.calls <= maximumCalls, `${rows.calls} calls`);
 });
+
+Then(
+    /^an agent that finds (an|no) entry makes at (most|least) (\d+) calls? within (\d+) ms$/,
+    async (found: string, comparison: string, limit: string, milliseconds: string) => {
+        rows = new MemoryRows();
+        if (found === "an") {
+            await rows.write("lovagepitch-entries", otherAddress, { address: otherAddress, writtenAt: 1000 });
+            rows.calls = 0;
+        }
+        const reachability = new StoreReachability({ write: () => undefined });
+        void new EntryDirectory(rows, new MonotonicClock(), reachability, () => undefined).run(undefined);
+        await delay(Number(milliseconds));
+        assert.ok(
+            comparison === "most" ? rows.calls <= Number(limit) : rows.calls >= Number(limit),
+            `${rows.calls} calls`,
+        );
+    },
+);
--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -17,6 +17,12 @@
  */
 const readIntervalMilliseconds = 2000;
 
+/**
+ * Interval between two reads of a process that is not an entry and knows some, in milliseconds. Entries tell it of
+ * changes; it reads again in case it has lost all of them.
+ */
+const followerReadIntervalMilliseconds = 10_000;
+
 /** Delay after a failed call, in milliseconds. */
 const retryDelayMilliseconds = 300;
 
@@ -30,6 +36,7 @@
 export class EntryDirectory {
     private storeMilliseconds: number | undefined;
     private version = 0;
+    private hasFoundEntries = false;
 
     /**
      * @param rows - rows of the store
@@ -59,7 +66,7 @@
             if (isRead && isWritten) {
                 // Writes follow the clock and not the reads, because each write makes every entry read again.
                 nextWriteAt = isDue ? this.clock.nowMilliseconds() + writeIntervalMilliseconds : nextWriteAt;
-                await (own === undefined ? delay(readIntervalMilliseconds) : this.waitForChange());
+                await (own === undefined ? delay(this.getFollowerDelayMilliseconds()) : this.waitForChange());
             }
             else {
                 await delay(retryDelayMilliseconds);
@@ -76,10 +83,16 @@
         this.reachability.recordOutcome(true, "the entries' addresses were read");
         this.storeMilliseconds = result.val.storeMilliseconds;
         this.version = result.val.version;
-        this.onEntries(listEntries(result.val));
+        const entries = listEntries(result.val);
+        this.hasFoundEntries = entries.length > 0;
+        this.onEntries(entries);
         return true;
     }
 
+    private getFollowerDelayMilliseconds(): number {
+        return this.hasFoundEntries ? followerReadIntervalMilliseconds : readIntervalMilliseconds;
+    }
+
     private async waitForChange(): Promise<void> {
         const result = await this.rows.watch(entriesTable, this.version, readIntervalMilliseconds);
         if (result.err) {
