--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -10,7 +10,7 @@
 import { sendFrames } from "./entryFrames.js";
 import { stopOrphanedRuns } from "./entryLeases.js";
 import { connectEntries, receiveConnected, receiveDisconnected, receiveEntryFrame } from "./entryLinks.js";
-import { receiveEntryLocations, retireGuests, updatePartners } from "./knownEntries.js";
+import { closeUnusedConnections, receiveEntryLocations, updatePartners } from "./knownEntries.js";
 import { startQueuedOrders } from "./orderQueue.js";
 import { receiveStartAnswer, receiveStopAnswer, resendStops } from "./runOrders.js";
 import { stopStalledRuns } from "./stalledRuns.js";
@@ -64,7 +64,7 @@
         resendStops(state);
         requestView(state);
         updatePartners(state);
-        retireGuests(state);
+        closeUnusedConnections(state);
         connectEntries(state);
         sendFrames(state, this.lastSentAt);
         this.finishShutdown();
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -61,11 +61,11 @@
 /** An entry that the agent is connected to or tries to connect to. */
 export interface EntryRow {
     readonly address: string;
-    /** A partner is connected all the time, a guest while it uses the worker. */
-    readonly role: "partner" | "guest";
-    /** Since when the guest is told that the worker accepts no tasks, so that the connection can be closed. */
+    /** A partner is connected all the time, a temporary entry while it uses the worker. */
+    readonly role: "partner" | "temporary";
+    /** Since when the entry is told that the worker accepts no tasks, so that its connection can be closed. */
     readonly retiringSince: number | undefined;
-    /** When the entry last ordered a start, or became a guest. */
+    /** When the entry last ordered a start, or became temporary. */
     readonly lastUsedAt: number;
     readonly connection: "open" | "opening" | "closed";
     /** Incarnation of the entry's process; undefined until a frame has been received. */
--- a/packages/lovagepitch-direct/src/agent/knownEntries.ts
+++ b/packages/lovagepitch-direct/src/agent/knownEntries.ts
@@ -9,7 +9,7 @@
 const partnerLimits: PartnerLimits = { ownZone: 3, total: 5 };
 
 /** Largest number of entries that an agent connects to beside its partners. */
-const maximumGuests = 8;
+const maximumTemporaryEntries = 8;
 
 /** Interval at which partners are chosen again when nothing is known to have changed, in milliseconds. */
 const partnerChoiceIntervalMilliseconds = 250;
@@ -20,10 +20,10 @@
 /** Time after which an unreachable entry is forgotten unless it is named again, in milliseconds. */
 const forgetDelayMilliseconds = 60_000;
 
-/** Time without a start after which the connection to a guest is given up, in milliseconds. */
-const guestIdleMilliseconds = 2000;
+/** Time without a start after which the connection to a temporary entry is no longer needed, in milliseconds. */
+const temporaryIdleMilliseconds = 2000;
 
-/** Time between the announcement that a guest gets no capacity and the end of its connection, in milliseconds. */
+/** Time between the report that a temporary entry gets no capacity and the end of its connection, in milliseconds. */
 const retirementMilliseconds = 500;
 
 /**
@@ -71,7 +71,7 @@
 }
 
 /**
- * Connects to an entry that needs capacity, unless the agent is connected to it or has too many guests.
+ * Connects to an entry that needs capacity, unless the agent is connected to it or has too many temporary entries.
  *
  * @param state - state of the agent
  * @param entry - entry to connect to
@@ -83,15 +83,15 @@
         state.entries.set(entry.address, { ...known, lastUsedAt: state.now, retiringSince: undefined });
         return;
     }
-    const guests = [...state.entries.values()].filter(row => row.role === "guest");
-    if (guests.length < maximumGuests) {
-        state.entries.set(entry.address, createEntryRow(state, entry.address, "guest"));
+    const temporaryEntries = [...state.entries.values()].filter(row => row.role === "temporary");
+    if (temporaryEntries.length < maximumTemporaryEntries) {
+        state.entries.set(entry.address, createEntryRow(state, entry.address, "temporary"));
         state.log("info", "invited to an entry that needs capacity", { address: entry.address });
     }
 }
 
 /**
- * Chooses the partners when something has changed, connects to new ones, and makes the others guests.
+ * Chooses the partners when something has changed, connects to new ones, and makes the others temporary.
  *
  * @param state - state of the agent
  */
@@ -122,7 +122,7 @@
     }
     for (const row of [...state.entries.values()]) {
         if (!partners.has(row.address) && row.role === "partner") {
-            state.entries.set(row.address, { ...row, role: "guest", lastUsedAt: state.now });
+            state.entries.set(row.address, { ...row, role: "temporary", lastUsedAt: state.now });
             changes += 1;
         }
     }
@@ -133,14 +133,14 @@
 }
 
 /**
- * Ends the connections to guests that have not used the worker for a while.
+ * Closes the connections to temporary entries that have not used the worker for a while.
  *
  * @param state - state of the agent
  */
-export function retireGuests(state: AgentState): void {
+export function closeUnusedConnections(state: AgentState): void {
     const using = state.listUsingEntries();
     for (const row of [...state.entries.values()]) {
-        if (row.role !== "guest" || using.has(row.incarnation ?? "")) {
+        if (row.role !== "temporary" || using.has(row.incarnation ?? "")) {
             continue;
         }
         if (row.connection === "closed" && row.retryAt > state.now) {
@@ -151,7 +151,7 @@
             state.outputs.push({ kind: "disconnect", address: row.address });
             state.log("info", "connection to entry no longer used", { address: row.address, entry: row.incarnation });
         }
-        else if (row.retiringSince === undefined && state.now - row.lastUsedAt >= guestIdleMilliseconds) {
+        else if (row.retiringSince === undefined && state.now - row.lastUsedAt >= temporaryIdleMilliseconds) {
             state.entries.set(row.address, { ...row, retiringSince: state.now, hasPendingUpdate: true });
         }
     }
