feat(agent): recall the worker from the store after a restart, and connect to restarted entries sooner

Change: an agent keeps its worker's id, service, capacity and labels in a row of the store, and a restarted one uses it once the worker has answered as that incarnation, with an epoch from the worker's clock. The row is written on a change only, with the row's version as condition, so that a write that takes effect seconds late cannot bring back a worker that has drained or left. Attempts to connect time out after 100 ms and are repeated after 50 ms for the first 3 s.

--- a/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
@@ -1,47 +1,10 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { MonotonicClock } from "@lovagepitch/utils/monotonicClock";
-import { Ok, type Result } from "@lovagepitch/utils/result";
 import assert from "node:assert/strict";
 import { setTimeout as delay } from "node:timers/promises";
 import { EntryDirectory } from "../process/entryDirectory.js";
-import { type RowsView, type SharedRow, SharedRows, type StoreFailure } from "../process/sharedRows.js";
 import { StoreReachability } from "../process/storeReachability.js";
-
-/** In-memory rows of one table; a watch returns after the next write. */
-class MemoryRows extends SharedRows {
-    public calls = 0;
-    private readonly rows = new Map<string, SharedRow>();
-    private version = 1;
-    private wakeWatchers: (() => void)[] = [];
-
-    public override read(): Promise<Result<RowsView, StoreFailure>> {
-        this.calls += 1;
-        return Promise.resolve(Ok({ rows: [...this.rows.values()], version: this.version, storeMilliseconds: 1000 }));
-    }
-
-    public override async watch(
-        _table: string,
-        version: number,
-        waitMilliseconds: number,
-    ): Promise<Result<RowsView, StoreFailure>> {
-        this.calls += 1;
-        if (version >= this.version) {
-            await new Promise<void>(resolve => {
-                this.wakeWatchers.push(resolve);
-                setTimeout(resolve, waitMilliseconds).unref();
-            });
-        }
-        return Ok({ rows: [], version: this.version, storeMilliseconds: 1000 });
-    }
-
-    public override write(_table: string, key: string, value: unknown): Promise<Result<undefined, StoreFailure>> {
-        this.calls += 1;
-        this.version += 1;
-        this.rows.set(key, { key, value });
-        this.wakeWatchers.splice(0).forEach(wake => wake());
-        return Promise.resolve(Ok(undefined));
-    }
-}
+import { MemoryRows } from "./memoryRows.js";
 
 const ownAddress = "10.1.0.1:7720";
 const otherAddress = "10.1.0.2:7720";
--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.feature
@@ -0,0 +1,28 @@
+@direct-policies
+Feature: Recovery of an agent after all processes have lost power
+
+    Load pattern: every process ends at once and starts again within a second, while callers keep submitting jobs. Each
+    entry serves as soon as agents have connected to it, and each agent as soon as it knows its worker.
+
+    Scenario: An entry without power is tried again at short intervals, and soon after it has started
+        Given an agent that knows an entry without power
+        Then it tries to connect at least 8 times within 1 s
+
+    Scenario: An entry whose process starts again is connected within 60 ms
+        Given an agent that knows an entry whose process is starting
+        Then it tries to connect at least 15 times within 1 s
+
+    Scenario: An entry that stays away costs one attempt per second
+        Given an agent that knows an entry without power
+        When 5 s pass for the agent
+        Then it tries to connect at most 2 times within 1 s
+
+    Scenario: Orders to a recalled worker carry an epoch from the worker's own clock
+        Given an agent that has recalled a worker
+        When the worker answers the first view call, and its clock shows 5000000 ms
+        Then the next view call has epoch 5000000 and the first one extended no lease
+
+    Scenario: A report that arrives first takes precedence over the recalled worker
+        Given an agent whose worker "life-2" has reported
+        When the agent recalls worker "life-1"
+        Then it calls only worker "life-2"
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -9,19 +9,19 @@
 import { type AgentIdentity, AgentState } from "./agentState.js";
 import { sendFrames } from "./entryFrames.js";
 import { stopOrphanedRuns } from "./entryLeases.js";
-import { connectEntries, receiveConnected, receiveDisconnected, receiveEntryFrame } from "./entryLinks.js";
+import {
+    connectEntries,
+    findNextConnectAt,
+    receiveConnected,
+    receiveDisconnected,
+    receiveEntryFrame,
+} from "./entryLinks.js";
 import { closeUnusedConnections, receiveEntryLocations, updatePartners } from "./knownEntries.js";
 import { startQueuedOrders } from "./orderQueue.js";
 import { receiveStartAnswer, receiveStopAnswer, resendStops } from "./runOrders.js";
 import { stopStalledRuns } from "./stalledRuns.js";
-import {
-    expireWorkerLease,
-    receiveReport,
-    receiveView,
-    receiveViewFailure,
-    receiveWorkerLeft,
-    requestView,
-} from "./workerViews.js";
+import { recallWorker, receiveReport, receiveWorkerLeft } from "./workerRegistration.js";
+import { expireWorkerLease, receiveView, receiveViewFailure, requestView } from "./workerViews.js";
 
 /** Longest time between ticks, in milliseconds; bounds the delay until silence, stalls and due resends are detected. */
 const maximumTickIntervalMilliseconds = heartbeatIntervalMilliseconds / 2;
@@ -83,7 +83,7 @@
                 interval = Math.min(interval, getUpdateIntervalMilliseconds(row.awaitsCapacity));
             }
         }
-        return state.now + interval;
+        return Math.min(state.now + interval, findNextConnectAt(state) ?? Number.POSITIVE_INFINITY);
     }
 
     private receive(input: AgentInput): void {
@@ -93,6 +93,8 @@
                 return receiveReport(state, input.report);
             case "worker-left":
                 return receiveWorkerLeft(state, input.worker);
+            case "worker-recalled":
+                return recallWorker(state, input.registration);
             case "view":
                 return receiveView(state, input.call, input.view);
             case "view-failed":
--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -4,7 +4,7 @@
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { AgentFrame, EntryFrame, RunIdentity, StartOrder } from "../model/frames.js";
 import type { LogLine } from "../model/logLine.js";
-import type { WorkerReport } from "../model/workerStatus.js";
+import type { WorkerRegistration, WorkerReport } from "../model/workerStatus.js";
 
 /** Outcome of an order to the worker. */
 export type OrderOutcome =
@@ -52,6 +52,8 @@
 export type AgentInput =
     | { readonly kind: "worker-reported"; readonly report: WorkerReport }
     | { readonly kind: "worker-left"; readonly worker: string }
+    /** An earlier process of this agent has recorded the worker; it may have ended since. */
+    | { readonly kind: "worker-recalled"; readonly registration: WorkerRegistration }
     | { readonly kind: "view"; readonly call: number; readonly view: WorkerView }
     | {
         readonly kind: "view-failed";
@@ -96,5 +98,7 @@
     | { readonly kind: "connect"; readonly address: string }
     | { readonly kind: "disconnect"; readonly address: string }
     | { readonly kind: "frame"; readonly address: string; readonly frame: AgentFrame }
+    /** Worker that a restarted process of this agent may use; undefined when it has none or its worker drains. */
+    | { readonly kind: "worker-changed"; readonly registration: WorkerRegistration | undefined }
     | LogLine
     | { readonly kind: "stopped" };
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -98,6 +98,8 @@
      * Sent with each order; the worker rejects orders with a lower epoch, which an earlier process of this agent sent.
      */
     readonly epoch: number;
+    /** True while the epoch is not derived from the worker's clock, because the worker has not reported yet. */
+    readonly needsEpoch: boolean;
     /** True once the worker has answered a view call with this epoch and its incarnation. */
     readonly isConfirmed: boolean;
     /** Worker's clock minus the agent's clock, in milliseconds. */
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -3,13 +3,23 @@
  */
 import { type EntryFrame, formatRunKey } from "../model/frames.js";
 import { entryLeaseMilliseconds, idleSilenceLimitMilliseconds, silenceLimitMilliseconds } from "../model/timing.js";
-import type { AgentState } from "./agentState.js";
+import type { AgentState, EntryRow } from "./agentState.js";
 import { inviteEntry, receiveEntryLocations, recordReachable, recordUnreachable } from "./knownEntries.js";
 import { withdrawQueuedOrder } from "./orderQueue.js";
 import { receiveStart, stopRun } from "./runOrders.js";
 
-/** Delay before reconnecting to an entry, in milliseconds; entries restart within a second or two. */
-const reconnectDelayMilliseconds = 200;
+/**
+ * Time after which an attempt to connect counts as failed, in milliseconds; many round trips between availability
+ * zones. An instance without power answers no attempt, and a lost attempt is repeated by the operating system only
+ * after a second.
+ */
+const connectTimeoutMilliseconds = 100;
+
+/**
+ * Delay before reconnecting to an entry, in milliseconds. Entries restart within a second or two, and one that has
+ * restarted has no agents until they connect.
+ */
+const reconnectDelayMilliseconds = 50;
 
 /** Delay before reconnecting to an entry that has failed for long, in milliseconds. */
 const slowReconnectDelayMilliseconds = 1000;
@@ -25,10 +35,7 @@
 export function connectEntries(state: AgentState): void {
     const using = state.listUsingEntries();
     for (const row of [...state.entries.values()]) {
-        // A connection that is being opened, or whose runs have a lease, is replaced before the lease expires.
-        const silenceLimit = row.connection === "opening" || using.has(row.incarnation ?? "")
-            ? silenceLimitMilliseconds
-            : idleSilenceLimitMilliseconds;
+        const silenceLimit = getSilenceLimitMilliseconds(state, row, using);
         const isSilent = row.connection !== "closed" && state.now - row.lastActivityAt > silenceLimit;
         if (isSilent) {
             recordUnreachable(state, row.address);
@@ -48,6 +55,33 @@
     }
 }
 
+/**
+ * Finds the next instant at which a connection is to be opened or replaced, apart from open ones.
+ *
+ * @param state - state of the agent
+ * @returns monotonic milliseconds, or undefined when every connection is open
+ */
+export function findNextConnectAt(state: AgentState): number | undefined {
+    let next: number | undefined;
+    for (const row of state.entries.values()) {
+        if (row.connection !== "open") {
+            const dueAt = row.connection === "closed"
+                ? row.retryAt
+                : row.lastActivityAt + getSilenceLimitMilliseconds(state, row, new Set()) + 1;
+            next = next === undefined ? dueAt : Math.min(next, dueAt);
+        }
+    }
+    return next;
+}
+
+function getSilenceLimitMilliseconds(state: AgentState, row: EntryRow, using: ReadonlySet<string>): number {
+    if (row.connection === "opening") {
+        return isFailingForLong(state, row.address) ? slowReconnectDelayMilliseconds : connectTimeoutMilliseconds;
+    }
+    // A connection whose runs have a lease is replaced before the lease expires.
+    return using.has(row.incarnation ?? "") ? silenceLimitMilliseconds : idleSilenceLimitMilliseconds;
+}
+
 /**
  * Handles an opened connection; the first frame is sent in the same tick.
  *
@@ -87,10 +121,12 @@
 }
 
 function getReconnectDelayMilliseconds(state: AgentState, address: string): number {
+    return isFailingForLong(state, address) ? slowReconnectDelayMilliseconds : reconnectDelayMilliseconds;
+}
+
+function isFailingForLong(state: AgentState, address: string): boolean {
     const unreachableSince = state.knownEntries.get(address)?.unreachableSince ?? state.now;
-    return state.now - unreachableSince > persistentFailureMilliseconds
-        ? slowReconnectDelayMilliseconds
-        : reconnectDelayMilliseconds;
+    return state.now - unreachableSince > persistentFailureMilliseconds;
 }
 
 /**
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -0,0 +1,163 @@
+/**
+ * Registration of the worker: its reports, the record for a restarted process of the agent, and its end.
+ */
+import type { WorkerRegistration, WorkerReport } from "../model/workerStatus.js";
+import { initialWorkerHealth } from "../policies/workerHealth.js";
+import type { AgentState, WorkerRow } from "./agentState.js";
+import { endAllRunsAsLost } from "./runEnds.js";
+
+/**
+ * Processes a report of the worker. A new incarnation receives tasks once it has answered a view call that names it.
+ *
+ * @param state - state of the agent
+ * @param report - received report
+ */
+export function receiveReport(state: AgentState, report: WorkerReport): void {
+    const { worker } = state;
+    if (worker?.report.id === report.id) {
+        if (report.sequence <= worker.report.sequence) {
+            return;
+        }
+        if (report.isDraining && !worker.report.isDraining) {
+            state.log("info", "worker drains", { worker: report.id });
+        }
+        if (report.isDraining && !worker.report.isDraining) {
+            recordWorkerChange(state, undefined);
+        }
+        // A worker that has started to drain does not accept tasks again.
+        const isDraining = report.isDraining || worker.report.isDraining;
+        state.worker = {
+            ...worker,
+            report: { ...report, isDraining },
+            endsAt: computeWorkerEnd(state, report) ?? worker.endsAt,
+        };
+        state.markUpdatePending();
+        return;
+    }
+    if (worker !== undefined) {
+        // The report may be outdated. Only one incarnation answers at the worker's address, so the next view call
+        // shows which one it is.
+        state.pendingReport = report;
+        return;
+    }
+    registerWorker(state, report);
+}
+
+/**
+ * Registers the worker that an earlier process of this agent has recorded, so that a restarted agent need not wait for
+ * its next report. The worker receives tasks once it has answered as that incarnation. Reports take precedence.
+ *
+ * @param state - state of the agent
+ * @param registration - recorded worker
+ */
+export function recallWorker(state: AgentState, registration: WorkerRegistration): void {
+    if (state.worker !== undefined) {
+        return;
+    }
+    addWorker(state, {
+        ...registration,
+        isDraining: false,
+        drainRemainingMilliseconds: undefined,
+        workerClock: 0,
+        sequence: 0,
+    }, true);
+    state.log("info", "worker recalled", { worker: registration.id, service: registration.service });
+}
+
+function registerWorker(state: AgentState, report: WorkerReport): void {
+    addWorker(state, report, false);
+    recordWorkerChange(state, report.isDraining ? undefined : report);
+    state.log("info", "worker registered", { worker: report.id, service: report.service, capacity: report.capacity });
+}
+
+/** Emits the worker that a restarted process of this agent may use. */
+function recordWorkerChange(state: AgentState, worker: WorkerRegistration | undefined): void {
+    const registration = worker === undefined
+        ? undefined
+        : { id: worker.id, service: worker.service, capacity: worker.capacity, labels: worker.labels };
+    state.outputs.push({ kind: "worker-changed", registration });
+}
+
+function addWorker(state: AgentState, report: WorkerReport, needsEpoch: boolean): void {
+    state.pendingReport = undefined;
+    state.health = initialWorkerHealth;
+    state.worker = {
+        report,
+        endsAt: computeWorkerEnd(state, report),
+        needsEpoch,
+        // The worker's clock only increases, so an agent process that starts later has a higher epoch.
+        epoch: deriveEpoch(report.workerClock),
+        isConfirmed: false,
+        clockOffset: report.workerClock - state.now,
+        acknowledgedEndSequence: 0,
+        leaseExtensionSentAt: Number.NEGATIVE_INFINITY,
+        lastAnsweredAt: state.now,
+        isResponsive: true,
+        callInFlight: undefined,
+        nextCallAt: state.now,
+    };
+    state.markUpdatePending();
+}
+
+function computeWorkerEnd(state: AgentState, report: WorkerReport): number | undefined {
+    const { drainRemainingMilliseconds: remaining } = report;
+    return report.isDraining && remaining !== undefined ? state.now + remaining : undefined;
+}
+
+function deriveEpoch(workerClock: number): number {
+    return Math.max(1, Math.floor(workerClock));
+}
+
+/**
+ * Removes the worker's incarnation, which has ended with all its runs, and registers the next one if it has reported.
+ *
+ * @param state - state of the agent
+ */
+export function removeWorker(state: AgentState): void {
+    endAllRunsAsLost(state);
+    state.worker = undefined;
+    state.markUpdatePending();
+    if (state.pendingReport === undefined) {
+        recordWorkerChange(state, undefined);
+    }
+    else {
+        registerWorker(state, state.pendingReport);
+    }
+}
+
+/**
+ * Removes the worker, because it has announced its end.
+ *
+ * @param state - state of the agent
+ * @param id - incarnation of the worker that ends
+ */
+export function receiveWorkerLeft(state: AgentState, id: string): void {
+    if (state.worker?.report.id === id) {
+        state.log("info", "worker left", { worker: id });
+        removeWorker(state);
+    }
+}
+
+/**
+ * Takes an epoch above those of all earlier processes of this agent; the next view call confirms it.
+ *
+ * @param state - state of the agent
+ * @param worker - row of the worker
+ * @param workerClock - worker's monotonic clock, in milliseconds
+ */
+export function takeEpoch(state: AgentState, worker: WorkerRow, workerClock: number): void {
+    const epoch = deriveEpoch(workerClock);
+    if (!worker.needsEpoch) {
+        state.log("info", "worker has seen a higher epoch; taking a new one", { worker: worker.report.id, epoch });
+    }
+    state.worker = {
+        ...worker,
+        epoch,
+        needsEpoch: false,
+        isConfirmed: false,
+        clockOffset: workerClock - state.now,
+        callInFlight: undefined,
+        nextCallAt: state.now,
+    };
+    state.markUpdatePending();
+}
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -4,13 +4,13 @@
  */
 import { formatRunKey } from "../model/frames.js";
 import { workerClockRateError, workerLeaseMilliseconds } from "../model/timing.js";
-import type { WorkerReport } from "../model/workerStatus.js";
 import { isHealthyRunTime } from "../policies/runProgress.js";
-import { initialWorkerHealth, recordFailure, recordSuccess } from "../policies/workerHealth.js";
+import { recordFailure, recordSuccess } from "../policies/workerHealth.js";
 import type { ReportedRun, ReportedRunEnd, ViewFailure, WorkerView } from "./agentPorts.js";
 import type { AgentState, RunRow } from "./agentState.js";
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
 import { revokeStart, stopRun } from "./runOrders.js";
+import { removeWorker, takeEpoch } from "./workerRegistration.js";
 
 /**
  * Longest time that the worker may wait for a run to end before it answers, in milliseconds: a small part of the lease,
@@ -42,95 +42,6 @@
 /** Shortest time without an answer before the runs of a worker count as lost, in milliseconds. */
 const minimumSilenceMilliseconds = 250;
 
-/**
- * Processes a report of the worker. A new incarnation receives tasks once it has answered a view call that names it.
- *
- * @param state - state of the agent
- * @param report - received report
- */
-export function receiveReport(state: AgentState, report: WorkerReport): void {
-    const { worker } = state;
-    if (worker?.report.id === report.id) {
-        if (report.sequence <= worker.report.sequence) {
-            return;
-        }
-        if (report.isDraining && !worker.report.isDraining) {
-            state.log("info", "worker drains", { worker: report.id });
-        }
-        // A worker that has started to drain does not accept tasks again.
-        const isDraining = report.isDraining || worker.report.isDraining;
-        state.worker = {
-            ...worker,
-            report: { ...report, isDraining },
-            endsAt: computeWorkerEnd(state, report) ?? worker.endsAt,
-        };
-        state.markUpdatePending();
-        return;
-    }
-    if (worker !== undefined) {
-        // The report may be outdated. Only one incarnation answers at the worker's address, so the next view call
-        // shows which one it is.
-        state.pendingReport = report;
-        return;
-    }
-    registerWorker(state, report);
-}
-
-function registerWorker(state: AgentState, report: WorkerReport): void {
-    state.pendingReport = undefined;
-    state.health = initialWorkerHealth;
-    state.worker = {
-        report,
-        endsAt: computeWorkerEnd(state, report),
-        // The worker's clock only increases, so an agent process that starts later has a higher epoch.
-        epoch: deriveEpoch(report.workerClock),
-        isConfirmed: false,
-        clockOffset: report.workerClock - state.now,
-        acknowledgedEndSequence: 0,
-        leaseExtensionSentAt: Number.NEGATIVE_INFINITY,
-        lastAnsweredAt: state.now,
-        isResponsive: true,
-        callInFlight: undefined,
-        nextCallAt: state.now,
-    };
-    state.markUpdatePending();
-    state.log("info", "worker registered", { worker: report.id, service: report.service, capacity: report.capacity });
-}
-
-function computeWorkerEnd(state: AgentState, report: WorkerReport): number | undefined {
-    const { drainRemainingMilliseconds: remaining } = report;
-    return report.isDraining && remaining !== undefined ? state.now + remaining : undefined;
-}
-
-function deriveEpoch(workerClock: number): number {
-    return Math.max(1, Math.floor(workerClock));
-}
-
-/**
- * Removes the worker's incarnation, which has ended with all its runs, and registers the next one if it has reported.
- */
-function removeWorker(state: AgentState): void {
-    endAllRunsAsLost(state);
-    state.worker = undefined;
-    state.markUpdatePending();
-    if (state.pendingReport !== undefined) {
-        registerWorker(state, state.pendingReport);
-    }
-}
-
-/**
- * Removes the worker, because it has announced its end.
- *
- * @param state - state of the agent
- * @param id - incarnation of the worker that ends
- */
-export function receiveWorkerLeft(state: AgentState, id: string): void {
-    if (state.worker?.report.id === id) {
-        state.log("info", "worker left", { worker: id });
-        removeWorker(state);
-    }
-}
-
 /**
  * Requests a view from the worker, unless a view call is in flight or the next one is not due.
  *
@@ -178,6 +89,10 @@
     if (worker?.callInFlight !== call) {
         return;
     }
+    if (worker.needsEpoch) {
+        takeEpoch(state, worker, view.workerClock);
+        return;
+    }
     if (!worker.isResponsive || !worker.isConfirmed) {
         state.markUpdatePending();
         state.log("info", "worker responds", { worker: worker.report.id, running: view.running.length });
@@ -315,10 +230,7 @@
         return;
     }
     if (failure.kind === "outdated-epoch") {
-        const epoch = deriveEpoch(failure.workerClock);
-        state.log("info", "worker has seen a higher epoch; taking a new one", { worker: worker.report.id, epoch });
-        state.worker = { ...worker, epoch, isConfirmed: false, callInFlight: undefined, nextCallAt: state.now };
-        state.markUpdatePending();
+        takeEpoch(state, worker, failure.workerClock);
         return;
     }
     if (worker.isResponsive) {
--- a/packages/lovagepitch-direct/src/model/workerStatus.ts
+++ b/packages/lovagepitch-direct/src/model/workerStatus.ts
@@ -3,13 +3,17 @@
  */
 import type { Resources } from "./resources.js";
 
-/** Periodic report of a worker to its agent. */
-export interface WorkerReport {
+/** Properties that one incarnation of a worker keeps. */
+export interface WorkerRegistration {
     /** Incarnation of the worker; it changes when the worker restarts. */
     readonly id: string;
     readonly service: string;
     readonly capacity: Resources;
     readonly labels: readonly string[];
+}
+
+/** Periodic report of a worker to its agent. */
+export interface WorkerReport extends WorkerRegistration {
     readonly isDraining: boolean;
     /** Shortest time until a draining worker ends, in milliseconds; undefined when it is not draining. */
     readonly drainRemainingMilliseconds: number | undefined;
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -8,7 +8,7 @@
 import type { AgentIdentity } from "../agent/agentState.js";
 import { EntryConnections } from "../links/entryConnections.js";
 import type { EntryLocation } from "../model/entryLocation.js";
-import type { WorkerReport } from "../model/workerStatus.js";
+import type { WorkerRegistration, WorkerReport } from "../model/workerStatus.js";
 import { DirectMetrics } from "./directMetrics.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
 import type { WorkerOrders } from "./workerOrders.js";
@@ -18,6 +18,8 @@
     readonly identity: AgentIdentity;
     readonly clock: Clock;
     readonly worker: WorkerOrders;
+    /** Called when the worker that a restarted process may use has changed; with undefined when there is none. */
+    readonly onWorkerChanged: (registration: WorkerRegistration | undefined) => void;
     /** Called once after a shutdown was requested and all runs have ended. */
     readonly onStopped: () => void;
 }
@@ -62,6 +64,15 @@
         this.loop.accept({ kind: "worker-reported", report });
     }
 
+    /**
+     * Uses the worker that an earlier process of this agent has recorded, unless the worker has reported meanwhile.
+     *
+     * @param registration - recorded worker
+     */
+    public recallWorker(registration: WorkerRegistration): void {
+        this.loop.accept({ kind: "worker-recalled", registration });
+    }
+
     /**
      * Handles the worker's announcement that it ends.
      *
@@ -118,6 +129,9 @@
             case "disconnect":
                 this.connections.closeOne(output.address);
                 return;
+            case "worker-changed":
+                this.options.onWorkerChanged(output.registration);
+                return;
             case "log":
                 this.log.write(output.level, output.event, output.fields);
                 return;
--- a/packages/lovagepitch-direct/src/process/sharedRows.ts
+++ b/packages/lovagepitch-direct/src/process/sharedRows.ts
@@ -10,6 +10,14 @@
     readonly value: unknown;
 }
 
+/** A row and the version of the store that last changed it. */
+export interface VersionedRow {
+    /** Decoded value; undefined when there is no row or its bytes cannot be decoded. */
+    readonly value: unknown;
+    /** 0 when there is no row. */
+    readonly version: number;
+}
+
 /** Rows of a table at one version of the store. */
 export interface RowsView {
     readonly rows: readonly SharedRow[];
@@ -59,4 +67,29 @@
      * @returns nothing, or the reason why it may not have been written
      */
     public abstract write(table: string, key: string, value: unknown): Promise<Result<undefined, StoreFailure>>;
+
+    /**
+     * Reads a single row.
+     *
+     * @param table - name of the table
+     * @param key - key of the row
+     * @returns the row and its version, or the reason why it could not be read
+     */
+    public abstract readRow(table: string, key: string): Promise<Result<VersionedRow, StoreFailure>>;
+
+    /**
+     * Writes a row if it has not changed, so that a delayed write cannot undo a later one.
+     *
+     * @param table - name of the table
+     * @param key - key of the row
+     * @param value - new value, serialized as JSON
+     * @param expectedVersion - version that the row must have; 0 for a row that must not exist
+     * @returns the new version; `conflict` when the row has changed, another failure when it may have been written
+     */
+    public abstract replace(
+        table: string,
+        key: string,
+        value: unknown,
+        expectedVersion: number,
+    ): Promise<Result<number, StoreFailure>>;
 }
--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directFaults.ts
@@ -0,0 +1,67 @@
+/**
+ * Faults of a simulated deployment.
+ */
+import type { RandomSource } from "@lovagepitch/utils/randomSource";
+import assert from "node:assert/strict";
+import type { DirectDeployment } from "../../direct/directDeployment.js";
+
+/**
+ * Starts a random fault.
+ *
+ * @param deployment - deployment of two entries and four workers
+ * @param random - source of the fault and its target
+ * @returns a function that ends the fault
+ */
+export function injectRandomFault(deployment: DirectDeployment, random: RandomSource): () => void {
+    const index = random.nextInteger(4);
+    const entry = random.nextInteger(2);
+    switch (random.nextInteger(10)) {
+        case 0:
+            deployment.restartWorker(index);
+            return () => undefined;
+        case 1:
+            deployment.killAgent(index);
+            return () => deployment.restartAgent(index, entry === 0);
+        case 2:
+            setFault(deployment, index, { orderDelayMilliseconds: 500 + random.nextInteger(3000) });
+            return () => setFault(deployment, index, { orderDelayMilliseconds: undefined });
+        case 3:
+            setFault(deployment, index, { dropsResponses: true });
+            return () => setFault(deployment, index, { dropsResponses: false });
+        case 4:
+            setFault(deployment, index, { isPartitioned: true });
+            return () => setFault(deployment, index, { isPartitioned: false });
+        case 5:
+            setFault(deployment, index, { isStalled: true });
+            return () => setFault(deployment, index, { isStalled: false });
+        case 6:
+            deployment.setFrozen("entry", entry, true);
+            return () => deployment.setFrozen("entry", entry, false);
+        case 7:
+            deployment.setFrozen("agent", index, true);
+            return () => deployment.setFrozen("agent", index, false);
+        case 8:
+            deployment.setPartitioned("entry", entry, true);
+            return () => deployment.setPartitioned("entry", entry, false);
+        default:
+            deployment.silenceConnections();
+            return () => undefined;
+    }
+}
+
+/**
+ * Changes faults of a worker.
+ *
+ * @param deployment - deployment of the worker
+ * @param index - index of the worker
+ * @param fault - faults to set
+ */
+export function setFault(
+    deployment: DirectDeployment,
+    index: number,
+    fault: Partial<DirectDeployment["workers"][0]["faults"]>,
+): void {
+    const worker = deployment.workers[index];
+    assert.ok(worker);
+    Object.assign(worker.faults, fault);
+}
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
@@ -93,6 +93,49 @@
         Then worker 0 started some of the latest 70 direct jobs
         And the guarantees of direct jobs hold
 
+    Scenario: Restarted agents use their workers before these report again
+        When all agents are killed and restarted, and their workers report later
+        And 100 ms pass
+        And 35 direct jobs arrive within 1000 ms
+        And 3000 ms pass
+        Then every direct job was done
+        And the guarantees of direct jobs hold
+
+    Scenario: A restarted agent stops the tasks of its predecessor before its worker reports
+        When a direct job of long tasks starts
+        And agent 0 is killed and restarted after 100 ms, and its worker reports later
+        And 60 direct jobs arrive within 300 ms
+        And 6000 ms pass
+        Then the guarantees of direct jobs hold
+
+    Scenario: Delayed orders of an earlier process start nothing at a recalled worker
+        When worker 0 executes its orders 900 ms late
+        And 35 direct jobs arrive within 500 ms
+        And worker 0 executes its orders without delay
+        And agent 0 is killed and restarted after 20 ms, and its worker reports later
+        And 35 direct jobs arrive within 500 ms
+        And 4000 ms pass
+        Then the guarantees of direct jobs hold
+
+    Scenario: An agent whose worker has restarted meanwhile waits for the report of the new incarnation
+        When agent 0 is killed
+        And worker 0 crashes and restarts
+        And agent 0 is restarted, and its worker reports later
+        And 1700 ms pass
+        And 70 direct jobs arrive within 2000 ms
+        And 3000 ms pass
+        Then worker 0 started some of the latest 70 direct jobs
+        And the guarantees of direct jobs hold
+
+    Scenario: A restarted agent does not use a worker that drains
+        When worker 0 drains
+        And 500 ms pass
+        And agent 0 is killed and restarted after 100 ms, and its worker reports later
+        And 35 direct jobs arrive within 1000 ms
+        And 3000 ms pass
+        Then worker 0 started no task after it began to drain
+        And the guarantees of direct jobs hold
+
     Scenario: The tasks of an agent that is not restarted are run by other agents
         When a direct job of long tasks starts
         And agent 0 is killed
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
@@ -5,6 +5,7 @@
 import { DirectDeployment } from "../../direct/directDeployment.js";
 import { defaultJobKinds, MixedLoad } from "../../direct/mixedLoad.js";
 import { simulateCentralQueue } from "../../direct/simulateCentralQueue.js";
+import { injectRandomFault, setFault } from "./directFaults.js";
 
 /** Run time of each task of a job of long tasks, in milliseconds. */
 const longTaskMilliseconds = 2000;
@@ -137,10 +138,6 @@
     world.deployment.setFrozen(kind as "entry" | "agent", Number(index), what === "is frozen");
 });
 
-When("agent {int} is killed", (agent: number) => {
-    world.deployment.killAgent(agent);
-});
-
 When(
     "agent {int} is killed and restarted after {int} ms",
     (agent: number, milliseconds: number) => {
@@ -150,6 +147,26 @@
     },
 );
 
+When("all agents are killed and restarted, and their workers report later", () => {
+    for (let agent = 0; agent < 4; agent += 1) {
+        world.deployment.killAgent(agent);
+        world.deployment.restartAgent(agent, false);
+    }
+});
+
+When(
+    "agent {int} is killed and restarted after {int} ms, and its worker reports later",
+    (agent: number, milliseconds: number) => {
+        world.deployment.killAgent(agent);
+        world.deployment.advance(milliseconds);
+        world.deployment.restartAgent(agent, false);
+    },
+);
+
+When("agent {int} is killed", (agent: number) => {
+    world.deployment.killAgent(agent);
+});
+
 When("agent {int} shuts down gracefully", (agent: number) => {
     world.deployment.shutDownAgent(agent);
 });
@@ -186,6 +203,10 @@
     setFault(world.deployment, index, { failsEverything: true });
 });
 
+When("agent {int} is restarted, and its worker reports later", (agent: number) => {
+    world.deployment.restartAgent(agent, false);
+});
+
 When("worker {int} drains", (index: number) => {
     world.deployment.drainWorker(index);
 });
@@ -221,54 +242,6 @@
     },
 );
 
-/** Starts a random fault and returns a function that ends it. */
-function injectRandomFault(deployment: DirectDeployment, random: RandomSource): () => void {
-    const index = random.nextInteger(4);
-    const entry = random.nextInteger(2);
-    switch (random.nextInteger(10)) {
-        case 0:
-            deployment.restartWorker(index);
-            return () => undefined;
-        case 1:
-            deployment.killAgent(index);
-            return () => deployment.restartAgent(index);
-        case 2:
-            setFault(deployment, index, { orderDelayMilliseconds: 500 + random.nextInteger(3000) });
-            return () => setFault(deployment, index, { orderDelayMilliseconds: undefined });
-        case 3:
-            setFault(deployment, index, { dropsResponses: true });
-            return () => setFault(deployment, index, { dropsResponses: false });
-        case 4:
-            setFault(deployment, index, { isPartitioned: true });
-            return () => setFault(deployment, index, { isPartitioned: false });
-        case 5:
-            setFault(deployment, index, { isStalled: true });
-            return () => setFault(deployment, index, { isStalled: false });
-        case 6:
-            deployment.setFrozen("entry", entry, true);
-            return () => deployment.setFrozen("entry", entry, false);
-        case 7:
-            deployment.setFrozen("agent", index, true);
-            return () => deployment.setFrozen("agent", index, false);
-        case 8:
-            deployment.setPartitioned("entry", entry, true);
-            return () => deployment.setPartitioned("entry", entry, false);
-        default:
-            deployment.silenceConnections();
-            return () => undefined;
-    }
-}
-
-function setFault(
-    deployment: DirectDeployment,
-    index: number,
-    fault: Partial<DirectDeployment["workers"][0]["faults"]>,
-): void {
-    const worker = deployment.workers[index];
-    assert.ok(worker);
-    Object.assign(worker.faults, fault);
-}
-
 Then("the guarantees of direct jobs hold", () => {
     assert.deepEqual(world.deployment.record.violations, []);
 });
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -10,6 +10,7 @@
 import type { DispatchConfiguration } from "@lovagepitch/direct/model/dispatchConfiguration";
 import type { EntryLocation } from "@lovagepitch/direct/model/entryLocation";
 import type { RunIdentity } from "@lovagepitch/direct/model/frames";
+import type { WorkerRegistration } from "@lovagepitch/direct/model/workerStatus";
 import { ManualClock } from "@lovagepitch/utils/clock";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import { EventQueue } from "../harness/eventQueue.js";
@@ -57,6 +58,8 @@
     private readonly jobs = new Map<string, DirectJob>();
     private readonly workerReports = new WorkerReports(this.clock);
     private readonly lastReportedFreeMilliCores = new Map<number, number>();
+    /** Worker that each agent has recorded for its next process. */
+    private readonly recordedWorkers = new Map<number, WorkerRegistration | undefined>();
     private nextRequestId = 1;
     private nextWorkerNumber = 1;
 
@@ -144,17 +147,24 @@
     }
 
     /**
-     * Starts a new incarnation of a killed agent.
+     * Starts a new incarnation of a killed agent, which recalls the worker that its predecessor has recorded.
      *
      * @param agent - index of the agent
+     * @param reportsAtOnce - false if the worker reports only at its next regular interval; true by default
      */
-    public restartAgent(agent: number): void {
+    public restartAgent(agent: number, reportsAtOnce = true): void {
         const host = this.getAgentHost(agent);
         host.incarnation += 1;
         host.core = this.createAgentCore(agent, host.incarnation);
         host.isRunning = true;
         this.sendEntryAddresses(agent);
-        this.sendWorkerReport(agent);
+        const registration = this.recordedWorkers.get(agent);
+        if (registration !== undefined) {
+            this.deliverInput(host, { kind: "worker-recalled", registration });
+        }
+        if (reportsAtOnce) {
+            this.sendWorkerReport(agent);
+        }
     }
 
     /**
@@ -358,11 +368,10 @@
             case "disconnect":
                 this.linkNetwork.close((entry, other) => entry === Number(output.address) && other === agent, true);
                 return;
-            case "frame": {
+            case "frame":
                 this.lastReportedFreeMilliCores.set(agent, output.frame.worker?.free.milliCores ?? -1);
                 this.linkNetwork.sendToEntry(agent, Number(output.address), output.frame);
                 return;
-            }
             case "start":
             case "stop":
                 this.workerPort.perform(agent, output);
@@ -370,6 +379,9 @@
             case "view":
                 this.workerPort.requestView(agent, output.call, output);
                 return;
+            case "worker-changed":
+                this.recordedWorkers.set(agent, output.registration);
+                return;
             default:
         }
     }
