--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -81,8 +81,17 @@
         readonly epoch: number;
         /** Instant on the worker's clock after which the worker rejects the order. */
         readonly latestStart: number;
+        /** Time after which the order counts as unanswered. */
+        readonly timeoutMilliseconds: number;
+    }
+    | {
+        readonly kind: "stop";
+        readonly worker: string;
+        readonly run: RunIdentity;
+        readonly epoch: number;
+        /** Time after which the order counts as unanswered. */
+        readonly timeoutMilliseconds: number;
     }
-    | { readonly kind: "stop"; readonly worker: string; readonly run: RunIdentity; readonly epoch: number }
     | {
         readonly kind: "view";
         readonly call: number;
@@ -94,6 +103,8 @@
         readonly acknowledgedEndSequence: number;
         /** Longest time that the worker may wait for a run to end before it answers. */
         readonly waitMilliseconds: number;
+        /** Time after which the call counts as unanswered, including the wait. */
+        readonly timeoutMilliseconds: number;
     }
     | { readonly kind: "connect"; readonly address: string }
     | { readonly kind: "disconnect"; readonly address: string }
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -7,6 +7,7 @@
 import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
 import { addResources, noResources, type Resources, subtractResources } from "../model/resources.js";
 import type { WorkerReport } from "../model/workerStatus.js";
+import { AnswerTime } from "../policies/answerTime.js";
 import type { PartnerCandidate } from "../policies/partnerChoice.js";
 import { initialWorkerHealth, type WorkerHealth } from "../policies/workerHealth.js";
 import type { AgentOutput } from "./agentPorts.js";
@@ -33,6 +34,8 @@
     readonly orderedAt: number;
     /** When the latest start or stop order for the run was sent. */
     readonly lastOrderSentAt: number;
+    /** Number of times that the start order was sent. */
+    readonly startAttempts: number;
     /** Number of the first view call that reflects the worker's answer to the latest start or stop order. */
     readonly visibleFromCall: number;
     /** When the agent learned that the worker has accepted the start. */
@@ -108,7 +111,9 @@
     /** When the latest view call that extends the lease was sent. */
     readonly leaseExtensionSentAt: number;
     readonly lastAnsweredAt: number;
-    /** False from a view call without an answer until the next answered one. */
+    /** Number of latest view calls without an answer. */
+    readonly missedViews: number;
+    /** False from consecutive view calls without an answer until the next answered one. */
     readonly isResponsive: boolean;
     readonly callInFlight: number | undefined;
     readonly nextCallAt: number;
@@ -146,6 +151,10 @@
     public hasStopped = false;
     public nextCall = 1;
     public health: WorkerHealth = initialWorkerHealth;
+    /** Answer times of the worker's start and stop orders. */
+    public readonly answerTime = new AnswerTime();
+    /** Instant of the latest view call without an answer of a worker that has answered since. */
+    public viewMissedAt = Number.NEGATIVE_INFINITY;
     /** Instant of the latest view whose progress was checked for stalls. */
     public progressCheckedAt = 0;
     /**
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -69,19 +69,38 @@
         state: "starting",
         orderedAt: now,
         lastOrderSentAt: now,
+        startAttempts: 1,
         visibleFromCall: Number.POSITIVE_INFINITY,
         runningSince: now,
         percent: 0,
         percentChangedAt: now,
         stopReason: "not-started",
     });
+    sendStart(state, worker, order);
+}
+
+function sendStart(state: AgentState, worker: WorkerRow, order: StartOrder): void {
     state.outputs.push({
         kind: "start",
         worker: worker.report.id,
         order,
         epoch: worker.epoch,
-        latestStart: Math.floor(now + worker.clockOffset + startWindowMilliseconds),
+        latestStart: Math.floor(state.now + worker.clockOffset + startWindowMilliseconds),
+        timeoutMilliseconds: state.answerTime.timeoutMilliseconds,
+    });
+}
+
+/**
+ * Sends a start order without an answer once more. The worker starts a run at most once, so the order is safe to repeat
+ * whether or not it was executed.
+ */
+function repeatStart(state: AgentState, worker: WorkerRow, row: RunRow, order: StartOrder): void {
+    state.runs.set(formatRunKey(row.identity), {
+        ...row,
+        lastOrderSentAt: state.now,
+        startAttempts: row.startAttempts + 1,
     });
+    sendStart(state, worker, order);
 }
 
 /**
@@ -103,7 +122,13 @@
         visibleFromCall: Number.POSITIVE_INFINITY,
         stopReason: row.state === "stopping" ? row.stopReason : reason,
     });
-    state.outputs.push({ kind: "stop", worker: worker.report.id, run: row.identity, epoch: worker.epoch });
+    state.outputs.push({
+        kind: "stop",
+        worker: worker.report.id,
+        run: row.identity,
+        epoch: worker.epoch,
+        timeoutMilliseconds: state.answerTime.timeoutMilliseconds,
+    });
 }
 
 /**
@@ -118,31 +143,52 @@
     if (row?.state !== "starting") {
         return;
     }
+    if (outcome !== "unknown") {
+        state.answerTime.record(state.now - row.lastOrderSentAt);
+    }
+    // After a repeated order, a rejection does not show what became of the first one.
+    const isFirstAttempt = row.startAttempts === 1;
     switch (outcome) {
         case "accepted":
-            state.runs.set(formatRunKey(identity), {
-                ...row,
-                state: "running",
-                runningSince: state.now,
-                percentChangedAt: state.now,
-                visibleFromCall: state.nextCall,
-            });
-            return;
-        case "rejected":
+            return recordStarted(state, row);
         case "superseded":
+            // The run may have been started by the first attempt and have ended; the next view tells.
+            return isFirstAttempt ? rejectStart(state, row, outcome) : recordStarted(state, row);
+        case "rejected":
+            return isFirstAttempt ? rejectStart(state, row, outcome) : recordUnanswered(state, row);
         case "other-incarnation":
-            state.log("warn", "worker rejected a start", { ...identity, outcome });
-            endRun(state, row, "not-started");
-            return;
+            return rejectStart(state, row, outcome);
         case "outdated-epoch":
-            endRun(state, row, "not-started");
             requestNewEpoch(state);
-            return;
+            return isFirstAttempt ? endRun(state, row, "not-started") : recordUnanswered(state, row);
         case "unknown":
-            state.runs.set(formatRunKey(identity), { ...row, state: "unanswered" });
-            if (state.worker?.isResponsive === false) {
-                revokeStart(state, row);
+            if (isFirstAttempt && state.worker?.isResponsive === true && row.order !== undefined) {
+                return repeatStart(state, state.worker, row, row.order);
             }
+            return recordUnanswered(state, row);
+    }
+}
+
+function recordStarted(state: AgentState, row: RunRow): void {
+    state.runs.set(formatRunKey(row.identity), {
+        ...row,
+        state: "running",
+        runningSince: state.now,
+        percentChangedAt: state.now,
+        visibleFromCall: state.nextCall,
+    });
+}
+
+function rejectStart(state: AgentState, row: RunRow, outcome: OrderOutcome): void {
+    state.log("warn", "worker rejected a start", { ...row.identity, outcome });
+    endRun(state, row, "not-started");
+}
+
+/** Leaves the run to the next view, which shows whether the worker has accepted the order. */
+function recordUnanswered(state: AgentState, row: RunRow): void {
+    state.runs.set(formatRunKey(row.identity), { ...row, state: "unanswered" });
+    if (state.worker?.isResponsive === false) {
+        revokeStart(state, row);
     }
 }
 
@@ -170,6 +216,9 @@
     if (row?.state !== "stopping") {
         return;
     }
+    if (outcome !== "unknown") {
+        state.answerTime.record(state.now - row.lastOrderSentAt);
+    }
     if (outcome === "unknown" || outcome === "rejected") {
         return;
     }
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -92,6 +92,7 @@
         acknowledgedEndSequence: 0,
         leaseExtensionSentAt: Number.NEGATIVE_INFINITY,
         lastAnsweredAt: state.now,
+        missedViews: 0,
         isResponsive: true,
         callInFlight: undefined,
         nextCallAt: state.now,
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -18,6 +18,18 @@
  */
 const viewWaitMilliseconds = 75;
 
+/**
+ * Longest time that the worker may wait while some view calls get no answer, in milliseconds. The ends of runs are
+ * unknown until such a call has timed out, so it must not wait for long.
+ */
+const cautiousViewWaitMilliseconds = 25;
+
+/** Time for which view calls wait less after one without an answer, in milliseconds. */
+const missedViewMemoryMilliseconds = 3000;
+
+/** Time that a view call may take longer than an order, in milliseconds; its answer lists all runs. */
+const viewAllowanceMilliseconds = 10;
+
 /**
  * Longest time that a worker without runs may wait before it answers, in milliseconds. The lease of a run that starts
  * meanwhile lasts beyond the answer.
@@ -54,7 +66,8 @@
     }
     // After a call without an answer, the lease is not extended until the worker answers again. Otherwise the agent
     // could not determine when the lease of the worker's runs expires.
-    const extendsLease = worker.isResponsive && worker.isConfirmed;
+    const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0;
+    const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : 0;
     const call = state.nextCall;
     state.nextCall += 1;
     state.outputs.push({
@@ -64,7 +77,8 @@
         epoch: worker.epoch,
         leaseExpiresAt: extendsLease ? Math.floor(state.now + worker.clockOffset + workerLeaseMilliseconds) : undefined,
         acknowledgedEndSequence: worker.acknowledgedEndSequence,
-        waitMilliseconds: extendsLease ? getViewWaitMilliseconds(state) : 0,
+        waitMilliseconds,
+        timeoutMilliseconds: waitMilliseconds + state.answerTime.timeoutMilliseconds + viewAllowanceMilliseconds,
     });
     state.worker = {
         ...worker,
@@ -74,7 +88,11 @@
 }
 
 function getViewWaitMilliseconds(state: AgentState): number {
-    return state.runs.size > 0 ? viewWaitMilliseconds : idleViewWaitMilliseconds;
+    const hasMissedViews = state.now - state.viewMissedAt < missedViewMemoryMilliseconds;
+    if (state.runs.size === 0) {
+        return hasMissedViews ? viewWaitMilliseconds : idleViewWaitMilliseconds;
+    }
+    return hasMissedViews ? cautiousViewWaitMilliseconds : viewWaitMilliseconds;
 }
 
 /**
@@ -102,6 +120,7 @@
         isConfirmed: true,
         clockOffset: view.workerClock - state.now,
         lastAnsweredAt: state.now,
+        missedViews: 0,
         isResponsive: true,
         callInFlight: undefined,
         nextCallAt: state.now,
@@ -200,6 +219,7 @@
         state: "running",
         orderedAt: now,
         lastOrderSentAt: now,
+        startAttempts: 0,
         visibleFromCall: Number.POSITIVE_INFINITY,
         runningSince: now,
         percent: run.percent,
@@ -233,12 +253,19 @@
         takeEpoch(state, worker, failure.workerClock);
         return;
     }
+    if (worker.isResponsive && worker.missedViews === 0) {
+        // A single answer may be lost; a call that does not wait shows within milliseconds whether the worker responds.
+        state.viewMissedAt = state.now;
+        state.worker = { ...worker, missedViews: 1, callInFlight: undefined, nextCallAt: state.now };
+        return;
+    }
     if (worker.isResponsive) {
         state.log("warn", "worker does not respond", { worker: worker.report.id });
         state.markUpdatePending();
     }
     state.worker = {
         ...worker,
+        missedViews: worker.missedViews + 1,
         isResponsive: false,
         callInFlight: undefined,
         nextCallAt: state.now + (state.runs.size > 0 ? viewRetryDelayMilliseconds : idleViewRetryDelayMilliseconds),
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -149,13 +149,13 @@
         switch (output.kind) {
             case "start": {
                 const { order } = output;
-                const outcome = await worker.start(output.worker, order, output.epoch, output.latestStart);
+                const outcome = await worker.start(output);
                 const run = { job: order.job, task: order.task, run: order.run };
                 this.loop.accept({ kind: "start-answered", worker: output.worker, run, outcome });
                 return;
             }
             case "stop": {
-                const outcome = await worker.stop(output.worker, output.run, output.epoch);
+                const outcome = await worker.stop(output);
                 this.loop.accept({ kind: "stop-answered", worker: output.worker, run: output.run, outcome });
                 return;
             }
--- a/packages/lovagepitch-direct/src/process/workerOrders.ts
+++ b/packages/lovagepitch-direct/src/process/workerOrders.ts
@@ -1,34 +1,37 @@
 /**
  * Interface between an agent and its worker.
  */
-import type { OrderOutcome, ViewFailure, WorkerView } from "../agent/agentPorts.js";
-import type { RunIdentity, StartOrder } from "../model/frames.js";
+import type { AgentOutput, OrderOutcome, ViewFailure, WorkerView } from "../agent/agentPorts.js";
 
 /** Outcome of a view call: the view, or the reason for which there is none. */
 export type ViewOutcome = { readonly kind: "view"; readonly view: WorkerView } | ViewFailure;
 
-/** Calls to the worker of this agent. Every call completes within a bounded time. */
+/** Order to start a run. */
+export type StartRequest = Omit<AgentOutput & { readonly kind: "start" }, "kind">;
+
+/** Order to stop a run. */
+export type StopRequest = Omit<AgentOutput & { readonly kind: "stop" }, "kind">;
+
+/** Parameters of a view call. */
+export type ViewRequest = Omit<AgentOutput & { readonly kind: "view" }, "kind" | "call">;
+
+/** Calls to the worker of this agent. Every call completes within its timeout. */
 export abstract class WorkerOrders {
     /**
      * Orders the worker to start a run.
      *
-     * @param worker - incarnation of the worker that the order is for
-     * @param order - start order of the task
-     * @param epoch - epoch of this agent's process
-     * @param latestStart - instant after which the worker rejects the order, in milliseconds on the worker's clock
+     * @param request - the order, its epoch, latest start and timeout
      * @returns outcome of the order
      */
-    public abstract start(worker: string, order: StartOrder, epoch: number, latestStart: number): Promise<OrderOutcome>;
+    public abstract start(request: StartRequest): Promise<OrderOutcome>;
 
     /**
      * Orders the worker to stop a run.
      *
-     * @param worker - incarnation of the worker that the order is for
-     * @param run - run to stop
-     * @param epoch - epoch of this agent's process
+     * @param request - the run, the epoch and the timeout
      * @returns outcome of the order
      */
-    public abstract stop(worker: string, run: RunIdentity, epoch: number): Promise<OrderOutcome>;
+    public abstract stop(request: StopRequest): Promise<OrderOutcome>;
 
     /**
      * Requests the running and ended runs, and extends the lease of all runs if the request says so.
@@ -38,13 +41,3 @@
      */
     public abstract view(request: ViewRequest): Promise<ViewOutcome>;
 }
-
-/** Parameters of a view call. */
-export interface ViewRequest {
-    readonly worker: string;
-    readonly epoch: number;
-    /** End of the lease on the worker's clock, in milliseconds; undefined leaves the lease unchanged. */
-    readonly leaseExpiresAt: number | undefined;
-    readonly acknowledgedEndSequence: number;
-    readonly waitMilliseconds: number;
-}
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -2,7 +2,7 @@
  * Simulated connections between agents and their workers, with the faults of the workers.
  */
 import type { AgentInput, AgentOutput, OrderOutcome } from "@lovagepitch/direct/agent/agentPorts";
-import type { ViewOutcome, ViewRequest } from "@lovagepitch/direct/process/workerOrders";
+import type { StopRequest, ViewOutcome, ViewRequest } from "@lovagepitch/direct/process/workerOrders";
 import type { ManualClock } from "@lovagepitch/utils/clock";
 import type { EventQueue } from "../harness/eventQueue.js";
 import type { CoreHost } from "./coreHost.js";
@@ -12,9 +12,6 @@
 /** One-way latency. */
 const linkLatencyMilliseconds = 1;
 
-/** Time after which an order without a response gets the outcome "unknown". */
-const orderTimeoutMilliseconds = 100;
-
 /** Delivers orders and view requests to workers, and their responses to the agents. */
 export class WorkerPort {
     /**
@@ -44,7 +41,7 @@
             const run = { job: order.job, task: order.task, run: order.run };
             this.sendOrder(
                 agent,
-                worker,
+                output,
                 target => target.start(order, output.epoch, output.latestStart),
                 outcome => ({ kind: "start-answered", worker, run, outcome }),
             );
@@ -53,7 +50,7 @@
             const { run, worker } = output;
             this.sendOrder(
                 agent,
-                worker,
+                output,
                 target => target.stop(run, output.epoch),
                 outcome => ({ kind: "stop-answered", worker, run, outcome }),
             );
@@ -64,13 +61,13 @@
      * Sends an order to a worker.
      *
      * @param agent - index of the agent
-     * @param workerId - id of the incarnation that the order is for
+     * @param order - names the incarnation that the order is for, and its timeout
      * @param execute - executes the order at the worker
      * @param createInput - converts the outcome to an input of the agent
      */
     private sendOrder(
         agent: number,
-        workerId: string,
+        order: Pick<StopRequest, "worker" | "timeoutMilliseconds">,
         execute: (
             worker: FakeWorker,
         ) => "accepted" | "rejected" | "superseded" | "outdated-epoch" | "unknown" | "other-incarnation",
@@ -88,10 +85,10 @@
         };
         const { faults } = worker;
         if (!worker.isUp || faults.isPartitioned) {
-            respond("unknown", orderTimeoutMilliseconds);
+            respond("unknown", order.timeoutMilliseconds);
             return;
         }
-        if (worker.id !== workerId) {
+        if (worker.id !== order.worker) {
             respond("other-incarnation", linkLatencyMilliseconds);
             return;
         }
@@ -105,7 +102,7 @@
             }
         }, undefined);
         if (faults.dropsResponses || faults.orderDelayMilliseconds !== undefined) {
-            respond("unknown", orderTimeoutMilliseconds);
+            respond("unknown", order.timeoutMilliseconds);
         }
     }
 
@@ -154,12 +151,7 @@
             worker.view({ ...request, acknowledgedEndSequence: request.acknowledgedEndSequence });
             this.schedule(linkLatencyMilliseconds, poll);
         }
-        const timeoutMilliseconds = request.waitMilliseconds + orderTimeoutMilliseconds;
-        this.queue.schedule(
-            this.clock.nowMilliseconds() + timeoutMilliseconds,
-            () => respond({ kind: "unknown" }),
-            undefined,
-        );
+        this.schedule(request.timeoutMilliseconds, () => respond({ kind: "unknown" }));
     }
 
     private schedule(delay: number, action: () => void): void {
