--- a/packages/lovagepitch-direct/src/__tests__/recovery.feature
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.feature
@@ -26,3 +26,8 @@
         Given an agent whose worker "life-2" has reported
         When the agent recalls worker "life-1"
         Then it calls only worker "life-2"
+
+    Scenario: A new incarnation of the worker is used at once when the recalled one does not answer
+        Given an agent that has recalled a worker
+        When worker "life-2" reports
+        Then the latest view call is for worker "life-2"
--- a/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
@@ -78,6 +78,12 @@
 
 Given("an agent whose worker {string} has reported", (id: string) => {
     agent = new AgentDriver(true);
+    reportWorker(id);
+});
+
+When("worker {string} reports", reportWorker);
+
+function reportWorker(id: string): void {
     agent.accept({
         kind: "worker-reported",
         report: {
@@ -88,7 +94,7 @@
             sequence: 3,
         },
     });
-});
+}
 
 When("{int} s pass for the agent", (seconds: number) => {
     agent.advance(seconds * 1000);
@@ -124,3 +130,7 @@
 Then("it calls only worker {string}", (id: string) => {
     assert.deepEqual([...new Set(agent.listViewCalls().map(call => call.worker))], [id]);
 });
+
+Then("the latest view call is for worker {string}", (id: string) => {
+    assert.equal(agent.listViewCalls().at(-1)?.worker, id);
+});
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -34,7 +34,8 @@
         state.markUpdatePending();
         return;
     }
-    if (worker !== undefined) {
+    const isUnconfirmedRecall = worker?.needsEpoch === true;
+    if (worker !== undefined && !isUnconfirmedRecall) {
         // The report may be outdated. Only one incarnation answers at the worker's address, so the next view call
         // shows which one it is.
         state.pendingReport = report;
