--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -156,7 +156,15 @@
 export function expireJobs(state: EntryState): void {
     for (const row of [...state.jobs.values()]) {
         if (!mayHaveStarted(row) && state.now > row.deadlines.latestStart) {
-            const hasWorkers = new PlacementRound(state).countFittingTasks(row.job, "capacity") > 0;
+            const round = new PlacementRound(state);
+            const hasWorkers = round.countFittingTasks(row.job, "capacity") > 0;
+            state.log("info", "job is refused for lack of capacity", {
+                job: row.job.id,
+                tasks: row.job.taskCount,
+                fittingTasks: round.countFittingTasks(row.job, "available"),
+                freeMilliCores: round.sumFreeMilliCores(row.job),
+                waitingJobs: state.jobs.size,
+            });
             refuseJob(state, row, hasWorkers ? "no-room-in-time" : "no-worker");
         }
         else if (state.now > row.deadlines.expiresAt) {
--- a/packages/lovagepitch-direct/src/entry/placementRound.ts
+++ b/packages/lovagepitch-direct/src/entry/placementRound.ts
@@ -97,6 +97,20 @@
         return count;
     }
 
+    /**
+     * Sums the free processor capacity of the permitted workers, whether or not a task fits into it.
+     *
+     * @param job - job to be placed
+     * @returns thousandths of a core
+     */
+    public sumFreeMilliCores(job: DirectJob): number {
+        let sum = 0;
+        for (const { available } of this.listPermitted(job)) {
+            sum += Math.max(0, available.milliCores);
+        }
+        return sum;
+    }
+
     /**
      * Reserves the resources of a placed task for the rest of the round.
      *
