--- a/packages/lovagepitch-direct/src/entry/endJob.ts
+++ b/packages/lovagepitch-direct/src/entry/endJob.ts
@@ -12,8 +12,14 @@
  * @param state - state of the entry
  * @param row - row of the job
  * @param answer - answer for its callers
+ * @param inputs - further values that the answer was based on, for the log
  */
-export function endJob(state: EntryState, row: JobRow, answer: JobAnswer): void {
+export function endJob(
+    state: EntryState,
+    row: JobRow,
+    answer: JobAnswer,
+    inputs: Readonly<Record<string, number>> = {},
+): void {
     const { job } = row;
     state.jobs.delete(job.id);
     for (let task = 0; task < job.taskCount; task += 1) {
@@ -39,6 +45,7 @@
         latestStart: Math.round(row.deadlines.latestStart - row.acceptedAt),
         configurationVersion: state.configuration?.version,
         callers: row.requests.length,
+        ...inputs,
     });
 }
 
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -158,14 +158,10 @@
         if (!mayHaveStarted(row) && state.now > row.deadlines.latestStart) {
             const round = new PlacementRound(state);
             const hasWorkers = round.countFittingTasks(row.job, "capacity") > 0;
-            state.log("info", "job is refused for lack of capacity", {
-                job: row.job.id,
-                tasks: row.job.taskCount,
+            refuseJob(state, row, hasWorkers ? "no-room-in-time" : "no-worker", {
                 fittingTasks: round.countFittingTasks(row.job, "available"),
                 freeMilliCores: round.sumFreeMilliCores(row.job),
-                waitingJobs: state.jobs.size,
             });
-            refuseJob(state, row, hasWorkers ? "no-room-in-time" : "no-worker");
         }
         else if (state.now > row.deadlines.expiresAt) {
             endJob(state, row, { kind: "interrupted", reason: "the result would be of no use any more" });
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -52,10 +52,16 @@
  * @param state - state of the entry
  * @param row - row of the job
  * @param reason - reason that the caller receives
+ * @param inputs - values that the decision was based on, for the log
  */
-export function refuseJob(state: EntryState, row: JobRow, reason: RefusalReason): void {
+export function refuseJob(
+    state: EntryState,
+    row: JobRow,
+    reason: RefusalReason,
+    inputs: Readonly<Record<string, number>> = {},
+): void {
     const retryAfterSeconds = computeRetryAfterSeconds(measureWaitingWork(state), state.drainRate.read(state.now));
-    endJob(state, row, { kind: "refused", reason, retryAfterSeconds });
+    endJob(state, row, { kind: "refused", reason, retryAfterSeconds }, inputs);
 }
 
 /**
