fix(agent): do not write the record of a worker while its next incarnation registers

The write is needless: no call to an ended incarnation succeeds. Only a worker that drains is removed from the record without delay.

--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -109,7 +109,7 @@
     | { readonly kind: "connect"; readonly address: string }
     | { readonly kind: "disconnect"; readonly address: string }
     | { readonly kind: "frame"; readonly address: string; readonly frame: AgentFrame }
-    /** Worker that a restarted process of this agent may use; undefined when it has none or its worker drains. */
+    /** Worker that a restarted process of this agent may use; undefined once the worker drains. */
     | { readonly kind: "worker-changed"; readonly registration: WorkerRegistration | undefined }
     | LogLine
     | { readonly kind: "stopped" };
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -119,10 +119,8 @@
     endAllRunsAsLost(state);
     state.worker = undefined;
     state.markUpdatePending();
-    if (state.pendingReport === undefined) {
-        recordWorkerChange(state, undefined);
-    }
-    else {
+    // The record may keep naming the ended incarnation: no call to it succeeds, so it is not used again.
+    if (state.pendingReport !== undefined) {
         registerWorker(state, state.pendingReport);
     }
 }
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -18,7 +18,7 @@
     readonly identity: AgentIdentity;
     readonly clock: Clock;
     readonly worker: WorkerOrders;
-    /** Called when the worker that a restarted process may use has changed; with undefined when there is none. */
+    /** Called when the worker that a restarted process may use has changed; with undefined once it drains. */
     readonly onWorkerChanged: (registration: WorkerRegistration | undefined) => void;
     /** Called once after a shutdown was requested and all runs have ended. */
     readonly onStopped: () => void;
--- a/packages/lovagepitch-direct/src/process/workerDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/workerDirectory.ts
@@ -69,7 +69,10 @@
         this.current = registration;
         if (!this.isWriting) {
             this.isWriting = true;
-            void this.writeCurrent();
+            void this.writeCurrent().catch((error: unknown) => {
+                this.isWriting = false;
+                this.reachability.recordOutcome(false, `the worker was not recorded: ${String(error)}`);
+            });
         }
     }
 
