fix(direct): refuse malformed messages between processes, and outlive an input that cannot be processed

The guards checked the outer fields only: a frame with starts [null], ended [null], a worker without resources, or an address without a valid port made the receiving entry or agent throw, which ends the process and all jobs on it. Change: every field that is read is checked, without a schema library, on the path of each frame. An input whose processing throws is logged and dropped; the others of the tick are processed. Seen: with the former guards the property (500 changed messages of each kind) and the listed examples fail; with the new ones they pass.

--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
@@ -0,0 +1,30 @@
+@direct-policies
+Feature: Malformed messages between processes
+
+    A message with fields that are missing or of another type is refused; no message ends the process that receives it.
+
+    Scenario Outline: A <message> with a changed field is refused or harmless
+        Then no <message> with one field removed or replaced by any JSON value throws an error
+
+        Examples:
+            | message          |
+            | agent frame      |
+            | entry frame      |
+            | capacity request |
+
+    Scenario Outline: A frame that would make its receiver fail is refused
+        Then the <message> changed by <change> is refused
+
+        Examples:
+            | message          | change                                            |
+            | entry frame      | {"starts":[null]}                                 |
+            | entry frame      | {"entryAddresses":[5]}                            |
+            | entry frame      | {"entryAddresses":["10.1.0.1:99999"]}             |
+            | entry frame      | {"configuration":{"version":9,"configuration":{}}} |
+            | agent frame      | {"ended":[null]}                                  |
+            | agent frame      | {"worker":{}}                                     |
+            | capacity request | {"from":{"address":"nowhere"}}                    |
+
+    Scenario: An input whose processing fails is logged, and the others are processed
+        When a core receives 3 inputs of which the second one fails
+        Then the first and the third one were processed, and one line was logged
--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.steps.ts
@@ -0,0 +1,186 @@
+import { Then, When } from "@cucumber/cucumber";
+import { ManualClock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
+import fastCheck from "fast-check";
+import assert from "node:assert/strict";
+import { EntryCore } from "../entry/entryCore.js";
+import { isAgentFrame, isCapacityRequest, isEntryFrame } from "../links/frameGuards.js";
+import { receiveInputs } from "../model/receiveInputs.js";
+import { AgentDriver, createOrder, createRegistration, entryAddress } from "./agentDriver.js";
+
+type Message = Readonly<Record<string, unknown>>;
+
+const { capacity } = createRegistration("life-1");
+const configuration = {
+    version: 2,
+    configuration: {
+        version: 2,
+        routes: [{
+            name: "route-a",
+            host: "host-a",
+            pathPrefix: "/",
+            service: "drives",
+            priority: 0,
+            maximumAttempts: 3,
+            stretch: 1.6,
+            allowanceMilliseconds: 60,
+        }],
+        callerLimits: {
+            maximumHeaderBytes: 8192,
+            maximumBodyBytes: 65_536,
+            headerTimeoutMilliseconds: 1000,
+            idleTimeoutMilliseconds: 1000,
+        },
+    },
+};
+
+/** A valid message of each kind, with every array filled. */
+const messages: Readonly<Record<string, Message>> = {
+    "agent frame": {
+        agent: "agent-1",
+        instance: "side-1",
+        availabilityZone: "zone-1",
+        sentAt: 1_000_000,
+        includedSequence: 1,
+        worker: {
+            service: "drives",
+            labels: ["a"],
+            capacity,
+            free: capacity,
+            awaited: capacity,
+            acceptsTasks: true,
+            isOnTrial: false,
+        },
+        ended: [{ job: "a1", task: 0, run: 1, end: "succeeded", ranMilliseconds: 80 }],
+        openRuns: [{ job: "a2", task: 0, run: 1 }],
+        configuration,
+    },
+    "entry frame": {
+        entry: "entry-1",
+        sequence: 2,
+        newestSentAt: 1_000_000,
+        starts: [createOrder("a3")],
+        stops: [{ job: "a2", task: 0, run: 1 }],
+        entryAddresses: ["10.1.0.2:7720"],
+        entryZones: ["zone-1"],
+        awaitsCapacity: true,
+        invitations: [{ address: "10.1.0.3:7720", availabilityZone: "zone-2" }],
+        configuration,
+    },
+    "capacity request": {
+        from: { address: "10.1.0.3:7720", availabilityZone: "zone-2" },
+        service: "drives",
+        needs: capacity,
+        requiredLabel: "a",
+        agents: 2,
+    },
+};
+
+let processed: readonly number[] = [];
+let loggedLines = 0;
+
+function getMessage(kind: string): Message {
+    const message = messages[kind];
+    assert.ok(message);
+    return message;
+}
+
+/** Lists the paths of all fields and elements of a JSON value. */
+function listPaths(value: unknown, path: readonly string[] = []): readonly (readonly string[])[] {
+    return typeof value === "object" && value !== null
+        ? Object.entries(value).flatMap(([name, field]) => [[...path, name], ...listPaths(field, [...path, name])])
+        : [];
+}
+
+function replaceAt(value: unknown, [name, ...rest]: readonly string[], replacement: unknown): unknown {
+    if (name === undefined) {
+        return replacement;
+    }
+    const fields = value as Readonly<Record<string, unknown>>;
+    const replaced = replaceAt(fields[name], rest, replacement);
+    return Array.isArray(value)
+        ? value.map((element, index) => String(index) === name ? replaced : element as unknown)
+        : { ...fields, [name]: replaced };
+}
+
+/** Passes a message to the process that would receive it, as a connection does; returns false when it is refused. */
+function receiveMessage(kind: string, message: unknown): boolean {
+    const clock = new ManualClock(1_000_000);
+    const entry = new EntryCore(
+        { incarnation: "entry-1", instance: "front-1", availabilityZone: "zone-1", address: entryAddress },
+        clock,
+        new RandomSource(1),
+    );
+    const agent = new AgentDriver(false);
+    agent.prepare("life-1");
+    // JSON drops undefined fields and turns numbers that are not finite into null.
+    const received: unknown = JSON.parse(JSON.stringify(message));
+    switch (kind) {
+        case "agent frame":
+            if (!isAgentFrame(received)) {
+                return false;
+            }
+            entry.accept({ kind: "frame", connection: 1, frame: received });
+            assertNothingDropped(entry.tick());
+            return true;
+        case "entry frame":
+            if (!isEntryFrame(received)) {
+                return false;
+            }
+            agent.accept({ kind: "frame", address: entryAddress, frame: received });
+            agent.advance(400);
+            assertNothingDropped(agent.outputs);
+            return true;
+        default:
+            if (!isCapacityRequest(received)) {
+                return false;
+            }
+            entry.accept({ kind: "capacity-requested", request: received });
+            assertNothingDropped(entry.tick());
+            return true;
+    }
+}
+
+function assertNothingDropped(outputs: readonly { readonly kind: string }[]): void {
+    const dropped = outputs.filter(output => JSON.stringify(output).includes("input dropped"));
+    assert.deepEqual(dropped, []);
+}
+
+Then(/^no (.+) with one field removed or replaced by any JSON value throws an error$/, (kind: string) => {
+    const message = getMessage(kind);
+    assert.equal(receiveMessage(kind, message), true, "the unchanged message is refused");
+    const replacements = fastCheck.oneof(fastCheck.constant(undefined), fastCheck.jsonValue());
+    fastCheck.assert(
+        fastCheck.property(fastCheck.constantFrom(...listPaths(message)), replacements, (path, replacement) => {
+            receiveMessage(kind, replaceAt(message, path, replacement));
+        }),
+        { numRuns: 500, seed: 1 },
+    );
+});
+
+Then(/^the (.+) changed by (\{.+\}) is refused$/, (kind: string, change: string) => {
+    assert.equal(receiveMessage(kind, { ...getMessage(kind), ...JSON.parse(change) as Message }), false);
+});
+
+When("a core receives 3 inputs of which the second one fails", () => {
+    const received: number[] = [];
+    loggedLines = 0;
+    receiveInputs(
+        [1, 2, 3].map(value => ({ kind: "test", value })),
+        ({ value }) => {
+            if (value === 2) {
+                throw new Error("a defect");
+            }
+            received.push(value);
+        },
+        () => {
+            loggedLines += 1;
+        },
+    );
+    processed = received;
+});
+
+Then("the first and the third one were processed, and one line was logged", () => {
+    assert.deepEqual(processed, [1, 3]);
+    assert.equal(loggedLines, 1);
+});
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from "@lovagepitch/utils/clock";
 import { Core } from "@lovagepitch/utils/core";
+import { receiveInputs } from "../model/receiveInputs.js";
 import { heartbeatIntervalMilliseconds } from "../model/timing.js";
 import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
 import type { AgentInput, AgentOutput } from "./agentPorts.js";
@@ -54,9 +55,7 @@
         const { state } = this;
         const inputs = this.inputs;
         this.inputs = [];
-        for (const input of inputs) {
-            this.receive(input);
-        }
+        receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
         expireWorkerLease(state);
         stopOrphanedRuns(state);
         stopStalledRuns(state);
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -5,6 +5,7 @@
 import { Core } from "@lovagepitch/utils/core";
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { type DispatchConfiguration, findRoute, type Route } from "../model/dispatchConfiguration.js";
+import { receiveInputs } from "../model/receiveInputs.js";
 import { heartbeatIntervalMilliseconds } from "../model/timing.js";
 import { canReceiveTasks, receiveAgentFrame, receiveDisconnected, removeLostAgents } from "./agentFrames.js";
 import {
@@ -116,9 +117,7 @@
         const { state } = this;
         const inputs = this.inputs;
         this.inputs = [];
-        for (const input of inputs) {
-            this.receive(input);
-        }
+        receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
         removeLostAgents(state);
         removeStoppedRuns(state);
         placeTasks(state);
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -1,44 +1,138 @@
 /**
- * Type guards for frames. Only processes of the deployment can reach the port, so the guards only detect other
- * protocols and other versions; they do not validate every field of every message.
+ * Type guards for messages between processes. A message of another protocol, of another version or of a faulty process
+ * must not end the receiving process, so every field that is read is checked.
  */
 import type { CapacityRequest } from "../model/capacityRequest.js";
-import type { AgentFrame, EntryFrame } from "../model/frames.js";
+import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
+import type { EntryLocation } from "../model/entryLocation.js";
+import type { AgentFrame, ConfigurationNotice, EntryFrame, RunEnd, RunIdentity, StartOrder } from "../model/frames.js";
+import type { Resources } from "../model/resources.js";
+import type { WorkerStatus } from "../model/workerStatus.js";
+import { splitAddress } from "./listenAt.js";
+
+const maximumPort = 65_535;
+
+const runEnds: ReadonlySet<unknown> = new Set<RunEnd>([
+    "succeeded",
+    "failed",
+    "stopped",
+    "lost",
+    "not-started",
+    "stalled",
+    "moved",
+]);
+
+/** Fields of a JSON object whose types are not known. */
+type Unchecked<Message> = { readonly [Name in keyof Message]?: unknown };
 
 /**
  * Tells whether a value is a frame from an agent.
  *
  * @param value - parsed JSON document
- * @returns true when it has an agent frame's fields
+ * @returns true when every field has the type of an agent frame's field
  */
 export function isAgentFrame(value: unknown): value is AgentFrame {
-    const frame = value as Partial<AgentFrame> | undefined;
-    return typeof frame?.agent === "string" && typeof frame.sentAt === "number" && Array.isArray(frame.ended)
-        && typeof frame.configuration?.version === "number";
+    return isObject<AgentFrame>(value) && isString(value.agent) && isString(value.instance)
+        && isString(value.availabilityZone) && isNumber(value.sentAt) && isNumber(value.includedSequence)
+        && isOptional(value.worker, isWorkerStatus) && isArrayOf(value.ended, isEndedRun)
+        && isOptional(value.openRuns, runs => isArrayOf(runs, isRunIdentity))
+        && isConfigurationNotice(value.configuration);
 }
 
 /**
  * Tells whether a value is a frame from an entry.
  *
  * @param value - parsed JSON document
- * @returns true when it has an entry frame's fields
+ * @returns true when every field has the type of an entry frame's field
  */
 export function isEntryFrame(value: unknown): value is EntryFrame {
-    const frame = value as Partial<EntryFrame> | undefined;
-    return typeof frame?.entry === "string" && typeof frame.sequence === "number" && Array.isArray(frame.starts)
-        && Array.isArray(frame.stops) && Array.isArray(frame.entryAddresses)
-        && typeof frame.configuration?.version === "number";
+    return isObject<EntryFrame>(value) && isString(value.entry) && isNumber(value.sequence)
+        && isNumber(value.newestSentAt) && isArrayOf(value.starts, isStartOrder)
+        && isArrayOf(value.stops, isRunIdentity) && isArrayOf(value.entryAddresses, isSocketAddress)
+        && isOptional(value.entryZones, zones => isArrayOf(zones, isString))
+        && isOptional(value.invitations, invitations => isArrayOf(invitations, isEntryLocation))
+        && isConfigurationNotice(value.configuration);
 }
 
 /**
  * Tells whether a value is a request for capacity.
  *
  * @param value - parsed JSON document
- * @returns true when it has a request's fields
+ * @returns true when every field has the type of a request's field
  */
 export function isCapacityRequest(value: unknown): value is CapacityRequest {
-    const request = value as Partial<CapacityRequest> | undefined;
-    return typeof request?.from?.address === "string" && typeof request.service === "string"
-        && typeof request.agents === "number" && typeof request.needs?.milliCores === "number"
-        && typeof request.needs.memoryMegabytes === "number" && typeof request.needs.accelerators === "number";
+    return isObject<CapacityRequest>(value) && isEntryLocation(value.from) && isString(value.service)
+        && isNumber(value.agents) && isResources(value.needs) && isOptional(value.requiredLabel, isString);
+}
+
+function isStartOrder(value: unknown): boolean {
+    return isObject<StartOrder>(value) && isRunIdentity(value) && isString(value.service)
+        && isString(value.specification) && isResources(value.needs) && isNumber(value.estimatedMilliseconds)
+        && isNumber(value.mayWaitMilliseconds) && isObject<StartOrder["urgency"]>(value.urgency)
+        && isNumber(value.urgency.priority) && isNumber(value.urgency.spareMilliseconds)
+        && isNumber(value.maximumPerWorker) && isOptional(value.requiredLabel, isString);
+}
+
+function isEndedRun(value: unknown): boolean {
+    return isRunIdentity(value) && isNumber(value.ranMilliseconds) && runEnds.has(value.end);
+}
+
+function isRunIdentity(value: unknown): value is RunIdentity & Readonly<Record<string, unknown>> {
+    return isObject<RunIdentity>(value) && isString(value.job) && isNumber(value.task) && isNumber(value.run);
+}
+
+function isWorkerStatus(value: unknown): boolean {
+    return isObject<WorkerStatus>(value) && isString(value.service) && isArrayOf(value.labels, isString)
+        && isResources(value.capacity) && isResources(value.free) && isResources(value.awaited);
+}
+
+function isConfigurationNotice(value: unknown): boolean {
+    return isObject<ConfigurationNotice>(value) && isNumber(value.version)
+        && isOptional(value.configuration, isConfiguration);
+}
+
+function isConfiguration(value: unknown): boolean {
+    return isObject<DispatchConfiguration>(value) && isNumber(value.version) && isArrayOf(value.routes, isRoute)
+        && isObject<DispatchConfiguration["callerLimits"]>(value.callerLimits)
+        && Object.values(value.callerLimits).every(isNumber);
+}
+
+function isRoute(value: unknown): boolean {
+    return isObject<DispatchConfiguration["routes"][0]>(value) && isString(value.name) && isString(value.host)
+        && isString(value.pathPrefix) && isString(value.service) && isNumber(value.priority)
+        && isNumber(value.maximumAttempts) && isNumber(value.stretch) && isNumber(value.allowanceMilliseconds);
+}
+
+function isEntryLocation(value: unknown): boolean {
+    return isObject<EntryLocation>(value) && isSocketAddress(value.address)
+        && isOptional(value.availabilityZone, isString);
+}
+
+function isSocketAddress(value: unknown): boolean {
+    return isString(value) && /^[^\s:]+:\d{1,5}$/.test(value) && splitAddress(value).port <= maximumPort;
+}
+
+function isResources(value: unknown): boolean {
+    return isObject<Resources>(value) && isNumber(value.milliCores) && isNumber(value.memoryMegabytes)
+        && isNumber(value.accelerators);
+}
+
+function isObject<Message>(value: unknown): value is Unchecked<Message> {
+    return typeof value === "object" && value !== null;
+}
+
+function isArrayOf(value: unknown, isElement: (element: unknown) => boolean): boolean {
+    return Array.isArray(value) && value.every(isElement);
+}
+
+function isOptional(value: unknown, isPresent: (present: unknown) => boolean): boolean {
+    return value === undefined || isPresent(value);
+}
+
+function isString(value: unknown): value is string {
+    return typeof value === "string";
+}
+
+function isNumber(value: unknown): value is number {
+    return typeof value === "number";
 }
