perf(direct): tick half as often as idle heartbeats while there are no jobs

Cause: an agent without runs ticked 20 times and an entry without jobs 40 times a second, on 73 instances of the grown drives also in the 16 s before the first job. Nothing is due then but heartbeats every 250 ms; attempts to connect have timers of their own. Seen: tests of direct jobs, fleets and the platform pass.

--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "@lovagepitch/utils/clock";
 import { Core } from "@lovagepitch/utils/core";
 import { receiveInputs } from "../model/receiveInputs.js";
-import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import { heartbeatIntervalMilliseconds, idleHeartbeatIntervalMilliseconds } from "../model/timing.js";
 import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
 import type { AgentInput, AgentOutput } from "./agentPorts.js";
 import { type AgentIdentity, AgentState } from "./agentState.js";
@@ -27,6 +27,9 @@
 /** Longest time between ticks, in milliseconds; bounds the delay until silence, stalls and due resends are detected. */
 const maximumTickIntervalMilliseconds = heartbeatIntervalMilliseconds / 2;
 
+/** Longest time between ticks without runs, in milliseconds; heartbeats are rarer, and connections due have own timers. */
+const idleTickIntervalMilliseconds = idleHeartbeatIntervalMilliseconds / 2;
+
 /** Longest time between ticks while orders are queued, in milliseconds; a small part of the time that they may wait. */
 const queueCheckIntervalMilliseconds = 6;
 
@@ -77,7 +80,7 @@
         if (state.hasStopped) {
             return undefined;
         }
-        let interval = state.queuedOrders.size > 0 ? queueCheckIntervalMilliseconds : maximumTickIntervalMilliseconds;
+        let interval = getTickIntervalMilliseconds(state);
         for (const row of state.entries.values()) {
             if (row.connection === "open" && row.hasPendingUpdate) {
                 interval = Math.min(interval, getUpdateIntervalMilliseconds(row.awaitsCapacity));
@@ -130,3 +133,10 @@
         }
     }
 }
+
+function getTickIntervalMilliseconds(state: AgentState): number {
+    if (state.queuedOrders.size > 0) {
+        return queueCheckIntervalMilliseconds;
+    }
+    return state.runs.size > 0 ? maximumTickIntervalMilliseconds : idleTickIntervalMilliseconds;
+}
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -6,7 +6,7 @@
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { type DispatchConfiguration, findRoute, type Route } from "../model/dispatchConfiguration.js";
 import { receiveInputs } from "../model/receiveInputs.js";
-import { heartbeatIntervalMilliseconds } from "../model/timing.js";
+import { heartbeatIntervalMilliseconds, idleHeartbeatIntervalMilliseconds } from "../model/timing.js";
 import { canReceiveTasks, receiveAgentFrame, receiveDisconnected, removeLostAgents } from "./agentFrames.js";
 import {
     forgetInvitations,
@@ -26,6 +26,9 @@
  */
 const maximumTickIntervalMilliseconds = heartbeatIntervalMilliseconds / 4;
 
+/** Longest time between ticks without jobs, in milliseconds; heartbeats are rarer, and nothing waits for a worker. */
+const idleTickIntervalMilliseconds = idleHeartbeatIntervalMilliseconds / 2;
+
 /** Core of an entry: turns inputs into answers, frames and log lines, without input or output of its own. */
 export class EntryCore extends Core<EntryInput, EntryOutput> {
     private readonly state: EntryState;
@@ -130,8 +133,10 @@
 
     /** {@inheritDoc Core.nextWakeAtMilliseconds} */
     public override nextWakeAtMilliseconds(): number | undefined {
-        const latest = this.state.now + maximumTickIntervalMilliseconds;
-        return Math.min(latest, findNextExpiry(this.state) ?? latest);
+        const { state } = this;
+        const isIdle = state.jobs.size === 0 && state.stoppingRuns.size === 0;
+        const latest = state.now + (isIdle ? idleTickIntervalMilliseconds : maximumTickIntervalMilliseconds);
+        return Math.min(latest, findNextExpiry(state) ?? latest);
     }
 
     private receive(input: EntryInput): void {
