feat(cli): lovagepitch report, outcomes of direct jobs by second and route

Cause: where jobs are late or refused was read with scripts outside the repository. Lines that are not log lines, and lines that processes left out, are counted and named.

--- a/packages/lovagepitch-cli/src/__tests__/commandLine.feature
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.feature
@@ -38,6 +38,7 @@
             | submit            | lovagepitch submit job.jsonc            |
             | status            | lovagepitch status                      |
             | explain           | lovagepitch explain 5c0e7a21d94b36f8    |
+            | report            | lovagepitch report entry-*.log          |
 
     Scenario: The entry command runs an entry with its settings file
         When the operator runs "entry --settings entry.jsonc"
@@ -107,6 +108,33 @@
         Then the command's exit code is 1
         And the command's error contains "pass the logs of every entry and agent"
 
+    Scenario: Outcomes of jobs are counted by second and route
+        Given the operator's log "front.log" of three jobs, with a cut-off line
+        When the operator runs "report front.log"
+        Then the command's exit code is 0
+        And the command's output has a line that matches "^0 +route-a +2 +1 +0 +0 +1 +12.0 +refused: no-room-in-time 1$"
+        And the command's output has a line that matches "^0 +worker drains \(1\)$"
+        And the command's output has a line that matches "^2 +route-b +1 +0 +1 +0 +0 +700.0$"
+        And the command's output has a line that matches "^9 lines read, 2 of them are not log lines$"
+        And the command's output has a line that matches "^5 lines were left out by the processes"
+
+    Scenario: The report is written as JSON
+        Given the operator's log "front.log" of three jobs, with a cut-off line
+        When the operator runs "report front.log --json"
+        Then the command's exit code is 0
+        And the command's output is JSON with 2 seconds and 2 unreadable lines
+
+    Scenario: A report without any job fails with a remedy
+        Given the operator's log "side.log" of an agent
+        When the operator runs "report side.log"
+        Then the command's exit code is 1
+        And the command's error contains "no job was answered in 2 lines, of which 1 are not log lines"
+
+    Scenario: A report of a missing file fails
+        When the operator runs "report missing.log"
+        Then the command's exit code is 1
+        And the command's error contains "missing.log"
+
     Scenario: Applying a manifest without an operator's name is refused
         Given the operator's name is not known
         When the operator runs "manifest apply examples/cooperative/manifest.jsonc -s examples/cooperative/operator.jsonc --base 0"
--- a/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
@@ -76,6 +76,56 @@
     assert.ok(environment.errors.join("\n").includes(text), environment.errors.join("\n"));
 });
 
+Given("the operator's log {string} of three jobs, with a cut-off line", (name: string) => {
+    const createLine = (second: number, event: string, fields: object): string => {
+        const time = new Date(Date.UTC(2026, 2, 21, 5, 57, 50) + second * 1000).toISOString();
+        return JSON.stringify({ time, level: "info", process: "front-1", event, ...fields });
+    };
+    const answer = { answer: "done", route: "route-a", afterMilliseconds: 300, latestStart: 120 };
+    environment.files.set(
+        name,
+        [
+            `  0.1 front-1 ${createLine(0.1, "tasks placed", { job: "a1", sinceArrival: 12 })}`,
+            createLine(0.2, "worker drains", { worker: "life-1" }),
+            createLine(0.4, "job answered", { ...answer, job: "a1" }),
+            createLine(0.5, "job answered", {
+                ...answer,
+                job: "a2",
+                answer: "refused",
+                reason: "no-room-in-time",
+                afterMilliseconds: 120,
+                fittingTasks: 1,
+            }),
+            createLine(2.8, "tasks placed", { job: "a3", sinceArrival: 700 }),
+            createLine(3.1, "job answered", { ...answer, job: "a3", route: "route-b", afterMilliseconds: 1000 }),
+            createLine(3.2, "log lines were left out", { lines: 5 }).slice(0, -30),
+            createLine(3.2, "log lines were left out", { lines: 5 }),
+        ].join("\n") + "\n",
+    );
+});
+
+Given("the operator's log {string} of an agent", (name: string) => {
+    const fields = { time: "2026-03-21T05:57:55.400Z", process: "side-1", event: "agent starts" };
+    environment.files.set(name, `${JSON.stringify(fields)}\nnull`);
+});
+
+Then("the command's output has a line that matches {string}", (pattern: string) => {
+    const expression = new RegExp(pattern);
+    assert.ok(environment.output.some(line => expression.test(line)), environment.output.join("\n"));
+});
+
+Then(
+    "the command's output is JSON with {int} seconds and {int} unreadable lines",
+    (seconds: number, unreadable: number) => {
+        const output = JSON.parse(environment.output.join("")) as {
+            readonly seconds: readonly unknown[];
+            readonly lines: { readonly unreadable: number };
+        };
+        assert.equal(output.seconds.length, seconds);
+        assert.equal(output.lines.unreadable, unreadable);
+    },
+);
+
 Then("the command's output contains {string}", (text: string) => {
     assert.ok(environment.output.join("\n").includes(text), environment.output.join("\n"));
 });
--- a/packages/lovagepitch-cli/src/__tests__/testEnvironment.ts
+++ b/packages/lovagepitch-cli/src/__tests__/testEnvironment.ts
@@ -66,6 +66,17 @@
         return text === undefined ? Err(new CommandFailure(exitCodes.refused, `${fileName}: missing`)) : Ok(text);
     }
 
+    public override async readLines(
+        fileName: string,
+        onLine: (line: string) => void,
+    ): Promise<Result<undefined, CommandFailure>> {
+        const text = await this.readText(fileName);
+        return text.map(content => {
+            content.split("\n").forEach(onLine);
+            return undefined;
+        });
+    }
+
     public override openManifestStore(): ManifestStore {
         return new PlatformManifestStore(new ManifestRepository(this.table, this.retryPolicy));
     }
--- a/packages/lovagepitch-cli/src/commandEnvironment.ts
+++ b/packages/lovagepitch-cli/src/commandEnvironment.ts
@@ -41,6 +41,18 @@
      */
     public abstract readText(fileName: string): Promise<Result<string, CommandFailure>>;
 
+    /**
+     * Reads a text file, or standard input, line by line without keeping it in memory.
+     *
+     * @param fileName - name of the file; `-` reads standard input
+     * @param onLine - called with each line
+     * @returns nothing, or the failure
+     */
+    public abstract readLines(
+        fileName: string,
+        onLine: (line: string) => void,
+    ): Promise<Result<undefined, CommandFailure>>;
+
     /**
      * Opens the store of accepted manifests.
      *
--- a/packages/lovagepitch-cli/src/runCommandLine.ts
+++ b/packages/lovagepitch-cli/src/runCommandLine.ts
@@ -6,6 +6,7 @@
 import type { CommandEnvironment } from "./commandEnvironment.js";
 import { explainJob } from "./commands/explainJob.js";
 import { applyManifestFile, diffManifestFile, showManifest, validateManifestFile } from "./commands/manifestActions.js";
+import { reportJobs } from "./commands/reportJobs.js";
 import { showStatus } from "./commands/showStatus.js";
 import { showStoreStatus } from "./commands/showStoreStatus.js";
 import { submitJob } from "./commands/submitJob.js";
@@ -96,11 +97,10 @@
         .fail((message: string | undefined, error: Error | undefined) => {
             throw createUsageFailure(message, error);
         });
-    return addExplainCommand(
-        addStatusCommand(addSubmitCommand(parser, environment, run), environment, run),
-        environment,
-        run,
-    );
+    addSubmitCommand(parser, environment, run);
+    addStatusCommand(parser, environment, run);
+    addExplainCommand(parser, environment, run);
+    return addReportCommand(parser, environment, run);
 }
 
 function addManifestCommands(parent: Argv, environment: CommandEnvironment, run: RunAction): Argv {
@@ -244,6 +244,27 @@
     );
 }
 
+function addReportCommand(parser: Argv, environment: CommandEnvironment, run: RunAction): Argv {
+    return parser.command(
+        "report [files..]",
+        "Count the outcomes of direct jobs by second and route, from the logs of entries and agents",
+        command =>
+            command
+                .positional("files", {
+                    type: "string",
+                    array: true,
+                    default: ["-"],
+                    describe: "Logs; - reads standard input",
+                })
+                .option("json", { type: "boolean", default: false, describe: "Write JSON" })
+                .example(
+                    "$0 report entry-*.log agent-*.log",
+                    "See in which seconds jobs were late or refused, and why",
+                ),
+        argv => run(reportJobs(environment, argv.files, argv)),
+    );
+}
+
 /** Converts errors of the parser to usage failures; returns all other errors unchanged. */
 function createUsageFailure(message: string | undefined, error: Error | undefined): Error {
     if (error !== undefined && error.name !== "YError") {
--- a/packages/lovagepitch-cli/src/systemEnvironment.ts
+++ b/packages/lovagepitch-cli/src/systemEnvironment.ts
@@ -20,7 +20,8 @@
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import { Err, Ok, type Result } from "@lovagepitch/utils/result";
 import { randomInt } from "node:crypto";
-import { readFile } from "node:fs/promises";
+import { open, readFile } from "node:fs/promises";
+import { createInterface } from "node:readline";
 import { text as readStream } from "node:stream/consumers";
 import { request } from "undici";
 import type { AgentDirectory } from "./agentDirectory.js";
@@ -60,9 +61,24 @@
             return Ok(fileName === "-" ? await readStream(process.stdin) : await readFile(fileName, "utf8"));
         }
         catch (error) {
-            const reason = error instanceof Error ? error.message : String(error);
-            const message = `${fileName}: cannot be read (${reason}); check the name and the permissions`;
-            return Err(new CommandFailure(exitCodes.refused, message));
+            return Err(createReadFailure(fileName, error));
+        }
+    }
+
+    /** {@inheritDoc CommandEnvironment.readLines} */
+    public override async readLines(
+        fileName: string,
+        onLine: (line: string) => void,
+    ): Promise<Result<undefined, CommandFailure>> {
+        try {
+            const input = fileName === "-" ? process.stdin : (await open(fileName)).createReadStream();
+            for await (const line of createInterface({ input, crlfDelay: Number.POSITIVE_INFINITY })) {
+                onLine(line);
+            }
+            return Ok(undefined);
+        }
+        catch (error) {
+            return Err(createReadFailure(fileName, error));
         }
     }
 
@@ -158,3 +174,9 @@
         return undefined;
     }
 }
+
+function createReadFailure(fileName: string, error: unknown): CommandFailure {
+    const reason = error instanceof Error ? error.message : String(error);
+    const message = `${fileName}: cannot be read (${reason}); check the name and the permissions`;
+    return new CommandFailure(exitCodes.refused, message);
+}
