--- a/packages/lovagepitch-direct/src/__tests__/lostAnswers.feature
+++ b/packages/lovagepitch-direct/src/__tests__/lostAnswers.feature
@@ -52,6 +52,18 @@
         Then a stop order was sent
         And no end was reported
 
+    Scenario: A run whose worker restarts before the repeated order arrives may have started
+        Given an agent with a worker that has answered no order yet
+        When a start order gets no answer for 31 ms
+        And the worker answers "other-incarnation"
+        Then the end "lost" was reported
+
+    Scenario: A run whose only order reaches another incarnation of the worker has not started
+        Given an agent with a worker that has answered no order yet
+        When a start order gets no answer for 5 ms
+        And the worker answers "other-incarnation"
+        Then the end "not-started" was reported
+
     Scenario: A rejection of the only order is reported at once
         Given an agent with a worker that has answered no order yet
         When a start order gets no answer for 5 ms
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -184,7 +184,8 @@
         case "rejected":
             return isOnlyAttempt ? rejectStart(state, row, outcome) : recordUnanswered(state, row);
         case "other-incarnation":
-            return rejectStart(state, row, outcome);
+            // The former incarnation has ended with all its runs, but the other attempt may have started this one.
+            return isOnlyAttempt ? rejectStart(state, row, outcome) : endRun(state, row, "lost");
         case "outdated-epoch":
             requestNewEpoch(state);
             return isOnlyAttempt ? endRun(state, row, "not-started") : recordUnanswered(state, row);
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
@@ -251,3 +251,17 @@
             | 6    |
             | 7    |
             | 8    |
+
+    Scenario Outline: Faults in random order, on some seeds with calls that get no answer, seed <seed>
+        When 20 faults occur in random order under load with seed <seed>, on some seeds beside calls without an answer
+        And 8000 ms pass
+        Then the guarantees of direct jobs hold
+        And all workers have all their capacity free
+
+        # A task had started at a worker that then restarted and answered the repeated order: seeds 2221 and 2319.
+        Examples:
+            | seed |
+            | 2221 |
+            | 2319 |
+            | 2001 |
+            | 2002 |
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
@@ -233,21 +233,37 @@
 
 When(
     "{int} faults occur in random order under load with seed {int}",
+    (count: number, seed: number) => {
+        world = new DirectWorld(createDeployment(2, 4, 16_000, seed));
+        injectFaultsUnderLoad(count, new RandomSource(seed));
+    },
+);
+
+When(
+    "{int} faults occur in random order under load with seed {int}, on some seeds beside calls without an answer",
     (count: number, seed: number) => {
         world = new DirectWorld(createDeployment(2, 4, 16_000, seed));
         const random = new RandomSource(seed);
-        const endFaults: (() => void)[] = [];
-        for (let index = 0; index < count; index += 1) {
-            endFaults.push(injectRandomFault(world.deployment, random));
-            world.submitEvenly(10 + random.nextInteger(20), 50 + random.nextInteger(400), 15);
-            if (random.nextInteger(2) === 0) {
-                endFaults.shift()?.();
-            }
-        }
-        endFaults.forEach(endFault => endFault());
+        const { deployment } = world;
+        const interval = random.nextInteger(3) === 0 ? 8 + random.nextInteger(20) : undefined;
+        deployment.workers.forEach((_, index) => setFault(deployment, index, { unansweredCallInterval: interval }));
+        injectFaultsUnderLoad(count, random);
+        deployment.workers.forEach((_, index) => setFault(deployment, index, { unansweredCallInterval: undefined }));
     },
 );
 
+function injectFaultsUnderLoad(count: number, random: RandomSource): void {
+    const endFaults: (() => void)[] = [];
+    for (let index = 0; index < count; index += 1) {
+        endFaults.push(injectRandomFault(world.deployment, random));
+        world.submitEvenly(10 + random.nextInteger(20), 50 + random.nextInteger(400), 15);
+        if (random.nextInteger(2) === 0) {
+            endFaults.shift()?.();
+        }
+    }
+    endFaults.forEach(endFault => endFault());
+}
+
 Then("the guarantees of direct jobs hold", () => {
     assert.deepEqual(world.deployment.record.violations, []);
 });
