--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
@@ -258,7 +258,7 @@
         Then the guarantees of direct jobs hold
         And all workers have all their capacity free
 
-        # A task had started at a worker that then restarted and answered the repeated order: seeds 2221 and 2319.
+        # Seed 2319: a task had started at a worker that then restarted and answered the repeated order.
         Examples:
             | seed |
             | 2221 |
