fix(agent): do not wake for an order that will not be repeated

Cause: found while reading the diff. The time of a repetition was due while the worker did not respond, so the agent woke without a pause until the order timed out. Seen: a scenario of lostAnswers fails without the change.

--- a/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
+++ b/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
@@ -15,6 +15,8 @@
 /** An agent's core on a clock that the test advances. */
 export class AgentDriver {
     public readonly outputs: AgentOutput[] = [];
+    /** Number of ticks of the core. */
+    public ticks = 0;
     private frameSequence = 0;
     private readonly clock = new ManualClock(1_000_000);
     private readonly core = new AgentCore(
@@ -81,6 +83,7 @@
     }
 
     private tick(): void {
+        this.ticks += 1;
         const outputs = this.core.tick();
         this.outputs.push(...outputs);
         for (const output of outputs) {
--- a/packages/lovagepitch-direct/src/__tests__/lostAnswers.feature
+++ b/packages/lovagepitch-direct/src/__tests__/lostAnswers.feature
@@ -76,6 +76,14 @@
         Then the agent accepts a start order
         And the latest view call waits 0 ms and extends no lease
 
+    Scenario: No order is repeated to a worker that does not respond, and the agent does not wake for it
+        Given an agent with a worker that has answered no order yet
+        When a start order gets no answer for 5 ms
+        And 2 views get no answer
+        And 30 ms pass for the agent's orders
+        Then the start order was sent 1 times
+        And the agent woke at most 5 times meanwhile
+
     Scenario: Two views in a row without an answer close the worker
         Given an agent with a worker that has answered no order yet
         When 2 views get no answer
--- a/packages/lovagepitch-direct/src/__tests__/lostAnswers.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/lostAnswers.steps.ts
@@ -7,6 +7,7 @@
 const run = { job: "a1", task: 0, run: 1 };
 
 let agent = new AgentDriver(false);
+let ticksWhileAdvancing = 0;
 
 function answerStart(job: string, outcome: OrderOutcome): void {
     agent.accept({ kind: "start-answered", worker, run: { ...run, job }, outcome });
@@ -58,6 +59,16 @@
     }
 });
 
+When("{int} ms pass for the agent's orders", (milliseconds: number) => {
+    const earlier = agent.ticks;
+    agent.advance(milliseconds);
+    ticksWhileAdvancing = agent.ticks - earlier;
+});
+
+Then("the agent woke at most {int} times meanwhile", (maximum: number) => {
+    assert.ok(ticksWhileAdvancing <= maximum, `${ticksWhileAdvancing} times`);
+});
+
 Then("the start order was sent {int} times", (times: number) => {
     assert.equal(countStarts(run.job), times);
 });
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -102,7 +102,7 @@
     const { worker } = state;
     for (const row of [...state.runs.values()]) {
         const dueAt = getRepeatAt(state, row);
-        if (worker?.isResponsive === true && row.order !== undefined && dueAt !== undefined && state.now >= dueAt) {
+        if (worker !== undefined && row.order !== undefined && dueAt !== undefined && state.now >= dueAt) {
             state.runs.set(formatRunKey(row.identity), { ...row, startAttempts: row.startAttempts + 1 });
             sendStart(state, worker, row.order);
         }
@@ -125,7 +125,7 @@
 }
 
 function getRepeatAt(state: AgentState, row: RunRow): number | undefined {
-    return row.state === "starting" && row.startAttempts === 1
+    return state.worker?.isResponsive === true && row.state === "starting" && row.startAttempts === 1
         ? row.lastOrderSentAt + state.answerTime.repeatDelayMilliseconds
         : undefined;
 }
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -20,8 +20,6 @@
         }
         if (report.isDraining && !worker.report.isDraining) {
             state.log("info", "worker drains", { worker: report.id });
-        }
-        if (report.isDraining && !worker.report.isDraining) {
             recordWorkerChange(state, undefined);
         }
         // A worker that has started to drain does not accept tasks again.
