--- a/packages/lovagepitch-direct/src/__tests__/recovery.feature
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.feature
@@ -17,17 +17,27 @@
         When 5 s pass for the agent
         Then it tries to connect at most 2 times within 1 s
 
-    Scenario: Orders to a recalled worker carry an epoch from the worker's own clock
-        Given an agent that has recalled a worker
+    Scenario: Orders to a restored worker carry an epoch from the worker's own clock
+        Given an agent that has restored a worker
         When the worker answers the first view call, and its clock shows 5000000 ms
         Then the next view call has epoch 5000000 and the first one extended no lease
 
-    Scenario: A report that arrives first takes precedence over the recalled worker
+    Scenario: A report that arrives first takes precedence over the restored worker
         Given an agent whose worker "life-2" has reported
-        When the agent recalls worker "life-1"
+        When the agent restores worker "life-1"
         Then it calls only worker "life-2"
 
-    Scenario: A new incarnation of the worker is used at once when the recalled one does not answer
-        Given an agent that has recalled a worker
+    Scenario: A new incarnation of the worker is used at once when the restored one does not answer
+        Given an agent that has restored a worker
         When worker "life-2" reports
         Then the latest view call is for worker "life-2"
+
+    Scenario: A restored worker that has ended costs no write to the store while the next one registers
+        Given an agent that has restored a worker
+        When the worker answers as another incarnation
+        Then the agent has recorded nothing
+
+    Scenario: A worker that drains is removed from the record at once
+        Given an agent whose worker "life-2" has reported
+        When worker "life-2" reports that it drains
+        Then the latest record of the agent names no worker
--- a/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
@@ -16,9 +16,9 @@
     },
 );
 
-Given("an agent that has recalled a worker", () => {
+Given("an agent that has restored a worker", () => {
     agent = new AgentDriver(true);
-    agent.accept({ kind: "worker-recalled", registration: createRegistration("life-1") });
+    agent.accept({ kind: "worker-restored", registration: createRegistration("life-1") });
 });
 
 Given("an agent whose worker {string} has reported", (id: string) => {
@@ -42,8 +42,8 @@
     agent.accept({ kind: "view", call: first.call, view: { workerClock, running: [], ended: [] } });
 });
 
-When("the agent recalls worker {string}", (id: string) => {
-    agent.accept({ kind: "worker-recalled", registration: createRegistration(id) });
+When("the agent restores worker {string}", (id: string) => {
+    agent.accept({ kind: "worker-restored", registration: createRegistration(id) });
     agent.advance(100);
 });
 
@@ -70,3 +70,23 @@
 Then("the latest view call is for worker {string}", (id: string) => {
     assert.equal(agent.listViewCalls().at(-1)?.worker, id);
 });
+
+When("the worker answers as another incarnation", () => {
+    const call = agent.listViewCalls().at(-1)?.call ?? 0;
+    agent.accept({ kind: "view-failed", call, failure: { kind: "other-incarnation" } });
+    agent.advance(100);
+});
+
+When("worker {string} reports that it drains", (id: string) => {
+    agent.accept({ kind: "worker-reported", report: { ...createReport(id), isDraining: true, sequence: 4 } });
+});
+
+Then("the agent has recorded nothing", () => {
+    assert.deepEqual(agent.outputs.filter(output => output.kind === "worker-changed"), []);
+});
+
+Then("the latest record of the agent names no worker", () => {
+    const records = agent.outputs.filter(output => output.kind === "worker-changed");
+    assert.equal(records.at(-1)?.registration, undefined);
+    assert.equal(records.length, 2);
+});
--- a/packages/lovagepitch-direct/src/__tests__/workerDirectory.feature
+++ b/packages/lovagepitch-direct/src/__tests__/workerDirectory.feature
@@ -1,35 +1,36 @@
 @direct-policies
 Feature: Recorded worker of an agent
 
-    A restarted agent uses the worker that its predecessor recorded, unless that worker has drained or left.
+    A restarted agent uses the worker that its predecessor recorded, unless that worker drains. A record of a worker
+    that has ended is harmless: no other incarnation accepts a call that names it.
 
-    Scenario: A restarted agent recalls the worker of its predecessor
+    Scenario: A restarted agent restores the worker of its predecessor
         Given an agent that has recorded worker "life-1"
-        Then a restarted process of the agent recalls "life-1"
+        Then a restarted process of the agent restores "life-1"
 
-    Scenario: A worker that has drained or left is not recalled
+    Scenario: A worker that drains is not restored
         Given an agent that has recorded worker "life-1"
-        When the agent records that no worker may be recalled
-        Then a restarted process of the agent recalls no worker
+        When the agent records that no worker may be restored
+        Then a restarted process of the agent restores no worker
 
-    Scenario: A delayed write of a worker does not undo that the worker has left
+    Scenario: A delayed write of a worker does not undo that the worker drains
         Given an agent whose next write to the store is delayed
         When the agent records worker "life-1"
-        And the agent records that no worker may be recalled
+        And the agent records that no worker may be restored
         And the delayed write takes effect
-        Then a restarted process of the agent recalls no worker
+        Then a restarted process of the agent restores no worker
 
-    Scenario: A worker that has left is removed once the store answers again
+    Scenario: A worker that drains is removed once the store answers again
         Given an agent that has recorded worker "life-1"
         When the store stops answering
-        And the agent records that no worker may be recalled while the store is down
+        And the agent records that no worker may be restored while the store is down
         And the store answers again
-        Then a restarted process of the agent recalls no worker
+        Then a restarted process of the agent restores no worker
 
-    Scenario: An agent without a reachable store recalls no worker
+    Scenario: An agent without a reachable store restores no worker
         Given an agent that has recorded worker "life-1"
         When the store stops answering
-        Then a restarted process of the agent recalls no worker
+        Then a restarted process of the agent restores no worker
 
     Scenario: A restarted agent whose worker is unchanged writes nothing
         Given an agent that has recorded worker "life-1"
--- a/packages/lovagepitch-direct/src/__tests__/workerDirectory.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/workerDirectory.steps.ts
@@ -23,9 +23,9 @@
     return { id, service: "drives", capacity, labels: ["a", "rack-1"] };
 }
 
-async function waitUntilRecalled(id: string | undefined): Promise<void> {
+async function waitUntilRecorded(id: string | undefined): Promise<void> {
     const waitEndsAt = performance.now() + maximumWaitMilliseconds;
-    while ((await createDirectory().recall())?.id !== id) {
+    while ((await createDirectory().readRecorded())?.id !== id) {
         assert(performance.now() < waitEndsAt, `the recorded worker is not ${id}`);
         await delay(20);
     }
@@ -35,7 +35,7 @@
     rows = new MemoryRows();
     directory = createDirectory();
     directory.record(createRegistration(id));
-    await waitUntilRecalled(id);
+    await waitUntilRecorded(id);
 });
 
 Given("an agent whose next write to the store is delayed", () => {
@@ -53,14 +53,14 @@
     }
 });
 
-When("the agent records that no worker may be recalled", { timeout: 2 * maximumWaitMilliseconds }, async () => {
+When("the agent records that no worker may be restored", { timeout: 2 * maximumWaitMilliseconds }, async () => {
     directory.record(undefined);
-    await waitUntilRecalled(undefined);
+    await waitUntilRecorded(undefined);
     // The row is written even when it does not exist.
     await delay(700);
 });
 
-When("the agent records that no worker may be recalled while the store is down", async () => {
+When("the agent records that no worker may be restored while the store is down", async () => {
     directory.record(undefined);
     await delay(50);
 });
@@ -73,20 +73,20 @@
 
 When("the store answers again", { timeout: 2 * maximumWaitMilliseconds }, async () => {
     rows.isDown = false;
-    await waitUntilRecalled(undefined);
+    await waitUntilRecorded(undefined);
 });
 
-Then("a restarted process of the agent recalls {string}", async (id: string) => {
-    assert.deepEqual(await createDirectory().recall(), createRegistration(id));
+Then("a restarted process of the agent restores {string}", async (id: string) => {
+    assert.deepEqual(await createDirectory().readRecorded(), createRegistration(id));
 });
 
-Then("a restarted process of the agent recalls no worker", async () => {
-    assert.equal(await createDirectory().recall(), undefined);
+Then("a restarted process of the agent restores no worker", async () => {
+    assert.equal(await createDirectory().readRecorded(), undefined);
 });
 
 Then("a restarted process that records worker {string} writes nothing", async (id: string) => {
     const restarted = createDirectory();
-    await restarted.recall();
+    await restarted.readRecorded();
     const { calls } = rows;
     restarted.record(createRegistration(id));
     await delay(2500);
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -21,7 +21,7 @@
 import { startQueuedOrders } from "./orderQueue.js";
 import { findNextRepeatAt, receiveStartAnswer, receiveStopAnswer, repeatLateStarts, resendStops } from "./runOrders.js";
 import { stopStalledRuns } from "./stalledRuns.js";
-import { recallWorker, receiveReport, receiveWorkerLeft } from "./workerRegistration.js";
+import { receiveReport, receiveWorkerLeft, restoreWorker } from "./workerRegistration.js";
 import { expireWorkerLease, receiveView, receiveViewFailure, requestView } from "./workerViews.js";
 
 /** Longest time between ticks, in milliseconds; bounds the delay until silence, stalls and due resends are detected. */
@@ -97,8 +97,8 @@
                 return receiveReport(state, input.report);
             case "worker-left":
                 return receiveWorkerLeft(state, input.worker);
-            case "worker-recalled":
-                return recallWorker(state, input.registration);
+            case "worker-restored":
+                return restoreWorker(state, input.registration);
             case "view":
                 return receiveView(state, input.call, input.view);
             case "view-failed":
--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -53,7 +53,7 @@
     | { readonly kind: "worker-reported"; readonly report: WorkerReport }
     | { readonly kind: "worker-left"; readonly worker: string }
     /** An earlier process of this agent has recorded the worker; it may have ended since. */
-    | { readonly kind: "worker-recalled"; readonly registration: WorkerRegistration }
+    | { readonly kind: "worker-restored"; readonly registration: WorkerRegistration }
     | { readonly kind: "view"; readonly call: number; readonly view: WorkerView }
     | {
         readonly kind: "view-failed";
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -32,8 +32,8 @@
         state.markUpdatePending();
         return;
     }
-    const isUnconfirmedRecall = worker?.needsEpoch === true;
-    if (worker !== undefined && !isUnconfirmedRecall) {
+    const isRestoredUnconfirmed = worker?.needsEpoch === true;
+    if (worker !== undefined && !isRestoredUnconfirmed) {
         // The report may be outdated. Only one incarnation answers at the worker's address, so the next view call
         // shows which one it is.
         state.pendingReport = report;
@@ -49,7 +49,7 @@
  * @param state - state of the agent
  * @param registration - recorded worker
  */
-export function recallWorker(state: AgentState, registration: WorkerRegistration): void {
+export function restoreWorker(state: AgentState, registration: WorkerRegistration): void {
     if (state.worker !== undefined) {
         return;
     }
@@ -60,7 +60,7 @@
         workerClock: 0,
         sequence: 0,
     }, true);
-    state.log("info", "worker recalled", { worker: registration.id, service: registration.service });
+    state.log("info", "worker restored", { worker: registration.id, service: registration.service });
 }
 
 function registerWorker(state: AgentState, report: WorkerReport): void {
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -69,8 +69,8 @@
      *
      * @param registration - recorded worker
      */
-    public recallWorker(registration: WorkerRegistration): void {
-        this.loop.accept({ kind: "worker-recalled", registration });
+    public restoreWorker(registration: WorkerRegistration): void {
+        this.loop.accept({ kind: "worker-restored", registration });
     }
 
     /**
--- a/packages/lovagepitch-direct/src/process/workerDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/workerDirectory.ts
@@ -21,14 +21,14 @@
  */
 const maximumRecordDelayMilliseconds = 2000;
 
-/** Value of the row of an agent whose worker must not be recalled. */
+/** Value of the row of an agent whose worker must not be restored. */
 const noWorker = {};
 
 /** Reads and maintains the row of one agent's worker. */
 export class WorkerDirectory {
     /** Row as last read or written; undefined before the first read. */
     private row: VersionedRow | undefined;
-    /** Worker to record; undefined when no worker may be recalled. */
+    /** Worker to record; undefined when no worker may be restored. */
     private current: WorkerRegistration | undefined;
     /** True while an earlier write without an answer may still take effect. */
     private hasUncertainWrite = false;
@@ -50,12 +50,12 @@
     ) {}
 
     /**
-     * Reads the worker that an earlier process has recorded. If the store does not answer, no worker is recalled, and
+     * Reads the worker that an earlier process has recorded. If the store does not answer, no worker is restored, and
      * the agent waits for the worker's next report.
      *
      * @returns the recorded worker, or undefined when there is none
      */
-    public async recall(): Promise<WorkerRegistration | undefined> {
+    public async readRecorded(): Promise<WorkerRegistration | undefined> {
         const row = await this.readOwn();
         return decodeRegistration(row?.value);
     }
@@ -63,7 +63,7 @@
     /**
      * Records the worker for a later process of the agent, and retries until the store has it.
      *
-     * @param registration - current worker; undefined when no worker may be recalled
+     * @param registration - current worker; undefined when no worker may be restored
      */
     public record(registration: WorkerRegistration | undefined): void {
         this.current = registration;
--- a/packages/lovagepitch-testing/src/__tests__/direct/directFaults.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directFaults.ts
@@ -21,7 +21,7 @@
             return () => undefined;
         case 1:
             deployment.killAgent(index);
-            return () => deployment.restartAgent(index, entry === 0);
+            return () => deployment.restartAgent(index, entry === 0 ? "report" : "record");
         case 2:
             setFault(deployment, index, { orderDelayMilliseconds: 500 + random.nextInteger(3000) });
             return () => setFault(deployment, index, { orderDelayMilliseconds: undefined });
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.feature
@@ -108,7 +108,7 @@
         And 6000 ms pass
         Then the guarantees of direct jobs hold
 
-    Scenario: Delayed orders of an earlier process start nothing at a recalled worker
+    Scenario: Delayed orders of an earlier process start nothing at a restored worker
         When worker 0 executes its orders 900 ms late
         And 35 direct jobs arrive within 500 ms
         And worker 0 executes its orders without delay
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
@@ -150,7 +150,7 @@
 When("all agents are killed and restarted, and their workers report later", () => {
     for (let agent = 0; agent < 4; agent += 1) {
         world.deployment.killAgent(agent);
-        world.deployment.restartAgent(agent, false);
+        world.deployment.restartAgent(agent, "record");
     }
 });
 
@@ -159,7 +159,7 @@
     (agent: number, milliseconds: number) => {
         world.deployment.killAgent(agent);
         world.deployment.advance(milliseconds);
-        world.deployment.restartAgent(agent, false);
+        world.deployment.restartAgent(agent, "record");
     },
 );
 
@@ -210,7 +210,7 @@
 });
 
 When("agent {int} is restarted, and its worker reports later", (agent: number) => {
-    world.deployment.restartAgent(agent, false);
+    world.deployment.restartAgent(agent, "record");
 });
 
 When("worker {int} drains", (index: number) => {
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -147,24 +147,24 @@
     }
 
     /**
-     * Starts a new incarnation of a killed agent, which recalls the worker that its predecessor has recorded.
+     * Starts a new incarnation of a killed agent.
      *
      * @param agent - index of the agent
-     * @param reportsAtOnce - false if the worker reports only at its next regular interval; true by default
+     * @param learnsFrom - `report` of the worker at once, or `record` of its predecessor and a report at the next interval
      */
-    public restartAgent(agent: number, reportsAtOnce = true): void {
+    public restartAgent(agent: number, learnsFrom: "report" | "record" = "report"): void {
         const host = this.getAgentHost(agent);
         host.incarnation += 1;
         host.core = this.createAgentCore(agent, host.incarnation);
         host.isRunning = true;
         this.sendEntryAddresses(agent);
         const registration = this.recordedWorkers.get(agent);
-        if (registration !== undefined) {
-            this.deliverInput(host, { kind: "worker-recalled", registration });
-        }
-        if (reportsAtOnce) {
+        if (learnsFrom === "report") {
             this.sendWorkerReport(agent);
         }
+        else if (registration !== undefined) {
+            this.deliverInput(host, { kind: "worker-restored", registration });
+        }
     }
 
     /**
