feat(agent): log why a worker does not respond, and its runs with their ages

Cause: 'worker does not respond' is the same line for a crash, a cut and a slow worker, and no line tells what ran there.

--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -46,7 +46,13 @@
 
 /** Reason for which a view call returned no view. */
 export type ViewFailure =
-    | { readonly kind: "unknown" | "other-incarnation" }
+    | {
+        readonly kind:
+            | "unknown"
+            | "other-incarnation"
+            /** The worker's instance answered that no process listens at the worker's address. */
+            | "refused";
+    }
     /** The worker has received a higher epoch; `workerClock` is its monotonic clock, in milliseconds. */
     | {
         readonly kind: "outdated-epoch";
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -323,7 +323,11 @@
         return;
     }
     if (worker.isResponsive) {
-        state.log("warn", "worker does not respond", { worker: worker.report.id });
+        state.log("warn", "worker does not respond", {
+            worker: worker.report.id,
+            failure: failure.kind,
+            runs: describeRuns(state),
+        });
         state.markUpdatePending();
     }
     state.worker = {
@@ -338,6 +342,13 @@
     }
 }
 
+/** Lists job, task, run and age in milliseconds of each run, for the log. */
+function describeRuns(state: AgentState): readonly (readonly [string, number, number, number])[] {
+    return [...state.runs.values()].map(({ identity, orderedAt }) => {
+        return [identity.job, identity.task, identity.run, Math.round(state.now - orderedAt)];
+    });
+}
+
 /**
  * Ends every run as lost once the worker's lease has certainly expired, with its clock error taken into account.
  *
