--- a/packages/lovagepitch-testing/src/direct/deploymentParts.ts
+++ b/packages/lovagepitch-testing/src/direct/deploymentParts.ts
@@ -67,11 +67,19 @@
      */
     public createWorker(index: number, id = `life-${this.nextWorkerNumber}`): FakeWorker {
         this.nextWorkerNumber += 1;
-        const { milliCores, workerKinds = [], getTaskDurationMilliseconds } = this.options;
+        const { milliCores, workerKinds = [], getTaskDurationMilliseconds, getCrashMilliseconds } = this.options;
         const kind = workerKinds[index % Math.max(1, workerKinds.length)];
         const capacity = { milliCores: milliCores * (kind?.size ?? 1), memoryMegabytes: 32_768, accelerators: 0 };
         const labels = kind === undefined ? [] : [kind.label];
-        const worker = new FakeWorker(id, capacity, this.clock, this.record, getTaskDurationMilliseconds, labels);
+        const worker = new FakeWorker(
+            id,
+            capacity,
+            this.clock,
+            this.record,
+            getTaskDurationMilliseconds,
+            labels,
+            getCrashMilliseconds,
+        );
         worker.faults.slowdownFactor = 1 / (kind?.speed ?? 1);
         return worker;
     }
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -25,6 +25,9 @@
 /** Interval between two reports of a worker. */
 const reportIntervalMilliseconds = 1500;
 
+/** Time after which a worker that has crashed is back under a new id, in milliseconds. */
+const workerReturnMilliseconds = 3200;
+
 /** Simulated deployment for direct jobs. */
 export class DirectDeployment {
     public readonly clock = new ManualClock(1_000_000);
@@ -45,6 +48,10 @@
     private readonly lastReportedFreeMilliCores = new Map<number, number>();
     /** Worker that each agent has recorded for its next process. */
     private readonly recordedWorkers = new Map<number, WorkerRegistration | undefined>();
+    private readonly returningWorkers = new Set<number>();
+    /** Workers whose reports do not reach their agents. */
+    private readonly silencedReports = new Set<number>();
+    private readonly submissionTimes = new Map<string, number[]>();
     private nextRequestId = 1;
 
     /**
@@ -65,6 +72,7 @@
         }
         const runPeriodicTick = (): void => {
             this.scheduleAllTicks();
+            this.scheduleReturns();
             this.queue.schedule(this.clock.nowMilliseconds() + 5, runPeriodicTick, undefined);
         };
         this.queue.schedule(this.clock.nowMilliseconds(), runPeriodicTick, undefined);
@@ -93,6 +101,7 @@
         const request = this.nextRequestId;
         this.nextRequestId += 1;
         this.jobs.set(job.id, complete);
+        this.submissionTimes.set(job.id, [...this.listSubmissions(job.id), this.clock.nowMilliseconds()]);
         this.record.clearCancellation(job.id);
         this.record.recordSubmission(job.id, complete.specification, alwaysFails);
         this.deliverInput(this.getEntryHost(entry), { kind: "submitted", request, job: complete });
@@ -226,6 +235,69 @@
         this.workers[index] = this.parts.createWorker(index);
     }
 
+    /**
+     * Crashes a worker for a cause outside its tasks; it returns later.
+     *
+     * @param index - index of the worker
+     */
+    public crashWorker(index: number): void {
+        this.getWorker(index).crash();
+    }
+
+    /**
+     * Changes the capacity of a worker, which its next report shows.
+     *
+     * @param index - index of the worker
+     * @param milliCores - thousandths of a core from now on
+     */
+    public setCapacity(index: number, milliCores: number): void {
+        const worker = this.getWorker(index);
+        worker.setCapacity({ ...worker.capacity, milliCores });
+    }
+
+    /**
+     * Starts or ends the loss of a worker's reports.
+     *
+     * @param index - index of the worker
+     * @param areDropped - true to drop them
+     */
+    public dropReports(index: number, areDropped: boolean): void {
+        if (areDropped) {
+            this.silencedReports.add(index);
+        }
+        else {
+            this.silencedReports.delete(index);
+        }
+    }
+
+    /**
+     * Lists when a job was submitted.
+     *
+     * @param job - id of the job
+     * @returns instants of its submissions, in milliseconds
+     */
+    public listSubmissions(job: string): readonly number[] {
+        return this.submissionTimes.get(job) ?? [];
+    }
+
+    /** Starts the next incarnation of each crashed worker after some time. */
+    private scheduleReturns(): void {
+        this.workers.forEach((worker, index) => {
+            worker.advance();
+            if (worker.isUp || this.returningWorkers.has(index)) {
+                return;
+            }
+            this.returningWorkers.add(index);
+            this.queue.schedule(this.clock.nowMilliseconds() + workerReturnMilliseconds, () => {
+                this.returningWorkers.delete(index);
+                if (this.workers[index] === worker) {
+                    this.workers[index] = this.parts.createWorker(index);
+                    this.sendWorkerReport(index);
+                }
+            }, undefined);
+        });
+    }
+
     /**
      * Crashes a worker and starts its next incarnation under the same id. Its clock and its numbers begin anew.
      *
@@ -290,7 +362,7 @@
     private sendWorkerReport(index: number): void {
         const worker = this.getWorker(index);
         const host = this.getAgentHost(index);
-        if (host.isRunning && worker.isUp) {
+        if (host.isRunning && worker.isUp && !this.silencedReports.has(index)) {
             this.deliverInput(host, { kind: "worker-reported", report: this.workerReports.create(worker) });
         }
     }
--- a/packages/lovagepitch-testing/src/direct/directDeploymentOptions.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeploymentOptions.ts
@@ -20,6 +20,8 @@
     readonly createPolicies?: () => EntryPolicies;
     /** Gives the duration of a run on a healthy worker, in milliseconds. */
     readonly getTaskDurationMilliseconds: (run: RunIdentity) => number;
+    /** Gives the progress at which a run crashes its worker, in milliseconds; no run does so by default. */
+    readonly getCrashMilliseconds?: (run: RunIdentity) => number | undefined;
     readonly seed: number;
 }
 
--- a/packages/lovagepitch-testing/src/direct/directRecord.ts
+++ b/packages/lovagepitch-testing/src/direct/directRecord.ts
@@ -14,18 +14,37 @@
     readonly atMilliseconds: number;
 }
 
+/** A crash of a worker. */
+export interface RecordedCrash {
+    readonly worker: string;
+    /** Task that has crashed the worker; undefined for another cause. */
+    readonly cause: RunIdentity | undefined;
+    readonly running: readonly RunIdentity[];
+    readonly atMilliseconds: number;
+}
+
+/** Number of crashed workers after which a task may be started only so many times more. */
+const crashBudget = 3;
+
 /** Records starts, ends and answers, and checks each of them when it is recorded. */
 export class DirectRecord {
     public readonly violations: string[] = [];
     public readonly answers: RecordedAnswer[] = [];
+    public readonly crashes: RecordedCrash[] = [];
     public startCount = 0;
     private readonly startsByWorker = new Map<string, RunIdentity[]>();
+    private readonly starts: { readonly worker: string; readonly run: RunIdentity; readonly atMilliseconds: number }[] =
+        [];
     private readonly endCounts = new Map<string, number>();
     private readonly submittedSpecifications = new Map<string, string>();
     private readonly failingJobs = new Set<string>();
     private readonly startedJobs = new Set<string>();
     private readonly runningTasks = new Map<string, string>();
     private readonly succeededTasks = new Map<string, Set<number>>();
+    /** Jobs with a task that has crashed a worker. */
+    private readonly crashingJobs = new Set<string>();
+    /** Number of workers that crashed while a task ran, and of its starts after the bound was reached, by task. */
+    private readonly crashedUnder = new Map<string, { readonly crashes: number; readonly startsBeyond: number }>();
     private readonly cancellationTimes = new Map<string, number>();
 
     /**
@@ -86,8 +105,10 @@
     public recordStart(worker: string, run: RunIdentity, specification: string, isWithinCapacity: boolean): void {
         this.startCount += 1;
         this.startsByWorker.set(worker, [...this.listStarts(worker), run]);
+        this.starts.push({ worker, run, atMilliseconds: this.clock.nowMilliseconds() });
         this.startedJobs.add(run.job);
         const task = `${run.job}/${run.task}`;
+        this.checkCrashBudget(task);
         const otherWorker = this.runningTasks.get(task);
         if (otherWorker !== undefined) {
             this.violations.push(`task ${task} runs on ${otherWorker} and ${worker} at the same time`);
@@ -108,6 +129,47 @@
         }
     }
 
+    private checkCrashBudget(task: string): void {
+        const { crashes, startsBeyond } = this.crashedUnder.get(task) ?? { crashes: 0, startsBeyond: 0 };
+        if (crashes < crashBudget) {
+            return;
+        }
+        this.crashedUnder.set(task, { crashes, startsBeyond: startsBeyond + 1 });
+        if (startsBeyond + 1 === crashBudget) {
+            this.violations.push(
+                `task ${task} was started ${crashBudget} times after it had crashed ${crashes} workers`,
+            );
+        }
+    }
+
+    /**
+     * Records the crash of a worker.
+     *
+     * @param worker - id of the worker's incarnation
+     * @param cause - task that has crashed it; undefined for another cause
+     * @param running - tasks that ran on it, including the cause
+     */
+    public recordCrash(worker: string, cause: RunIdentity | undefined, running: readonly RunIdentity[]): void {
+        this.crashes.push({ worker, cause, running, atMilliseconds: this.clock.nowMilliseconds() });
+        if (cause === undefined) {
+            return;
+        }
+        this.crashingJobs.add(cause.job);
+        const task = `${cause.job}/${cause.task}`;
+        const { crashes, startsBeyond } = this.crashedUnder.get(task) ?? { crashes: 0, startsBeyond: 0 };
+        this.crashedUnder.set(task, { crashes: crashes + 1, startsBeyond });
+    }
+
+    /**
+     * Counts the workers that a job's tasks have crashed.
+     *
+     * @param job - id of the job
+     * @returns number of crashes
+     */
+    public countCrashesBy(job: string): number {
+        return this.crashes.filter(({ cause }) => cause?.job === job).length;
+    }
+
     /**
      * Records the end of a run.
      *
@@ -143,7 +205,7 @@
         if (answer.kind === "refused" && this.startedJobs.has(job)) {
             this.violations.push(`job ${job} was refused after a task had started`);
         }
-        if (answer.kind === "failed" && !this.failingJobs.has(job)) {
+        if (answer.kind === "failed" && !this.failingJobs.has(job) && !this.crashingJobs.has(job)) {
             this.violations.push(`job ${job} was answered as failed, but its tasks can succeed`);
         }
     }
@@ -158,6 +220,31 @@
         return this.startsByWorker.get(worker) ?? [];
     }
 
+    /**
+     * Finds the next start of a task.
+     *
+     * @param job - id of the job
+     * @param task - position of the task
+     * @param after - instant after which it starts, in milliseconds
+     * @returns instant of the start, or undefined if there was none
+     */
+    public findStart(job: string, task: number, after: number): number | undefined {
+        const start = this.starts.find(({ run, atMilliseconds }) => {
+            return run.job === job && run.task === task && atMilliseconds > after;
+        });
+        return start?.atMilliseconds;
+    }
+
+    /**
+     * Finds the first start on one incarnation of a worker.
+     *
+     * @param worker - id of the worker's incarnation
+     * @returns instant of the start in milliseconds, or undefined if there was none
+     */
+    public findFirstStart(worker: string): number | undefined {
+        return this.starts.find(start => start.worker === worker)?.atMilliseconds;
+    }
+
     /**
      * Counts the runs that ended in a given way.
      *
--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -14,6 +14,9 @@
 /** Longest lease that a worker grants, in milliseconds. */
 const longestLeaseMilliseconds = 1000;
 
+/** Time after a change of the capacity until which the former one may be filled, in milliseconds; the platform's bounds. */
+const capacityNoticeMilliseconds = 3000 + 1500;
+
 /** Unix time at instant 0 of the deployment's clock, in milliseconds. */
 const unixMillisecondsAtClockStart = 1_764_000_000_000;
 
@@ -44,6 +47,8 @@
     readonly identity: RunIdentity;
     readonly needs: Resources;
     readonly durationMilliseconds: number;
+    /** Progress at which the task crashes the worker, in milliseconds; infinite for other tasks. */
+    readonly crashesAtMilliseconds: number;
     progressMilliseconds: number;
     stopsAt: number | undefined;
 }
@@ -70,8 +75,13 @@
     private leaseExpiresAt = 0;
     private highestEpoch = 0;
     private advancedUntil: number;
+    private reportedCapacity: Resources;
+    private formerCapacity: Resources;
+    private capacityChangedAt = Number.NEGATIVE_INFINITY;
     /** Instant of the deployment's clock at which this incarnation's own clock shows 0. */
     private readonly clockOrigin: number;
+    /** Start of this incarnation on the deployment's clock, in milliseconds. */
+    public readonly bornAtMilliseconds: number;
     /** Start of this incarnation, in Unix milliseconds. */
     public readonly startedAt: number;
     /** Name of this incarnation in the record; ids may repeat. */
@@ -84,16 +94,22 @@
      * @param record - records starts and ends
      * @param getTaskDurationMilliseconds - gives the duration of a run on a healthy worker, in milliseconds
      * @param labels - labels that the worker reports
+     * @param getCrashMilliseconds - gives the progress at which a task crashes the worker, in milliseconds; undefined for
+     *   a task that does not
      */
     public constructor(
         public readonly id: string,
-        public readonly capacity: Resources,
+        capacity: Resources,
         private readonly clock: Clock,
         private readonly record: DirectRecord,
         private readonly getTaskDurationMilliseconds: (run: RunIdentity) => number,
         public readonly labels: readonly string[] = [],
+        private readonly getCrashMilliseconds: (run: RunIdentity) => number | undefined = () => undefined,
     ) {
+        this.reportedCapacity = capacity;
+        this.formerCapacity = capacity;
         this.advancedUntil = clock.nowMilliseconds();
+        this.bornAtMilliseconds = clock.nowMilliseconds();
         this.startedAt = Math.floor(unixMillisecondsAtClockStart + clock.nowMilliseconds());
         this.clockOrigin = clock.nowMilliseconds() - (this.startedAt * 7919) % maximumClockStart;
         this.name = `${id}@${this.startedAt}`;
@@ -104,6 +120,29 @@
         return this.clock.nowMilliseconds() - this.clockOrigin;
     }
 
+    /** Resources of the worker at present. */
+    public get capacity(): Resources {
+        return this.reportedCapacity;
+    }
+
+    /**
+     * Changes the resources of the worker. What runs goes on; the next report shows the change.
+     *
+     * @param capacity - resources from now on
+     */
+    public setCapacity(capacity: Resources): void {
+        this.advance();
+        this.formerCapacity = this.reportedCapacity;
+        this.capacityChangedAt = this.clock.nowMilliseconds();
+        this.reportedCapacity = capacity;
+    }
+
+    /** Tells whether resources exceed the capacity, also the former one while the agent may not know the present one. */
+    private exceedsCapacity(occupied: Resources): boolean {
+        const isRecent = this.clock.nowMilliseconds() - this.capacityChangedAt <= capacityNoticeMilliseconds;
+        return !fitsInto(occupied, this.reportedCapacity) && !(isRecent && fitsInto(occupied, this.formerCapacity));
+    }
+
     /** True while at least one task runs. */
     public get isBusy(): boolean {
         return this.running.size > 0;
@@ -123,11 +162,17 @@
     /** Ends this incarnation; its running tasks are lost. */
     public crash(): void {
         this.advance();
+        this.goDown(undefined);
+    }
+
+    private goDown(cause: RunIdentity | undefined): void {
         this.isUp = false;
-        for (const task of this.running.values()) {
-            this.record.recordEnd(this.name, task.identity, "lost");
-        }
+        const tasks = [...this.running.values()].map(({ identity }) => identity);
         this.running.clear();
+        this.record.recordCrash(this.name, cause, tasks);
+        for (const identity of tasks) {
+            this.record.recordEnd(this.name, identity, "lost");
+        }
     }
 
     /**
@@ -159,11 +204,12 @@
             identity,
             needs: order.needs,
             durationMilliseconds: this.faults.failsEverything ? 5 : this.getTaskDurationMilliseconds(identity),
+            crashesAtMilliseconds: this.getCrashMilliseconds(identity) ?? Number.POSITIVE_INFINITY,
             progressMilliseconds: 0,
             stopsAt: undefined,
         });
         const occupied = [...this.running.values()].reduce((sum, task) => addResources(sum, task.needs), noResources);
-        this.record.recordStart(this.name, identity, order.specification, fitsInto(occupied, this.capacity));
+        this.record.recordStart(this.name, identity, order.specification, !this.exceedsCapacity(occupied));
         return "accepted";
     }
 
@@ -227,7 +273,9 @@
         const now = this.clock.nowMilliseconds();
         for (; this.advancedUntil < now && this.isUp; this.advancedUntil += 1) {
             for (const task of [...this.running.values()]) {
-                this.advanceTask(task, this.advancedUntil);
+                if (this.isUp) {
+                    this.advanceTask(task, this.advancedUntil);
+                }
             }
         }
         this.advancedUntil = now;
@@ -252,7 +300,10 @@
             return;
         }
         task.progressMilliseconds += this.faults.isStalled ? 0 : 1 / this.faults.slowdownFactor;
-        if (task.progressMilliseconds >= task.durationMilliseconds) {
+        if (task.progressMilliseconds >= task.crashesAtMilliseconds) {
+            this.goDown(task.identity);
+        }
+        else if (task.progressMilliseconds >= task.durationMilliseconds) {
             this.endTask(
                 task,
                 this.faults.failsEverything || this.record.isFailingJob(task.identity.job) ? "failed" : "succeeded",
--- a/packages/lovagepitch-testing/src/direct/mixedLoad.ts
+++ b/packages/lovagepitch-testing/src/direct/mixedLoad.ts
@@ -40,6 +40,17 @@
     readonly periodMilliseconds: number;
 }
 
+/** A share of the jobs of one kind that have one task that crashes each worker that starts it. */
+export interface CrashingJobs {
+    readonly kind: string;
+    readonly share: number;
+    /** Time of arrival of the first and last of them, in milliseconds since the start of the load. */
+    readonly fromMilliseconds: number;
+    readonly untilMilliseconds: number;
+    /** Run time of the task until the crash, in milliseconds. */
+    readonly crashMilliseconds: number;
+}
+
 /** Size of the deployment and of the load. */
 export interface MixedLoadOptions {
     readonly entries: number;
@@ -59,6 +70,8 @@
     readonly longTasks?: LongTasks;
     /** Waves of demand; even demand by default. */
     readonly zoneWaves?: ZoneWaves;
+    /** Jobs with a task that crashes its workers; none by default. */
+    readonly crashingJobs?: CrashingJobs;
     /** Kind whose rate is multiplied by `burstFactor` all the time; none by default. */
     readonly burstKind?: string;
     readonly burstFactor?: number;
@@ -113,6 +126,8 @@
     private readonly jobKinds: readonly JobKind[];
     private readonly taskDurationsByJob = new Map<string, readonly number[]>();
     private readonly jobs = new Map<string, SubmittedJob>();
+    /** Jobs with a task that crashes its workers. */
+    public readonly crashingJobs = new Set<string>();
 
     /**
      * @param options - size of the deployment and of the load
@@ -130,6 +145,10 @@
             seed: options.seed,
             getTaskDurationMilliseconds: run =>
                 this.taskDurationsByJob.get(run.job)?.[run.task] ?? minimumTaskMilliseconds,
+            getCrashMilliseconds: run => {
+                const isCause = run.task === 0 && this.crashingJobs.has(run.job);
+                return isCause ? options.crashingJobs?.crashMilliseconds : undefined;
+            },
         });
     }
 
@@ -312,6 +331,9 @@
             allowanceMilliseconds: 60,
         };
         this.taskDurationsByJob.set(id, taskDurations);
+        if (this.drawsCrash(kind, sinceStart)) {
+            this.crashingJobs.add(id);
+        }
         this.jobs.set(id, {
             kind,
             arrivedAt: this.deployment.clock.nowMilliseconds(),
@@ -323,6 +345,13 @@
         this.deployment.submit(this.drawEntry(sinceStart), job);
     }
 
+    private drawsCrash(kind: JobKind, sinceStart: number): boolean {
+        const { crashingJobs } = this.options;
+        return crashingJobs !== undefined && crashingJobs.kind === kind.name
+            && sinceStart >= crashingJobs.fromMilliseconds && sinceStart <= crashingJobs.untilMilliseconds
+            && this.random.nextFraction() < crashingJobs.share;
+    }
+
     /** Draws by how much longer a task takes than the others of its job. */
     private drawLengthFactor(): number {
         const { longTasks } = this.options;
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -136,11 +136,16 @@
         };
         const deadline = this.clock.nowMilliseconds() + request.waitMilliseconds;
         const poll = (): void => {
-            if (!worker.isUp || worker.faults.isPartitioned) {
+            if (worker.faults.isPartitioned) {
+                return;
+            }
+            const hasEnds = worker.hasUnacknowledgedEnds(request.acknowledgedEndSequence);
+            if (!worker.isUp) {
+                respond({ kind: "unknown" });
                 return;
             }
             if (
-                worker.hasUnacknowledgedEnds(request.acknowledgedEndSequence)
+                hasEnds
                 || this.clock.nowMilliseconds() >= deadline
             ) {
                 const outcome = worker.view(request);
@@ -153,6 +158,10 @@
             this.schedule(linkLatencyMilliseconds, () => respond({ kind: "other-incarnation" }));
             return;
         }
+        if (!worker.isUp && !worker.faults.isPartitioned) {
+            this.schedule(linkLatencyMilliseconds, () => respond({ kind: "refused" }));
+            return;
+        }
         if (worker.isNextCallLate()) {
             this.schedule(lateCallDelayMilliseconds, () => {
                 const current = getAt(this.workers, agent);
