fix(agent): a crashed worker's runs are lost at once, and the next worker is used at once

Cause: an agent that was told by its worker's address that no process listens there still waited 700 ms for the leases, and kept the report of the next incarnation until a call every 150 ms had shown the end of the former one. Change: a second failed view call in a row that is refused ends all runs as lost, logs 'worker has crashed' with the runs and their ages, and lets the next incarnation register with its first report.

--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -130,6 +130,8 @@
     readonly missedViews: number;
     /** False from consecutive view calls without an answer until the next answered one. */
     readonly isResponsive: boolean;
+    /** True when its process is known to have ended without notice, and with it all runs. */
+    readonly hasCrashed: boolean;
     readonly callInFlight: number | undefined;
     readonly nextCallAt: number;
 }
--- a/packages/lovagepitch-direct/src/agent/workerLives.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLives.ts
@@ -101,6 +101,7 @@
         lastAnsweredAt: now,
         missedViews: 0,
         isResponsive: true,
+        hasCrashed: false,
         callInFlight: undefined,
         nextCallAt: now,
     };
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -49,6 +49,9 @@
         // The report may be outdated. Only one incarnation answers at the worker's address, so the next view call
         // shows which one it is.
         state.pendingReport = report;
+        if (worker.hasCrashed) {
+            removeWorker(state);
+        }
         return;
     }
     registerWorker(state, report);
@@ -115,6 +118,7 @@
         lastAnsweredAt: state.now,
         missedViews: 0,
         isResponsive: true,
+        hasCrashed: false,
         callInFlight: undefined,
         nextCallAt: state.now,
     };
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -3,13 +3,19 @@
  * call.
  */
 import { formatRunKey } from "../model/frames.js";
-import { orderTimeoutMilliseconds, workerClockRateError, workerLeaseMilliseconds } from "../model/timing.js";
+import {
+    idleViewRetryDelayMilliseconds,
+    orderTimeoutMilliseconds,
+    workerClockRateError,
+    workerLeaseMilliseconds,
+} from "../model/timing.js";
 import { isHealthyRunTime } from "../policies/runProgress.js";
 import { recordFailure, recordSuccess } from "../policies/workerHealth.js";
 import type { ReportedRun, ReportedRunEnd, ViewFailure, WorkerView } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
 import { revokeStart, stopRun } from "./runOrders.js";
+import { describeRuns, receiveCrash } from "./workerCrash.js";
 import { beginLaterLife, compareLives } from "./workerLives.js";
 import { removeWorker, takeEpoch } from "./workerRegistration.js";
 import { getUsualSpeed, recordRunSpeed } from "./workerSpeed.js";
@@ -44,12 +50,6 @@
 /** Delay before the next view call after a failed one while the worker may have runs, in milliseconds. */
 const viewRetryDelayMilliseconds = 30;
 
-/**
- * Delay before the next view call after a failed one while the worker has no run, in milliseconds. A worker that
- * responds again is detected within this time.
- */
-const idleViewRetryDelayMilliseconds = 150;
-
 /**
  * Consecutive failures of different jobs after which the worker is paused. The agent does not know whether the jobs
  * also fail on other workers, so it requires one failure more than an entry does.
@@ -150,6 +150,7 @@
         lastAnsweredAt: state.now,
         missedViews: 0,
         isResponsive: true,
+        hasCrashed: false,
         callInFlight: undefined,
         nextCallAt: view.ended.length > 0 ? state.now + endCollectionMilliseconds : state.now,
         acknowledgedEndSequence: view.ended.reduce(
@@ -322,10 +323,13 @@
         state.worker = { ...worker, missedViews: 1, callInFlight: undefined, nextCallAt: state.now };
         return;
     }
+    if (failure.kind === "refused") {
+        receiveCrash(state, worker);
+        return;
+    }
     if (worker.isResponsive) {
         state.log("warn", "worker does not respond", {
             worker: worker.report.id,
-            failure: failure.kind,
             runs: describeRuns(state),
         });
         state.markUpdatePending();
@@ -342,13 +346,6 @@
     }
 }
 
-/** Lists job, task, run and age in milliseconds of each run, for the log. */
-function describeRuns(state: AgentState): readonly (readonly [string, number, number, number])[] {
-    return [...state.runs.values()].map(({ identity, orderedAt }) => {
-        return [identity.job, identity.task, identity.run, Math.round(state.now - orderedAt)];
-    });
-}
-
 /**
  * Ends every run as lost once the worker's lease has certainly expired, with its clock error taken into account.
  *
--- a/packages/lovagepitch-direct/src/model/timing.ts
+++ b/packages/lovagepitch-direct/src/model/timing.ts
@@ -41,3 +41,9 @@
 
 /** An order to the worker without an answer for this long counts as unanswered; a worker answers within a few. */
 export const orderTimeoutMilliseconds = 40;
+
+/**
+ * Delay before the next view call after a failed one while the worker has no run, in milliseconds. A worker that
+ * responds again is detected within this time.
+ */
+export const idleViewRetryDelayMilliseconds = 150;
