refactor(testing): workers of a simulated deployment in a class of their own

Change: WorkerFleet holds incarnations, returns and reports; scenarios call it. No behaviour changes.

--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
@@ -123,7 +123,7 @@
 
 When("workers {int}, {int} and {int} crash for another cause", (first: number, second: number, third: number) => {
     world.crashedAgents = [first, second, third];
-    world.crashedAgents.forEach(index => world.deployment.crashWorker(index));
+    world.crashedAgents.forEach(index => world.deployment.fleet.crash(index));
 });
 
 When(
@@ -150,7 +150,7 @@
 );
 
 When("the capacity of every worker shrinks to {int} cores", (cores: number) => {
-    world.deployment.workers.forEach((_, index) => world.deployment.setCapacity(index, cores * 1000));
+    world.deployment.workers.forEach((_, index) => world.deployment.fleet.setCapacity(index, cores * 1000));
 });
 
 When("every agent is killed and restarts from its record", () => {
@@ -164,10 +164,10 @@
     "agent {int} is frozen while the capacity of its worker shrinks to {int} cores, and wakes after {int} ms",
     (agent: number, cores: number, milliseconds: number) => {
         world.deployment.setFrozen("agent", agent, true);
-        world.deployment.dropReports(agent, true);
-        world.deployment.setCapacity(agent, cores * 1000);
+        world.deployment.fleet.dropReports(agent, true);
+        world.deployment.fleet.setCapacity(agent, cores * 1000);
         world.pass(milliseconds);
-        world.deployment.dropReports(agent, false);
+        world.deployment.fleet.dropReports(agent, false);
         world.deployment.setFrozen("agent", agent, false);
     },
 );
--- a/packages/lovagepitch-testing/src/__tests__/direct/directFaults.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directFaults.ts
@@ -18,7 +18,7 @@
     const entry = random.nextInteger(2);
     switch (random.nextInteger(keepsIds ? 13 : 10)) {
         case 0:
-            deployment.restartWorker(index);
+            deployment.fleet.restart(index);
             return () => undefined;
         case 1:
             deployment.killAgent(index);
@@ -45,16 +45,16 @@
             deployment.setPartitioned("entry", entry, true);
             return () => deployment.setPartitioned("entry", entry, false);
         case 10:
-            deployment.restartWorkerWithSameId(index, entry === 0);
+            deployment.fleet.restartWithSameId(index, entry === 0);
             return () => undefined;
         case 11:
             deployment.killAgent(index);
-            deployment.restartWorkerWithSameId(index, false);
+            deployment.fleet.restartWithSameId(index, false);
             return () => deployment.restartAgent(index, entry === 0 ? "report" : "record");
         case 12:
             setFault(deployment, index, { orderDelayMilliseconds: 20 + random.nextInteger(1500) });
             deployment.advance(20 + random.nextInteger(200));
-            deployment.restartWorkerWithSameId(index, entry === 0);
+            deployment.fleet.restartWithSameId(index, entry === 0);
             return () => undefined;
         default:
             deployment.silenceConnections();
--- a/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/directJobs.steps.ts
@@ -173,7 +173,7 @@
 });
 
 When("worker {int} crashes and restarts", (index: number) => {
-    world.deployment.restartWorker(index);
+    world.deployment.fleet.restart(index);
 });
 
 When("worker {int} executes its orders {int} ms late", (index: number, delay: number) => {
@@ -215,13 +215,13 @@
 });
 
 When("worker {int} drains", (index: number) => {
-    world.deployment.drainWorker(index);
+    world.deployment.fleet.drain(index);
 });
 
 When("worker {int} drains and restarts after {int} ms", (index: number, milliseconds: number) => {
-    world.deployment.drainWorker(index, milliseconds);
+    world.deployment.fleet.drain(index, milliseconds);
     world.deployment.advance(milliseconds);
-    world.deployment.restartWorker(index);
+    world.deployment.fleet.restart(index);
 });
 
 Then("no run was lost with its worker", () => {
--- a/packages/lovagepitch-testing/src/__tests__/direct/workerLives.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/workerLives.steps.ts
@@ -28,7 +28,7 @@
 }
 
 function restartWorkers(reportsNow: boolean): void {
-    deployment.workers.forEach((_, index) => deployment.restartWorkerWithSameId(index, reportsNow));
+    deployment.workers.forEach((_, index) => deployment.fleet.restartWithSameId(index, reportsNow));
 }
 
 Given(
@@ -81,7 +81,7 @@
     /^two workers restart under their ids every (\d+) ms for (\d+) ms under load, and report (now|later)$/,
     (interval: string, milliseconds: string, time: string) => {
         for (let elapsed = 0; elapsed < Number(milliseconds); elapsed += Number(interval)) {
-            [0, 1].forEach(index => deployment.restartWorkerWithSameId(index, time === "now"));
+            [0, 1].forEach(index => deployment.fleet.restartWithSameId(index, time === "now"));
             submitEvenly(Math.ceil(Number(interval) / 30), Number(interval));
         }
     },
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -19,38 +19,30 @@
 import type { FakeWorker } from "./fakeWorker.js";
 import { getAt } from "./getAt.js";
 import { LinkNetwork } from "./linkNetwork.js";
+import { WorkerFleet } from "./workerFleet.js";
 import { WorkerPort } from "./workerPort.js";
-import { WorkerReports } from "./workerReports.js";
 
 /** Interval between two reports of a worker. */
 const reportIntervalMilliseconds = 1500;
 
-/** Time after which a worker that has crashed is back under a new id, in milliseconds. */
-const workerReturnMilliseconds = 3200;
-
 /** Simulated deployment for direct jobs. */
 export class DirectDeployment {
     public readonly clock = new ManualClock(1_000_000);
     public readonly record = new DirectRecord(this.clock);
     public readonly queue = new EventQueue(this.clock);
-    public readonly workers: FakeWorker[] = [];
+    public readonly fleet: WorkerFleet;
+    public readonly workers: readonly FakeWorker[];
     private readonly parts: DeploymentParts;
     private readonly entries: CoreHost<EntryInput, EntryOutput>[] = [];
     private readonly agents: CoreHost<AgentInput, AgentOutput>[] = [];
-    private readonly workerPort = new WorkerPort(this.clock, this.queue, this.workers, this.agents, (host, input) => {
-        this.deliverInput(host, input);
-    });
+    private readonly workerPort: WorkerPort;
     public readonly linkNetwork = new LinkNetwork(this.clock, this.queue, this.entries, this.agents, (host, input) => {
         this.deliverInput(host, input);
     });
     private readonly jobs = new Map<string, DirectJob>();
-    private readonly workerReports = new WorkerReports(this.clock);
     private readonly lastReportedFreeMilliCores = new Map<number, number>();
     /** Worker that each agent has recorded for its next process. */
     private readonly recordedWorkers = new Map<number, WorkerRegistration | undefined>();
-    private readonly returningWorkers = new Set<number>();
-    /** Workers whose reports do not reach their agents. */
-    private readonly silencedReports = new Set<number>();
     private readonly submissionTimes = new Map<string, number[]>();
     private nextRequestId = 1;
 
@@ -59,20 +51,27 @@
      */
     public constructor(options: DirectDeploymentOptions) {
         this.parts = new DeploymentParts(options, this.clock, this.record);
+        this.fleet = new WorkerFleet(this.parts, this.clock, this.queue, (index, report) => {
+            this.deliverInput(this.getAgentHost(index), { kind: "worker-reported", report });
+        });
+        this.workers = this.fleet.workers;
+        this.workerPort = new WorkerPort(this.clock, this.queue, this.workers, this.agents, (host, input) => {
+            this.deliverInput(host, input);
+        });
         for (let index = 0; index < options.entries; index += 1) {
             this.entries.push(createCoreHost(this.parts.createEntryCore(index, 0)));
         }
         const locations = this.entries.map((_, index) => this.parts.locateEntry(index));
         this.entries.forEach(host => this.deliverInput(host, { kind: "entries-found", entries: locations }));
         for (let index = 0; index < options.workers; index += 1) {
-            this.workers.push(this.parts.createWorker(index));
+            this.fleet.add();
             this.agents.push(createCoreHost(this.parts.createAgentCore(index, 0)));
             this.sendEntryAddresses(index);
-            this.sendWorkerReport(index);
+            this.fleet.sendReport(index);
         }
         const runPeriodicTick = (): void => {
             this.scheduleAllTicks();
-            this.scheduleReturns();
+            this.fleet.scheduleReturns();
             this.queue.schedule(this.clock.nowMilliseconds() + 5, runPeriodicTick, undefined);
         };
         this.queue.schedule(this.clock.nowMilliseconds(), runPeriodicTick, undefined);
@@ -178,7 +177,7 @@
         this.sendEntryAddresses(agent);
         const registration = this.recordedWorkers.get(agent);
         if (learnsFrom === "report") {
-            this.sendWorkerReport(agent);
+            this.fleet.sendReport(agent);
         }
         else if (registration !== undefined) {
             this.deliverInput(host, { kind: "worker-restored", registration });
@@ -225,51 +224,6 @@
         this.linkNetwork.silence(() => true);
     }
 
-    /**
-     * Crashes a worker and starts its next incarnation.
-     *
-     * @param index - index of the worker
-     */
-    public restartWorker(index: number): void {
-        this.workers[index]?.crash();
-        this.workers[index] = this.parts.createWorker(index);
-    }
-
-    /**
-     * Crashes a worker for a cause outside its tasks; it returns later.
-     *
-     * @param index - index of the worker
-     */
-    public crashWorker(index: number): void {
-        this.getWorker(index).crash();
-    }
-
-    /**
-     * Changes the capacity of a worker, which its next report shows.
-     *
-     * @param index - index of the worker
-     * @param milliCores - thousandths of a core from now on
-     */
-    public setCapacity(index: number, milliCores: number): void {
-        const worker = this.getWorker(index);
-        worker.setCapacity({ ...worker.capacity, milliCores });
-    }
-
-    /**
-     * Starts or ends the loss of a worker's reports.
-     *
-     * @param index - index of the worker
-     * @param areDropped - true to drop them
-     */
-    public dropReports(index: number, areDropped: boolean): void {
-        if (areDropped) {
-            this.silencedReports.add(index);
-        }
-        else {
-            this.silencedReports.delete(index);
-        }
-    }
-
     /**
      * Lists when a job was submitted.
      *
@@ -280,50 +234,6 @@
         return this.submissionTimes.get(job) ?? [];
     }
 
-    /** Starts the next incarnation of each crashed worker after some time. */
-    private scheduleReturns(): void {
-        this.workers.forEach((worker, index) => {
-            worker.advance();
-            if (worker.isUp || this.returningWorkers.has(index)) {
-                return;
-            }
-            this.returningWorkers.add(index);
-            this.queue.schedule(this.clock.nowMilliseconds() + workerReturnMilliseconds, () => {
-                this.returningWorkers.delete(index);
-                if (this.workers[index] === worker) {
-                    this.workers[index] = this.parts.createWorker(index);
-                    this.sendWorkerReport(index);
-                }
-            }, undefined);
-        });
-    }
-
-    /**
-     * Crashes a worker and starts its next incarnation under the same id. Its clock and its numbers begin anew.
-     *
-     * @param index - index of the worker
-     * @param reports - true when the new incarnation reports at once, false when it does at the next interval
-     */
-    public restartWorkerWithSameId(index: number, reports: boolean): void {
-        const former = this.getWorker(index);
-        former.crash();
-        this.workers[index] = this.parts.createWorker(index, former.id);
-        if (reports) {
-            this.sendWorkerReport(index);
-        }
-    }
-
-    /**
-     * Makes a worker report that it is draining.
-     *
-     * @param index - index of the worker
-     * @param remainingMilliseconds - minimum time until the worker stops, in milliseconds; undefined if not reported
-     */
-    public drainWorker(index: number, remainingMilliseconds?: number): void {
-        this.workerReports.startDraining(this.getWorker(index).name, remainingMilliseconds);
-        this.sendWorkerReport(index);
-    }
-
     /**
      * Gets the free capacity of a worker that its agent last reported to an entry.
      *
@@ -359,18 +269,10 @@
         this.deliverInput(this.getAgentHost(agent), { kind: "entries-found", entries });
     }
 
-    private sendWorkerReport(index: number): void {
-        const worker = this.getWorker(index);
-        const host = this.getAgentHost(index);
-        if (host.isRunning && worker.isUp && !this.silencedReports.has(index)) {
-            this.deliverInput(host, { kind: "worker-reported", report: this.workerReports.create(worker) });
-        }
-    }
-
     private scheduleAllTicks(): void {
         const now = this.clock.nowMilliseconds();
         if (now % reportIntervalMilliseconds === 0) {
-            this.agents.forEach((_, index) => this.sendWorkerReport(index));
+            this.agents.forEach((_, index) => this.fleet.sendReport(index));
         }
         this.entries.forEach(host => this.scheduleTick(host));
         this.agents.forEach(host => this.scheduleTick(host));
@@ -456,8 +358,4 @@
     private getAgentHost(index: number): CoreHost<AgentInput, AgentOutput> {
         return getAt(this.agents, index);
     }
-
-    private getWorker(index: number): FakeWorker {
-        return getAt(this.workers, index);
-    }
 }
