fix(entry): a task under which two workers have crashed is given up

Callers saw: a job whose task crashes its workers was never answered as failed; it took down one worker after the other until it was of no use, and again each time that its caller sent it. Cause: runs that end because their worker is gone counted for nothing, and no process kept them. Class: ends of a run that no one counts. Change: agents record each crash with the runs on the worker and their ages; agents and entries pass records on once over each connection, so that they outlive the entry that held the job and the agent of the crashed worker. A job that was a likely cause (young when the worker crashed, or twice on a crashed worker) is tried again alone on a worker; the agent enforces it. A task on two crashed workers, on one of them without other jobs beside it, is the cause: its job fails at once, also when it arrives again. Workers that crash at the same time point to a job that was on all of them, or to none. Conclusion: bounds the workers that a task takes down to two, three if it crashes late in its run.

--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -9,6 +9,7 @@
 import type { WorkerReport } from "../model/workerStatus.js";
 import { noEvacuations, type ZoneEvacuations } from "../model/zoneEvacuations.js";
 import { AnswerTime } from "../policies/answerTime.js";
+import { CrashRecords } from "../policies/crashRecords.js";
 import type { PartnerCandidate } from "../policies/partnerChoice.js";
 import { RunSpeed } from "../policies/runSpeed.js";
 import { initialWorkerHealth, type WorkerHealth } from "../policies/workerHealth.js";
@@ -88,6 +89,8 @@
     readonly configurationVersion: number;
     /** Evacuated zones that the entry has named or was sent on this connection. */
     readonly evacuations: ZoneEvacuations;
+    /** Revision of the known crashes at the latest frame to the entry on this connection. */
+    readonly sentCrashRevision: number;
     /** True from the entry's request for a newer configuration until it is sent. */
     readonly wantsConfiguration: boolean;
     /** True while the entry has tasks that wait for capacity. */
@@ -154,6 +157,8 @@
     public nextPartnerChoiceAt = 0;
     /** Recently ended runs by entry incarnation, for an entry that reconnects. */
     public readonly recentEnds = new Table<string, (EndedRun & { readonly endedAt: number })[]>();
+    /** Crashes of this worker and of others that entries have passed on. */
+    public readonly crashRecords = new CrashRecords();
     public worker: WorkerRow | undefined;
     /**
      * Latest report of a different incarnation of the worker; it takes effect when the current incarnation has ended.
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -9,6 +9,7 @@
 import { getUpdateIntervalMilliseconds } from "../policies/updateInterval.js";
 import type { AgentState, EntryRow } from "./agentState.js";
 import { findConfigurationSource } from "./configurationSource.js";
+import { findIsolation } from "./isolation.js";
 import { acceptsTasks } from "./runOrders.js";
 
 /**
@@ -52,6 +53,7 @@
             ...row,
             hasSentFirstFrame: true,
             hasPendingUpdate: false,
+            sentCrashRevision: state.crashRecords.revision,
             evacuations: isEvacuationDue ? state.evacuations : row.evacuations,
             pendingEnds: [],
             wantsConfiguration: row.wantsConfiguration && !isConfigurationDue(state, row),
@@ -92,6 +94,7 @@
             isRequested: isConfigurationRequested,
         },
         evacuations: isNoticeDue(state.evacuations, row.evacuations) ? state.evacuations : undefined,
+        crashes: state.crashRecords.listAfter(row.sentCrashRevision, state.now),
     };
 }
 
@@ -112,6 +115,7 @@
         acceptsTasks: acceptsTasks(state),
         isOnTrial: state.health.isOnTrial,
         speed: state.runSpeed.value,
+        isolation: findIsolation(state),
     };
 }
 
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -55,6 +55,7 @@
                 lastActivityAt: state.now,
                 includedSequence: 0,
                 hasSentFirstFrame: false,
+                sentCrashRevision: 0,
                 evacuations: noEvacuations,
                 pendingEnds: [],
             });
@@ -181,6 +182,7 @@
     frame.invitations?.forEach(invitation => inviteEntry(state, invitation));
     receiveConfiguration(state, frame);
     receiveEvacuations(state, frame.evacuations);
+    frame.crashes?.forEach(crash => state.crashRecords.add(crash, state.now));
     for (const stop of frame.stops) {
         withdrawQueuedOrder(state, frame.entry, stop);
         const run = state.runs.get(formatRunKey(stop));
--- a/packages/lovagepitch-direct/src/agent/knownEntries.ts
+++ b/packages/lovagepitch-direct/src/agent/knownEntries.ts
@@ -182,6 +182,7 @@
         lastActivityAt: state.now,
         includedSequence: 0,
         hasSentFirstFrame: false,
+        sentCrashRevision: 0,
         configurationVersion: 0,
         evacuations: noEvacuations,
         wantsConfiguration: false,
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -7,6 +7,7 @@
 import { getMaximumRuns } from "../policies/workerHealth.js";
 import type { OrderOutcome } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
+import { mustBeKeptApart } from "./isolation.js";
 import { endRun, reportEnd } from "./runEnds.js";
 import { isZoneEvacuated } from "./zoneEvacuation.js";
 
@@ -278,6 +279,9 @@
     if (order.requiredLabel !== undefined && !worker.report.labels.includes(order.requiredLabel)) {
         return "worker lacks the required label";
     }
+    if (mustBeKeptApart(state, order)) {
+        return "task has to be kept apart from running tasks";
+    }
     if (!fitsInto(order.needs, state.free)) {
         return "insufficient free resources";
     }
--- a/packages/lovagepitch-direct/src/agent/workerCrash.ts
+++ b/packages/lovagepitch-direct/src/agent/workerCrash.ts
@@ -2,6 +2,7 @@
  * Crash of the worker: no process listens at its address any more, although it has not announced its end.
  */
 import { idleViewRetryDelayMilliseconds } from "../model/timing.js";
+import type { WorkerCrash } from "../model/workerCrash.js";
 import type { AgentState, WorkerRow } from "./agentState.js";
 import { endAllRunsAsLost } from "./runEnds.js";
 import { removeWorker } from "./workerRegistration.js";
@@ -19,6 +20,9 @@
         const { id, isDraining } = worker.report;
         state.log("warn", "worker has crashed", { worker: id, isDraining, runs: describeRuns(state) });
         state.markUpdatePending();
+        if (!isDraining) {
+            state.crashRecords.add(createCrashRecord(state, worker), now);
+        }
     }
     state.worker = {
         ...worker,
@@ -34,6 +38,23 @@
     }
 }
 
+function createCrashRecord(state: AgentState, worker: WorkerRow): WorkerCrash {
+    const { identity, now } = state;
+    const { id, startedAt, service } = worker.report;
+    return {
+        id: `${identity.instance} ${id} ${startedAt ?? ""}`,
+        instance: identity.instance,
+        service,
+        ageMilliseconds: 0,
+        runs: [...state.runs.values()].flatMap(({ identity: run, order, orderedAt }) => {
+            const ageMilliseconds = Math.round(now - orderedAt);
+            return order === undefined
+                ? []
+                : [{ job: run.job, task: run.task, route: order.route ?? "", ageMilliseconds }];
+        }),
+    };
+}
+
 /**
  * Lists the runs of the worker for the log.
  *
--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -10,6 +10,7 @@
 import { noEvacuations } from "../model/zoneEvacuations.js";
 import { initialWorkerHealth } from "../policies/workerHealth.js";
 import { receiveConfiguration, recordNamedVersion } from "./configurationRelay.js";
+import { receiveCrashes } from "./crashReports.js";
 import type { AgentRow, EntryState, PlacedTask } from "./entryState.js";
 import { receiveEvacuations } from "./evacuationRelay.js";
 import { receiveRunEnd } from "./runResults.js";
@@ -52,6 +53,7 @@
         evacuations: frame.evacuations ?? (isFirstFrame ? undefined : previous?.evacuations) ?? noEvacuations,
         wantsConfiguration: previous?.wantsConfiguration === true || frame.configuration.isRequested === true,
         sentEntriesRevision: isFirstFrame ? 0 : previous?.sentEntriesRevision ?? 0,
+        sentCrashRevision: isFirstFrame ? 0 : previous?.sentCrashRevision ?? 0,
         knowsOfWaitingTasks: !isFirstFrame && previous?.knowsOfWaitingTasks === true,
         lastFrameSentAt: isFirstFrame
             ? Number.NEGATIVE_INFINITY
@@ -62,6 +64,7 @@
     recordNamedVersion(state, frame.configuration.version);
     receiveConfiguration(state, frame.configuration.configuration, "agent");
     receiveEvacuations(state, frame.evacuations, "agent");
+    receiveCrashes(state, frame.crashes);
     for (const ended of frame.ended) {
         receiveRunEnd(state, ended);
     }
@@ -111,6 +114,7 @@
         state.agents.delete(row.agent);
         state.linkBacklog.forget(row.agent);
         state.pendingOrders.delete(row.agent);
+        state.isolatedJobs.delete(row.agent);
         const hasLeft = row.connection === undefined && row.openRunCount === 0;
         state.log(hasLeft ? "info" : "warn", hasLeft ? "agent that has left removed" : "unresponsive agent removed", {
             agent: row.agent,
--- a/packages/lovagepitch-direct/src/entry/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/entryFrames.ts
@@ -32,6 +32,7 @@
             evacuations: frame.evacuations ?? row.evacuations,
             wantsConfiguration: false,
             sentEntriesRevision: state.knownEntriesRevision,
+            sentCrashRevision: state.crashRecords.revision,
             knowsOfWaitingTasks: hasWaitingTasks(state),
         });
         state.linkBacklog.recordSent(row.agent, frame.sequence, estimateStartBytes(frame.starts), state.now);
@@ -80,5 +81,6 @@
             isRequested: isConfigurationRequestDue(state, row),
         },
         evacuations: isNoticeDue(state.evacuations, row.evacuations) ? state.evacuations : undefined,
+        crashes: state.crashRecords.listAfter(row.sentCrashRevision, state.now),
     };
 }
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -12,6 +12,8 @@
 import type { WorkerStatus } from "../model/workerStatus.js";
 import { noEvacuations, type ZoneEvacuations } from "../model/zoneEvacuations.js";
 import { CapacitySearch } from "../policies/capacitySearch.js";
+import { CrashEvidence } from "../policies/crashEvidence.js";
+import { CrashRecords } from "../policies/crashRecords.js";
 import type { EntryPolicies } from "../policies/entryPolicies.js";
 import type { JobDeadlines } from "../policies/jobDeadlines.js";
 import type { LinkBacklog } from "../policies/linkBacklog.js";
@@ -82,6 +84,8 @@
     readonly wantsConfiguration: boolean;
     /** Value of `knownEntriesRevision` at the latest frame with addresses of entries to this connection. */
     readonly sentEntriesRevision: number;
+    /** Revision of the known crashes at the latest frame to the agent on this connection. */
+    readonly sentCrashRevision: number;
     /** True when the latest frame to the agent said that tasks wait for capacity. */
     readonly knowsOfWaitingTasks: boolean;
     readonly lastFrameSentAt: number;
@@ -145,6 +149,10 @@
     /** Run time distributions by route name. */
     public readonly runTimes = new Map<string, RunTimeDistribution>();
     public readonly workerSpeeds = new WorkerSpeeds();
+    public readonly crashRecords = new CrashRecords();
+    public readonly crashEvidence = new CrashEvidence();
+    /** Job that runs alone on a worker by order of this entry, or that several such jobs share it, by agent. */
+    public readonly isolatedJobs = new Map<string, string>();
     public configuration: DispatchConfiguration | undefined;
     /** Evacuated zones in force. */
     public evacuations: ZoneEvacuations = noEvacuations;
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -11,7 +11,7 @@
 import { endJob } from "./endJob.js";
 import { type EntryState, estimateWork, formatTaskKey, type JobRow, mayHaveStarted } from "./entryState.js";
 import { holdForLink } from "./linkAllowance.js";
-import { PlacementRound } from "./placementRound.js";
+import { PlacementRound, sharedIsolation } from "./placementRound.js";
 import { refreshWorkerSpeeds } from "./speedReports.js";
 import { refuseJob } from "./submissions.js";
 
@@ -145,9 +145,11 @@
     const history = state.taskHistories.get(taskKey);
     const isBegun = mayHaveStarted(row);
     const allowance = computeQueueAllowance(isBegun, rankJob(state, row), job.needs);
-    const permitted = round.listCandidates(job, history?.avoidedAgents ?? [], allowance);
-    const candidates = round.preferUsedWorkers(job, permitted);
     const spareMilliseconds = row.deadlines.latestStart - state.now;
+    const { isolation } = round.separation.plan(job);
+    const mayUseKeptWorkers = spareMilliseconds <= placementIntervalMilliseconds;
+    const permitted = round.listCandidates(job, history?.avoidedAgents ?? [], allowance, mayUseKeptWorkers);
+    const candidates = round.preferUsedWorkers(job, permitted);
     const demand = {
         needs: job.needs,
         estimatedMilliseconds: job.estimatedMilliseconds,
@@ -176,8 +178,13 @@
         },
         maximumPerWorker: job.maximumPerWorker,
         requiredLabel: job.requiredLabel,
+        route: job.route,
+        ...isolation === undefined ? {} : { isolation },
     };
     const identity = { job: job.id, task, run: order.run };
+    if (isolation !== undefined) {
+        state.isolatedJobs.set(agent.agent, isolation === "job" ? job.id : sharedIsolation);
+    }
     state.taskHistories.set(taskKey, { failures: 0, avoidedAgents: [], ...history, latestRun: order.run });
     state.placedTasks.set(formatRunKey(identity), {
         identity,
--- a/packages/lovagepitch-direct/src/entry/placementRound.ts
+++ b/packages/lovagepitch-direct/src/entry/placementRound.ts
@@ -8,6 +8,7 @@
 import { canReceiveTasks } from "./agentFrames.js";
 import { type AgentRow, computeAvailableResources, type EntryState } from "./entryState.js";
 import { LinkAllowance } from "./linkAllowance.js";
+import { isIdle, type SeparationPlan, WorkerSeparation } from "./workerSeparation.js";
 
 interface WorkerResources {
     readonly row: AgentRow;
@@ -18,12 +19,17 @@
     readonly isOnTrial: boolean;
 }
 
+/** Value of `isolatedJobs` for a worker that several isolated jobs share; no job has this id. */
+export const sharedIsolation = "shared";
+
 /** Snapshot of the workers that can be sent tasks, from which each placement reserves resources. */
 export class PlacementRound {
     /** True when orders of any entry are queued at an agent. */
     public readonly hasQueuedOrders: boolean;
     /** What the entry's link still carries. */
     public readonly link: LinkAllowance;
+    /** Decides which jobs may share workers. */
+    public readonly separation: WorkerSeparation;
     /** Part of the capacity of all known workers whose agents were heard from recently; 0 without workers. */
     public readonly heardShare: number;
     private readonly workers = new Map<string, WorkerResources>();
@@ -33,6 +39,7 @@
      */
     public constructor(private readonly state: EntryState) {
         this.link = new LinkAllowance(state);
+        this.separation = new WorkerSeparation(state);
         let hasQueuedOrders = false;
         let knownMilliCores = 0;
         let heardMilliCores = 0;
@@ -65,16 +72,19 @@
      * @param job - job to be placed
      * @param avoidedAgents - incarnations of agents that are listed only when there are no others
      * @param allowance - resources by which an order may exceed the free resources of a worker
+     * @param mayUseKeptWorkers - true when the job may use workers that are kept for others if no other has room
      * @returns candidates for one task, with the allowance added to their available resources
      */
     public listCandidates(
         job: DirectJob,
         avoidedAgents: readonly string[],
         allowance: Resources,
+        mayUseKeptWorkers: boolean,
     ): readonly WorkerCandidate[] {
         const candidates: WorkerCandidate[] = [];
         const avoided: WorkerCandidate[] = [];
-        for (const { row, available, isOnTrial } of this.listPermitted(job)) {
+        const plan = this.separation.plan(job);
+        for (const { row, available, isOnTrial } of this.listSeparated(job, plan, mayUseKeptWorkers)) {
             const isInOwnZone = row.availabilityZone === this.state.identity.availabilityZone;
             const candidate = {
                 agent: row.agent,
@@ -117,7 +127,7 @@
      */
     public countFittingTasks(job: DirectJob, resourceKind: "available" | "capacity"): number {
         let count = 0;
-        for (const worker of this.listPermitted(job)) {
+        for (const worker of this.listPermitted(job, resourceKind === "available" ? "now" : "ever")) {
             count += Math.min(
                 countFittingTasks(job.needs, worker[resourceKind]),
                 worker.permittedTasks,
@@ -138,7 +148,7 @@
      */
     public sumFreeMilliCores(job: DirectJob): number {
         let sum = 0;
-        for (const { available } of this.listPermitted(job)) {
+        for (const { available } of this.listPermitted(job, "now")) {
             sum += Math.max(0, available.milliCores);
         }
         return sum;
@@ -158,11 +168,52 @@
         }
     }
 
-    private *listPermitted(job: DirectJob): Iterable<WorkerResources> {
+    /** Lists the workers that may start a task of the job now, those kept for other jobs only if no other has room. */
+    private listSeparated(
+        job: DirectJob,
+        plan: SeparationPlan,
+        mayUseKeptWorkers: boolean,
+    ): readonly WorkerResources[] {
+        const permitted = [...this.listPermitted(job, "now", plan)];
+        const hasRoom = ({ available }: WorkerResources): boolean => countFittingTasks(job.needs, available) > 0;
+        const isOwn = ({ row }: WorkerResources): boolean => this.state.isolatedJobs.get(row.agent) === job.id;
+        if (plan.isolation === "job") {
+            const own = permitted.filter(worker => isOwn(worker) && hasRoom(worker));
+            return own.length > 0 ? own : permitted;
+        }
+        const preferred = permitted.filter(({ row }) => !plan.avoided.has(row.instance));
+        return mayUseKeptWorkers && !preferred.some(hasRoom) ? permitted : preferred;
+    }
+
+    /** Tells whether nothing that runs on a worker has to be kept apart from a job. */
+    private canShare({ row, available, capacity }: WorkerResources, job: DirectJob, plan: SeparationPlan): boolean {
+        const own = this.state.isolatedJobs.get(row.agent);
+        if (plan.isolation === undefined) {
+            return row.worker?.isolation === undefined && own === undefined;
+        }
+        const isShared = plan.isolation === "shared" && (own === sharedIsolation || row.worker?.isolation === "shared");
+        const isUnused = available.milliCores >= capacity.milliCores;
+        return own === job.id || isShared || (own === undefined && isUnused && isIdle(row));
+    }
+
+    /**
+     * Lists the workers that may run a job.
+     *
+     * @param job - job to be placed
+     * @param time - `now` for those that may start a task now, `ever` also for those that run what it is kept apart from
+     * @param plan - separation of the job
+     */
+    private *listPermitted(
+        job: DirectJob,
+        time: "now" | "ever",
+        plan = this.separation.plan(job),
+    ): Iterable<WorkerResources> {
         for (const resources of this.workers.values()) {
             const { worker } = resources.row;
             const hasLabel = job.requiredLabel === undefined || worker?.labels.includes(job.requiredLabel) === true;
-            if (resources.permittedTasks > 0 && worker?.service === job.service && hasLabel) {
+            const isPermitted = plan.permitted?.has(resources.row.instance) !== false
+                && (time === "ever" || this.canShare(resources, job, plan));
+            if (isPermitted && resources.permittedTasks > 0 && worker?.service === job.service && hasLabel) {
                 yield resources;
             }
         }
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -39,6 +39,9 @@
         const health = evaluateWorkerHealth(state, agent, ended, row);
         logPause(state, agent, health);
         state.agents.set(agent.agent, { ...agent, openRunCount: agent.openRunCount - 1, health });
+        if (agent.openRunCount === 1) {
+            state.isolatedJobs.delete(agent.agent);
+        }
     }
     if (row !== undefined) {
         continueJob(state, row, placed, ended);
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -6,6 +6,7 @@
 import { computeRetryAfterSeconds, maximumRetryAfterSeconds } from "../policies/retryAfter.js";
 import { endJob } from "./endJob.js";
 import { type EntryState, estimateWork, type JobRow, mayHaveStarted } from "./entryState.js";
+import { judgeJob } from "./workerSeparation.js";
 
 /** Largest number of open jobs of one entry; far more than a deployment's workers finish while a caller waits. */
 const maximumOpenJobs = 4000;
@@ -39,7 +40,10 @@
     state.priorityRanks.record(job.service, job.priority, state.now);
     state.policies.queueShares.recordArrival(job.service, job.route, estimateWork(job, job.taskCount), state.now);
     state.isPlacementDue = true;
-    if (state.isShuttingDown) {
+    if (judgeJob(state, job) === "crashing") {
+        endJob(state, row, { kind: "failed" });
+    }
+    else if (state.isShuttingDown) {
         refuseJob(state, row, "shutting-down");
     }
     else if (state.jobs.size > maximumOpenJobs) {
@@ -61,6 +65,10 @@
     reason: RefusalReason,
     inputs: Readonly<Record<string, number>> = {},
 ): void {
+    if (state.crashEvidence.hasLostRun(row.job.id)) {
+        endJob(state, row, { kind: "interrupted", reason: "a run of the job was lost when its worker crashed" });
+        return;
+    }
     const { linkMilliseconds = 0 } = inputs;
     const drainRate = state.drainRate.read(state.now);
     const fraction = state.random.nextFraction();
--- /dev/null
+++ b/packages/lovagepitch-direct/src/entry/workerSeparation.ts
@@ -0,0 +1,133 @@
+/**
+ * Separation of jobs that may crash their workers from the others, for one round of placement.
+ */
+import type { DirectJob } from "../model/directJob.js";
+import type { Isolation } from "../model/frames.js";
+import type { JobVerdict } from "../policies/crashEvidence.js";
+import { chooseQuarantine } from "../policies/quarantine.js";
+import { canReceiveTasks } from "./agentFrames.js";
+import type { AgentRow, EntryState } from "./entryState.js";
+
+/** Time after a crash of unknown cause for which a worker is kept for trials of single jobs, in milliseconds. */
+const trialMilliseconds = 2000;
+
+/** Time for which a worker that has crashed is preferred for jobs that may crash it, in milliseconds. */
+const recentCrashMilliseconds = 10_000;
+
+/** Where the tasks of a job may run, and beside what. */
+export interface SeparationPlan {
+    /** Undefined when the job may share workers with all others. */
+    readonly isolation: Isolation | undefined;
+    /** Instances whose workers may run the job; undefined for all. */
+    readonly permitted: ReadonlySet<string> | undefined;
+    /** Instances whose workers the job uses only when no other has room. */
+    readonly avoided: ReadonlySet<string>;
+}
+
+const noInstances: ReadonlySet<string> = new Set();
+
+const openPlan: SeparationPlan = { isolation: undefined, permitted: undefined, avoided: noInstances };
+
+/** Workers of one service that are kept for jobs that may crash them. */
+interface Quarantine {
+    /** Names of instances; empty when the service has too few workers. */
+    readonly instances: ReadonlySet<string>;
+    /** The one that accepts tasks and is preferred for jobs that run alone. */
+    readonly trial: ReadonlySet<string>;
+    /** Those that other jobs leave free. */
+    readonly reserved: ReadonlySet<string>;
+}
+
+/** Decides which jobs may share workers. */
+export class WorkerSeparation {
+    private readonly quarantines = new Map<string, Quarantine>();
+
+    /**
+     * @param state - state of the entry
+     */
+    public constructor(private readonly state: EntryState) {}
+
+    /**
+     * Finds out where a job may run.
+     *
+     * @param job - job to be placed
+     * @returns the plan for its tasks
+     */
+    public plan(job: DirectJob): SeparationPlan {
+        const { state } = this;
+        if (state.crashRecords.revision === 0) {
+            return openPlan;
+        }
+        const verdict = judgeJob(state, job);
+        const quarantine = this.getQuarantine(job.service);
+        const hasQuarantine = quarantine.instances.size > 0;
+        if (verdict === "isolated") {
+            const permitted = hasQuarantine ? quarantine.trial : undefined;
+            return { isolation: "shared", permitted, avoided: noInstances };
+        }
+        if (verdict === "suspected") {
+            const permitted = hasQuarantine ? quarantine.trial : undefined;
+            return { isolation: "job", permitted, avoided: noInstances };
+        }
+        return { isolation: undefined, permitted: undefined, avoided: quarantine.reserved };
+    }
+
+    private getQuarantine(service: string): Quarantine {
+        const known = this.quarantines.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const quarantine = this.createQuarantine(service);
+        this.quarantines.set(service, quarantine);
+        return quarantine;
+    }
+
+    private createQuarantine(service: string): Quarantine {
+        const { crashEvidence, now } = this.state;
+        const crashed = crashEvidence.listCrashedInstances(service, now - recentCrashMilliseconds);
+        const accepting = new Set<string>();
+        const instances = new Set(crashed);
+        for (const row of this.state.agents.values()) {
+            if (row.worker?.service === service) {
+                instances.add(row.instance);
+                if (canReceiveTasks(this.state, row)) {
+                    accepting.add(row.instance);
+                }
+            }
+        }
+        const candidates = [...instances].map(instance => ({ instance, hasCrashed: crashed.has(instance) }));
+        const chosen = chooseQuarantine(service, candidates);
+        const trialCandidates = [...chosen.instances, ...chosen.others];
+        const first = trialCandidates.find(instance => accepting.has(instance));
+        const trial = first === undefined ? noInstances : new Set([first]);
+        const needsTrial = crashEvidence.hasOpenCrash(service, now - trialMilliseconds);
+        const all = new Set(chosen.instances);
+        return {
+            instances: all,
+            trial,
+            reserved: needsTrial ? trial : noInstances,
+        };
+    }
+}
+
+/**
+ * Tells what is known of a job from crashes of workers.
+ *
+ * @param state - state of the entry
+ * @param job - the job
+ * @returns the verdict
+ */
+export function judgeJob(state: EntryState, job: DirectJob): JobVerdict {
+    return state.crashEvidence.judge(job.id, job.route, state.now, () => false);
+}
+
+/**
+ * Tells whether a worker has no run and expects none, so that a job can run alone there.
+ *
+ * @param row - row of the agent
+ * @returns true when all its resources are free
+ */
+export function isIdle({ worker, unacknowledgedStarts, openRunCount }: AgentRow): boolean {
+    return worker !== undefined && openRunCount === 0 && unacknowledgedStarts.length === 0
+        && worker.awaited.milliCores === 0 && worker.free.milliCores >= worker.capacity.milliCores;
+}
--- a/packages/lovagepitch-direct/src/links/agentFrameFormat.ts
+++ b/packages/lovagepitch-direct/src/links/agentFrameFormat.ts
@@ -19,6 +19,9 @@
     "configuration",
 ]);
 
+/** Fields whose default at the receiver is an empty array. */
+const omittedWhenEmpty: ReadonlySet<string> = new Set<keyof AgentFrame>(["crashes"]);
+
 const knownWorkerFields: ReadonlySet<string> = new Set<keyof WorkerStatus>([
     "service",
     "labels",
@@ -60,7 +63,7 @@
             frame.configuration.version,
             frame.worker === undefined ? 0 : this.listWorkerFields(frame.worker),
             frame.ended.map(listEndFields),
-            collectOthers(frame, knownFields),
+            collectOthers(frame, knownFields, omittedWhenEmpty),
             collectOthers(frame.configuration, knownNotice, omittedNotice),
         ];
     }
--- a/packages/lovagepitch-direct/src/links/entryFrameFormat.ts
+++ b/packages/lovagepitch-direct/src/links/entryFrameFormat.ts
@@ -21,6 +21,7 @@
     "entryZones",
     "awaitsCapacity",
     "invitations",
+    "crashes",
 ]);
 
 const knownNotice: ReadonlySet<string> = new Set(["version"]);
@@ -57,6 +58,7 @@
             entryZones: [],
             awaitsCapacity: false,
             invitations: [],
+            crashes: [],
             configuration: addOthers({ version, configuration: undefined, isRequested: false }, noticeOthers),
         };
         return addOthers(frame, others);
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -7,6 +7,7 @@
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { AgentFrame, ConfigurationNotice, EntryFrame, RunEnd, RunIdentity, StartOrder } from "../model/frames.js";
 import type { Resources } from "../model/resources.js";
+import type { CrashedRun, WorkerCrash } from "../model/workerCrash.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
 import { splitAddress } from "./listenAt.js";
@@ -38,7 +39,8 @@
         && isOptional(value.includedForMilliseconds, isNumber)
         && isOptional(value.worker, isWorkerStatus) && isArrayOf(value.ended, isEndedRun)
         && isOptional(value.openRuns, runs => isArrayOf(runs, isRunIdentity))
-        && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations);
+        && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations)
+        && isOptional(value.crashes, crashes => isArrayOf(crashes, isWorkerCrash));
 }
 
 /**
@@ -53,7 +55,8 @@
         && isArrayOf(value.stops, isRunIdentity) && isArrayOf(value.entryAddresses, isSocketAddress)
         && isOptional(value.entryZones, zones => isArrayOf(zones, isString))
         && isOptional(value.invitations, invitations => isArrayOf(invitations, isEntryLocation))
-        && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations);
+        && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations)
+        && isOptional(value.crashes, crashes => isArrayOf(crashes, isWorkerCrash));
 }
 
 /**
@@ -72,7 +75,22 @@
         && isString(value.specification) && isResources(value.needs) && isNumber(value.estimatedMilliseconds)
         && isNumber(value.mayWaitMilliseconds) && isObject<StartOrder["urgency"]>(value.urgency)
         && isNumber(value.urgency.priority) && isNumber(value.urgency.spareMilliseconds)
-        && isNumber(value.maximumPerWorker) && isOptional(value.requiredLabel, isString);
+        && isNumber(value.maximumPerWorker) && isOptional(value.requiredLabel, isString)
+        && isOptional(value.route, isString) && isOptional(value.isolation, isIsolation);
+}
+
+function isIsolation(value: unknown): boolean {
+    return value === "job" || value === "shared";
+}
+
+function isWorkerCrash(value: unknown): boolean {
+    return isObject<WorkerCrash>(value) && isString(value.id) && isString(value.instance) && isString(value.service)
+        && isNumber(value.ageMilliseconds) && isArrayOf(value.runs, isCrashedRun);
+}
+
+function isCrashedRun(value: unknown): boolean {
+    return isObject<CrashedRun>(value) && isString(value.job) && isNumber(value.task) && isString(value.route)
+        && isNumber(value.ageMilliseconds);
 }
 
 function isEndedRun(value: unknown): boolean {
@@ -86,7 +104,7 @@
 function isWorkerStatus(value: unknown): boolean {
     return isObject<WorkerStatus>(value) && isString(value.service) && isArrayOf(value.labels, isString)
         && isResources(value.capacity) && isResources(value.free) && isResources(value.awaited)
-        && isOptional(value.speed, isNumber);
+        && isOptional(value.speed, isNumber) && isOptional(value.isolation, isIsolation);
 }
 
 function isConfigurationNotice(value: unknown): boolean {
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -4,6 +4,7 @@
 import type { DispatchConfiguration } from "./dispatchConfiguration.js";
 import type { EntryLocation } from "./entryLocation.js";
 import type { Resources } from "./resources.js";
+import type { WorkerCrash } from "./workerCrash.js";
 import type { WorkerStatus } from "./workerStatus.js";
 import type { ZoneEvacuations } from "./zoneEvacuations.js";
 
@@ -51,6 +52,13 @@
     readonly spareMilliseconds: number;
 }
 
+/** Separation of a task that may crash its worker. */
+export type Isolation =
+    /** Beside tasks of its own job only. */
+    | "job"
+    /** Beside other tasks with this isolation only. */
+    | "shared";
+
 /** Order to start a task. */
 export interface StartOrder extends RunIdentity {
     readonly service: string;
@@ -63,6 +71,10 @@
     readonly urgency: OrderUrgency;
     readonly maximumPerWorker: number;
     readonly requiredLabel: string | undefined;
+    /** Route of the job; undefined in frames of earlier versions. */
+    readonly route?: string;
+    /** Beside what the task may run; undefined when it may run beside all tasks, and in frames of earlier versions. */
+    readonly isolation?: Isolation | undefined;
 }
 
 /** Configuration version that the sender knows of, with the configuration itself if the receiver asked for it. */
@@ -99,6 +111,8 @@
     readonly configuration: ConfigurationNotice;
     /** Evacuated zones; only when the agent's state is newer than the one that the entry has named. */
     readonly evacuations?: ZoneEvacuations | undefined;
+    /** Crashes of workers that the entry was not sent on this connection. */
+    readonly crashes?: readonly WorkerCrash[];
 }
 
 /** Frame from an entry to an agent. */
@@ -125,6 +139,8 @@
     readonly configuration: ConfigurationNotice;
     /** Evacuated zones; only when the entry's state is newer than the one that the agent has named. */
     readonly evacuations?: ZoneEvacuations | undefined;
+    /** Crashes of workers that the agent was not sent on this connection. */
+    readonly crashes?: readonly WorkerCrash[];
 }
 
 /**
--- /dev/null
+++ b/packages/lovagepitch-direct/src/model/workerCrash.ts
@@ -0,0 +1,26 @@
+/**
+ * Crash of a worker as its agent observed it, exchanged between agents and entries.
+ */
+
+/** A run that was on the worker when it crashed. */
+export interface CrashedRun {
+    readonly job: string;
+    /** Position of the task in its job. */
+    readonly task: number;
+    /** Route of the job; empty when the order came from an entry of an earlier version. */
+    readonly route: string;
+    /** Time since the agent ordered the start, in milliseconds. */
+    readonly ageMilliseconds: number;
+}
+
+/** A worker whose process has ended without notice while at least one run was on it. */
+export interface WorkerCrash {
+    /** Unique to the incarnation of the worker. */
+    readonly id: string;
+    /** Name of the instance of the worker and its agent. */
+    readonly instance: string;
+    readonly service: string;
+    /** Time from the crash to the sending of this record, in milliseconds. */
+    readonly ageMilliseconds: number;
+    readonly runs: readonly CrashedRun[];
+}
--- a/packages/lovagepitch-direct/src/model/workerStatus.ts
+++ b/packages/lovagepitch-direct/src/model/workerStatus.ts
@@ -1,6 +1,7 @@
 /**
  * State of a worker, as it reports it to its agent and as the agent reports it to entries.
  */
+import type { Isolation } from "./frames.js";
 import type { Resources } from "./resources.js";
 
 /** Properties that one incarnation of a worker keeps. */
@@ -41,6 +42,8 @@
     readonly acceptsTasks: boolean;
     /** True while the worker receives only one task at a time, because it failed or was slow. */
     readonly isOnTrial: boolean;
+    /** Separation of the tasks that run; undefined while other tasks may run beside them. */
+    readonly isolation?: Isolation | undefined;
     /** Estimated run time divided by actual run time, learned from ended runs; undefined while it is unknown. */
     readonly speed?: number | undefined;
 }
