fix(entry): a kind of jobs that crashes workers again and again is confined to a third of them

Callers saw: while a tenth of one kind of jobs crashed workers, all kinds were refused alike, two thirds of them jobs that crash nothing. Cause: two crashes a job, workers away for 3.3 s and 2.5 such jobs a second need more workers than there are, so bounding each task is not enough. The spread over all workers is the damage. Change: two crashes within 5 s under different jobs of a kind, one of which no other kind can have caused, confine the kind: its jobs run one at a time on a third of the workers, first those that have crashed; other kinds leave these free while they have time to wait for the others. A job of the kind is refused at once while all of the few are down. The kind is released after 3 s without a crash, and one crash within 15 s confines it again. Gauges of confined kinds and crashing jobs.

--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
@@ -0,0 +1,66 @@
+@direct-policies
+Feature: Evidence from crashes of workers
+
+    # Guards against blaming what ran beside a task that crashes its worker.
+    Scenario: A task is given up after two crashed workers, on one of which it was without other jobs
+        When a worker crashes while it runs "a/1 aged 12, b/0 aged 30, c/0 aged 400"
+        Then the jobs are "a suspected, b suspected, c clear"
+        When 200 ms later a worker crashes while it runs "a/1 aged 12"
+        Then task 1 of job "a" crashes workers
+        And the jobs are "a crashing, b clear, c clear"
+
+    # Guards against naming one task of a job for the crash of another one.
+    Scenario: Two crashes under different tasks of a job name none of them
+        When a worker crashes while it runs "a/1 aged 12, b/0 aged 30"
+        And 200 ms later a worker crashes while it runs "a/2 aged 12"
+        Then no task crashes workers
+        And the jobs are "a isolated, b suspected, c clear"
+
+    # Guards against missing a task that crashes its worker late in its run.
+    Scenario: A task that is no likely cause is suspected after its second crashed worker, and named after the third
+        When a worker crashes while it runs "a/1 aged 300, b/0 aged 20"
+        Then the jobs are "a clear, b suspected, c clear"
+        When 500 ms later a worker crashes while it runs "a/1 aged 310, c/0 aged 20"
+        Then the jobs are "a suspected, b suspected, c suspected"
+        When 500 ms later a worker crashes while it runs "a/1 aged 305"
+        Then task 1 of job "a" crashes workers
+        And the jobs are "a crashing, b clear, c clear"
+
+    # Guards against blaming tasks for a rack without power.
+    Scenario: Workers that crash together have no likely cause without a job in common
+        When a worker crashes while it runs "a/1 aged 12, b/0 aged 30"
+        And 3 ms later a worker crashes while it runs "c/0 aged 10, d/0 aged 20"
+        Then the jobs are "a clear, b clear, c clear"
+
+    Scenario: Workers that crash together under tasks of one job make that job the likely cause
+        When a worker crashes while it runs "a/1 aged 12, b/0 aged 30"
+        And 3 ms later a worker crashes while it runs "a/2 aged 10, c/0 aged 20"
+        Then the jobs are "a suspected, b clear, c clear"
+
+    # Guards against counting one crash twice that two peers pass on.
+    Scenario: A crash that is passed on by several peers counts once
+        When a worker crashes while it runs "a/1 aged 12" and its record arrives 3 times
+        Then no task crashes workers
+
+    # Guards against confining a kind for a single job, a rack, or without another kind to protect.
+    Scenario Outline: A kind is confined after <crashes>: <result>
+        Then a kind of jobs is <result> after <crashes>
+
+        Examples:
+            | crashes                                                   | result       |
+            | two crashes 500 ms apart under different jobs of it       | confined     |
+            | two crashes 500 ms apart under the same job of it         | not confined |
+            | two crashes 5 ms apart under different jobs of it         | not confined |
+            | two crashes 9000 ms apart under different jobs of it      | not confined |
+            | two crashes 500 ms apart, both beside another likely kind | not confined |
+            | two crashes 500 ms apart without another kind             | not confined |
+
+    Scenario: A confined kind is released after 3 s without a crash, and one crash soon after confines it again
+        When a kind of jobs is confined
+        Then it is still confined 2900 ms after its latest crash
+        And it is released 3000 ms after its latest crash
+        And one crash 10000 ms later confines it again
+
+    Scenario: A third of the workers, at least one, is kept for jobs that may crash them, and crashed ones come first
+        Then of 11 workers 4 are kept, of 2 workers 1, and of 1 worker none
+        And a worker that has crashed is among those kept
--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
@@ -0,0 +1,142 @@
+import { Before, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { CrashedRun, WorkerCrash } from "../model/workerCrash.js";
+import { CrashEvidence, type CrashingTask } from "../policies/crashEvidence.js";
+import { CrashingKinds } from "../policies/crashingKinds.js";
+import { chooseQuarantine } from "../policies/quarantine.js";
+
+const service = "service-a";
+
+let now = 1000;
+let crashCount = 0;
+let evidence = new CrashEvidence();
+let found: CrashingTask[] = [];
+let kinds = new CrashingKinds();
+
+Before({ tags: "@direct-policies" }, () => {
+    now = 1000;
+    crashCount = 0;
+    evidence = new CrashEvidence();
+    found = [];
+    kinds = new CrashingKinds();
+});
+
+/** Parses runs like `a/1 aged 12`. */
+function parseRuns(text: string): readonly CrashedRun[] {
+    return text.split(", ").map(part => {
+        const [, job = "", task = "", age = ""] = /^(\w+)\/(\d+) aged (\d+)$/.exec(part) ?? [];
+        return { job, task: Number(task), route: "route-a", ageMilliseconds: Number(age) };
+    });
+}
+
+function createCrash(runs: readonly CrashedRun[]): WorkerCrash {
+    crashCount += 1;
+    return { id: `crash-${crashCount}`, instance: `instance-${crashCount}`, service, ageMilliseconds: 0, runs };
+}
+
+function recordCrash(runs: string): void {
+    found.push(...evidence.record(createCrash(parseRuns(runs)), now));
+}
+
+When("a worker crashes while it runs {string}", recordCrash);
+
+When("{int} ms later a worker crashes while it runs {string}", (milliseconds: number, runs: string) => {
+    now += milliseconds;
+    recordCrash(runs);
+});
+
+When("a worker crashes while it runs {string} and its record arrives {int} times", (runs: string, count: number) => {
+    const crash = createCrash(parseRuns(runs));
+    for (let index = 0; index < count; index += 1) {
+        now += 100;
+        found.push(...evidence.record({ ...crash, ageMilliseconds: index * 100 }, now));
+    }
+});
+
+Then("the jobs are {string}", (jobs: string) => {
+    const actual = jobs.split(", ").map(item => {
+        const [job = ""] = item.split(" ");
+        return `${job} ${evidence.judge(job, "route-a", now, () => false)}`;
+    });
+    assert.equal(actual.join(", "), jobs);
+});
+
+Then("task {int} of job {string} crashes workers", (task: number, job: string) => {
+    assert.deepEqual(found.map(item => [item.job, item.task]), [[job, task]]);
+});
+
+Then("no task crashes workers", () => {
+    assert.deepEqual(found, []);
+});
+
+/** Records a crash under one job of each of the given kinds. */
+function chargeKinds(jobs: Readonly<Record<string, string>>): number {
+    const jobsByRoute = new Map(Object.entries(jobs).map(([route, job]) => [route, new Set([job])]));
+    return kinds.recordCrash({ service, jobsByRoute }, now).length;
+}
+
+function confineKind(): void {
+    kinds.recordArrival(service, "other", now);
+    chargeKinds({ crashing: "a" });
+    now += 500;
+    chargeKinds({ crashing: "b" });
+}
+
+Then(/^a kind of jobs is (confined|not confined) after two crashes (\d+) ms apart(.*)$/, (
+    result: string,
+    milliseconds: string,
+    circumstances: string,
+) => {
+    const isBesideOther = circumstances.includes("beside another likely kind");
+    const hasOtherKind = !circumstances.includes("without another kind");
+    const secondJob = circumstances.includes("the same job") ? "a" : "b";
+    chargeKinds({ crashing: "a", ...isBesideOther ? { other: "x" } : {} });
+    now += Number(milliseconds);
+    if (hasOtherKind) {
+        kinds.recordArrival(service, "other", now);
+    }
+    chargeKinds({ crashing: secondJob, ...isBesideOther ? { other: "y" } : {} });
+    assert.equal(kinds.isConfined(service, "crashing"), result === "confined");
+});
+
+When("a kind of jobs is confined", () => {
+    confineKind();
+    assert.ok(kinds.isConfined(service, "crashing"));
+});
+
+Then("it is still confined {int} ms after its latest crash", (milliseconds: number) => {
+    assert.deepEqual(kinds.release(now + milliseconds), []);
+});
+
+Then("it is released {int} ms after its latest crash", (milliseconds: number) => {
+    assert.deepEqual(kinds.release(now + milliseconds), [{ service, route: "crashing" }]);
+});
+
+Then("one crash {int} ms later confines it again", (milliseconds: number) => {
+    now += milliseconds;
+    kinds.recordArrival(service, "other", now);
+    assert.equal(chargeKinds({ crashing: "c" }), 1);
+});
+
+function listCandidates(count: number, crashed: string): { readonly instance: string; readonly hasCrashed: boolean }[] {
+    return Array.from({ length: count }, (_, index) => {
+        const instance = `instance-${index}`;
+        return { instance, hasCrashed: instance === crashed };
+    });
+}
+
+Then(
+    "of {int} workers {int} are kept, of {int} workers {int}, and of {int} worker none",
+    (many: number, ofMany: number, two: number, ofTwo: number, one: number) => {
+        assert.equal(chooseQuarantine(service, listCandidates(many, "")).instances.length, ofMany);
+        assert.equal(chooseQuarantine(service, listCandidates(two, "")).instances.length, ofTwo);
+        assert.equal(chooseQuarantine(service, listCandidates(one, "")).instances.length, 0);
+    },
+);
+
+Then("a worker that has crashed is among those kept", () => {
+    for (let index = 0; index < 11; index += 1) {
+        const instance = `instance-${index}`;
+        assert.equal(chooseQuarantine(service, listCandidates(11, instance)).instances[0], instance);
+    }
+});
--- a/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
@@ -25,6 +25,8 @@
             | agent frame      | {"ended":[null]}                                  |
             | agent frame      | {"evacuations":{"zones":["zone-1"]}}              |
             | agent frame      | {"worker":{}}                                     |
+            | agent frame      | {"crashes":[{"id":"a"}]}                          |
+            | entry frame      | {"crashes":[null]}                                |
             | capacity request | {"from":{"address":"nowhere"}}                    |
 
     Scenario: Numbers that are not finite, which frames can carry, are refused
--- a/packages/lovagepitch-direct/src/entry/crashReports.ts
+++ b/packages/lovagepitch-direct/src/entry/crashReports.ts
@@ -1,5 +1,6 @@
 /**
- * Crashes of workers that agents have observed: jobs whose task crashes workers fail.
+ * Crashes of workers that agents have observed: jobs whose task crashes workers fail, and kinds of jobs that crash workers
+ * again and again are confined.
  */
 import type { WorkerCrash } from "../model/workerCrash.js";
 import type { CrashingTask } from "../policies/crashEvidence.js";
@@ -21,7 +22,7 @@
 }
 
 function receiveCrash(state: EntryState, crash: WorkerCrash): void {
-    const { crashEvidence, now } = state;
+    const { crashEvidence, crashingKinds, now } = state;
     state.isPlacementDue = true;
     state.log("info", "worker crash taken into account", {
         crash: crash.id,
@@ -33,6 +34,12 @@
     for (const job of new Set(found.map(task => task.job))) {
         failCrashingJob(state, job, found.filter(task => task.job === job));
     }
+    const crashedAt = now - crash.ageMilliseconds;
+    // A restarted entry learns from the crashes of its predecessor's time which kinds of jobs there are.
+    crash.runs.forEach(({ route }) => crashingKinds.recordArrival(crash.service, route, crashedAt));
+    for (const kind of crashingKinds.recordCrash(crashEvidence.findCauses(crash), crashedAt)) {
+        state.log("warn", "jobs of a route are confined to few workers", { ...kind, crash: crash.id });
+    }
 }
 
 function failCrashingJob(state: EntryState, job: string, tasks: readonly CrashingTask[]): void {
@@ -48,3 +55,15 @@
         endJob(state, row, { kind: "failed" });
     }
 }
+
+/**
+ * Releases kinds of jobs that crash no workers any more.
+ *
+ * @param state - state of the entry
+ */
+export function releaseKinds(state: EntryState): void {
+    for (const kind of state.crashingKinds.release(state.now)) {
+        state.log("info", "jobs of a route are no longer confined", { ...kind });
+        state.isPlacementDue = true;
+    }
+}
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -19,6 +19,7 @@
     requestCapacity,
 } from "./capacityRequests.js";
 import { receiveConfiguration } from "./configurationRelay.js";
+import { releaseKinds } from "./crashReports.js";
 import { sendFrames } from "./entryFrames.js";
 import type { EntryInput, EntryOutput } from "./entryPorts.js";
 import { type EntryIdentity, EntryState, mayHaveStarted } from "./entryState.js";
@@ -95,6 +96,12 @@
         return this.state.linkBacklog.describe(this.state.now);
     }
 
+    /** Numbers of confined kinds of jobs and of jobs that are known to crash workers. */
+    public get crashFigures(): { readonly confinedKinds: number; readonly crashingJobs: number } {
+        const { crashingKinds, crashEvidence } = this.state;
+        return { confinedKinds: crashingKinds.confinedCount, crashingJobs: crashEvidence.crashingJobCount };
+    }
+
     /**
      * Finds the route of a request.
      *
@@ -156,6 +163,7 @@
             removeLostAgents(state);
         }
         removeStoppedRuns(state);
+        releaseKinds(state);
         placeTasks(state);
         expireJobs(state);
         requestCapacity(state);
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -13,6 +13,7 @@
 import { noEvacuations, type ZoneEvacuations } from "../model/zoneEvacuations.js";
 import { CapacitySearch } from "../policies/capacitySearch.js";
 import { CrashEvidence } from "../policies/crashEvidence.js";
+import { CrashingKinds } from "../policies/crashingKinds.js";
 import { CrashRecords } from "../policies/crashRecords.js";
 import type { EntryPolicies } from "../policies/entryPolicies.js";
 import type { JobDeadlines } from "../policies/jobDeadlines.js";
@@ -151,6 +152,7 @@
     public readonly workerSpeeds = new WorkerSpeeds();
     public readonly crashRecords = new CrashRecords();
     public readonly crashEvidence = new CrashEvidence();
+    public readonly crashingKinds = new CrashingKinds();
     /** Job that runs alone on a worker by order of this entry, or that several such jobs share it, by agent. */
     public readonly isolatedJobs = new Map<string, string>();
     public configuration: DispatchConfiguration | undefined;
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -44,6 +44,11 @@
     const isContended = waiting.length > 1 || round.hasQueuedOrders;
     let placedMilliCores = 0;
     for (const { row } of waiting) {
+        if (!mayHaveStarted(row) && round.separation.isShutOut(row.job)) {
+            state.crashingKinds.recordShutOut(row.job.service, row.job.route, state.now);
+            refuseJob(state, row, "kind-confined");
+            continue;
+        }
         const canPlace = !state.stoppingRuns.has(row.job.id) && canPlaceJob(state, round, row, isContended);
         const isHeld = canPlace
             && holdForLink(state, round.link, row, inputs => refuseJob(state, row, "no-room-in-time", inputs));
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -38,6 +38,7 @@
     };
     state.jobs.set(job.id, row);
     state.priorityRanks.record(job.service, job.priority, state.now);
+    state.crashingKinds.recordArrival(job.service, job.route, state.now);
     state.policies.queueShares.recordArrival(job.service, job.route, estimateWork(job, job.taskCount), state.now);
     state.isPlacementDue = true;
     if (judgeJob(state, job) === "crashing") {
--- a/packages/lovagepitch-direct/src/entry/workerSeparation.ts
+++ b/packages/lovagepitch-direct/src/entry/workerSeparation.ts
@@ -36,6 +36,7 @@
     readonly trial: ReadonlySet<string>;
     /** Those that other jobs leave free. */
     readonly reserved: ReadonlySet<string>;
+    readonly hasConfinedKinds: boolean;
 }
 
 /** Decides which jobs may share workers. */
@@ -59,19 +60,34 @@
             return openPlan;
         }
         const verdict = judgeJob(state, job);
+        const isConfined = state.crashingKinds.isConfined(job.service, job.route);
         const quarantine = this.getQuarantine(job.service);
         const hasQuarantine = quarantine.instances.size > 0;
         if (verdict === "isolated") {
             const permitted = hasQuarantine ? quarantine.trial : undefined;
             return { isolation: "shared", permitted, avoided: noInstances };
         }
-        if (verdict === "suspected") {
-            const permitted = hasQuarantine ? quarantine.trial : undefined;
-            return { isolation: "job", permitted, avoided: noInstances };
+        if (verdict === "suspected" || isConfined) {
+            const permitted = quarantine.hasConfinedKinds ? quarantine.instances : quarantine.trial;
+            return { isolation: "job", permitted: hasQuarantine ? permitted : undefined, avoided: noInstances };
         }
         return { isolation: undefined, permitted: undefined, avoided: quarantine.reserved };
     }
 
+    /**
+     * Tells whether a job of a confined kind can't run now because none of the few workers for it accepts tasks.
+     *
+     * @param job - job to be placed
+     * @returns true when all of them are down
+     */
+    public isShutOut(job: DirectJob): boolean {
+        if (!this.state.crashingKinds.isConfined(job.service, job.route)) {
+            return false;
+        }
+        const { instances, trial } = this.getQuarantine(job.service);
+        return instances.size > 0 && trial.size === 0;
+    }
+
     private getQuarantine(service: string): Quarantine {
         const known = this.quarantines.get(service);
         if (known !== undefined) {
@@ -83,7 +99,7 @@
     }
 
     private createQuarantine(service: string): Quarantine {
-        const { crashEvidence, now } = this.state;
+        const { crashEvidence, crashingKinds, now } = this.state;
         const crashed = crashEvidence.listCrashedInstances(service, now - recentCrashMilliseconds);
         const accepting = new Set<string>();
         const instances = new Set(crashed);
@@ -97,7 +113,9 @@
         }
         const candidates = [...instances].map(instance => ({ instance, hasCrashed: crashed.has(instance) }));
         const chosen = chooseQuarantine(service, candidates);
-        const trialCandidates = [...chosen.instances, ...chosen.others];
+        const hasConfinedKinds = crashingKinds.hasConfined(service);
+        // While a kind is confined, jobs that may crash their workers wait for the few that are kept for them.
+        const trialCandidates = hasConfinedKinds ? chosen.instances : [...chosen.instances, ...chosen.others];
         const first = trialCandidates.find(instance => accepting.has(instance));
         const trial = first === undefined ? noInstances : new Set([first]);
         const needsTrial = crashEvidence.hasOpenCrash(service, now - trialMilliseconds);
@@ -105,7 +123,8 @@
         return {
             instances: all,
             trial,
-            reserved: needsTrial ? trial : noInstances,
+            reserved: hasConfinedKinds ? all : needsTrial ? trial : noInstances,
+            hasConfinedKinds,
         };
     }
 }
@@ -118,7 +137,9 @@
  * @returns the verdict
  */
 export function judgeJob(state: EntryState, job: DirectJob): JobVerdict {
-    return state.crashEvidence.judge(job.id, job.route, state.now, () => false);
+    return state.crashEvidence.judge(job.id, job.route, state.now, route => {
+        return state.crashingKinds.isConfined(job.service, route);
+    });
 }
 
 /**
--- a/packages/lovagepitch-direct/src/model/directJob.ts
+++ b/packages/lovagepitch-direct/src/model/directJob.ts
@@ -53,6 +53,8 @@
     | "no-room-in-time"
     /** Its queue takes more than its share while others wait. */
     | "over-share"
+    /** Jobs of its kind crash workers, and none of the few workers that run them accepts tasks. */
+    | "kind-confined"
     | "queue-full"
     | "shutting-down"
     | "no-configuration";
--- /dev/null
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -0,0 +1,184 @@
+/**
+ * Load pattern: many jobs of one kind crash the workers that start them, faster than workers come back. The kind is confined
+ * to a few workers (bulkhead) until it has run without a crash for a while, so that the other kinds keep the rest.
+ */
+import { coincidenceMilliseconds, type CrashCauses } from "./crashEvidence.js";
+
+/** Two crashes that are this far apart count as independent, in milliseconds. */
+const confinementWindowMilliseconds = 5000;
+
+/** Time for which a confined kind has to run without a crash before it is released, in milliseconds. */
+const cleanMilliseconds = 3000;
+
+/** Time after its release within which a single crash confines a kind again, in milliseconds. */
+const probationMilliseconds = 15_000;
+
+/** A crash that a kind may have caused. */
+interface Charge {
+    readonly at: number;
+    readonly jobs: ReadonlySet<string>;
+    /** True when no other kind may have caused it. */
+    readonly isOnlyKind: boolean;
+}
+
+/** A kind that is confined. */
+interface ConfinedKind {
+    readonly service: string;
+    readonly route: string;
+    /** Latest instant at which it crashed a worker, or could not run because the workers for it were down. */
+    lastTroubleAt: number;
+}
+
+/** A kind of jobs: those of one route at one service. */
+export interface JobKindName {
+    readonly service: string;
+    readonly route: string;
+}
+
+/** Kinds of jobs that crash workers again and again. */
+export class CrashingKinds {
+    private readonly charges = new Map<string, readonly Charge[]>();
+    private readonly confined = new Map<string, ConfinedKind>();
+    /** When each kind was released, in milliseconds. */
+    private readonly releasedAt = new Map<string, number>();
+    /** When a job of each kind last arrived, in milliseconds. */
+    private readonly arrivals = new Map<string, { readonly service: string; at: number }>();
+
+    /** Number of confined kinds. */
+    public get confinedCount(): number {
+        return this.confined.size;
+    }
+
+    /**
+     * Takes the possible causes of a crash into account.
+     *
+     * @param causes - kinds that may have caused it
+     * @param crashedAt - monotonic time of the crash, in milliseconds
+     * @returns kinds that are confined from now on
+     */
+    public recordCrash({ service, jobsByRoute }: CrashCauses, crashedAt: number): readonly JobKindName[] {
+        const begun: JobKindName[] = [];
+        for (const [route, jobs] of jobsByRoute) {
+            const key = formatKey(service, route);
+            const charge = { at: crashedAt, jobs, isOnlyKind: jobsByRoute.size === 1 };
+            const recent = (this.charges.get(key) ?? []).filter(({ at }) => {
+                return crashedAt - at <= confinementWindowMilliseconds;
+            });
+            this.charges.set(key, [...recent, charge]);
+            const kind = this.confined.get(key);
+            if (kind !== undefined) {
+                kind.lastTroubleAt = Math.max(kind.lastTroubleAt, crashedAt);
+            }
+            else if (
+                (this.isOnProbation(key, crashedAt) || recent.some(earlier => areIndependent(earlier, charge)))
+                && this.hasOtherKind(service, key, crashedAt)
+            ) {
+                this.confined.set(key, { service, route, lastTroubleAt: crashedAt });
+                begun.push({ service, route });
+            }
+        }
+        return begun;
+    }
+
+    /**
+     * Takes the arrival of a job into account.
+     *
+     * @param service - service of the job
+     * @param route - route of the job
+     * @param now - current monotonic time, in milliseconds
+     */
+    public recordArrival(service: string, route: string, now: number): void {
+        const key = formatKey(service, route);
+        const known = this.arrivals.get(key);
+        if (known === undefined) {
+            this.arrivals.set(key, { service, at: now });
+        }
+        else {
+            known.at = Math.max(known.at, now);
+        }
+    }
+
+    /** Tells whether jobs of another kind arrive, for which workers would be kept. */
+    private hasOtherKind(service: string, key: string, now: number): boolean {
+        for (const [other, arrival] of this.arrivals) {
+            if (other !== key && arrival.service === service && now - arrival.at <= confinementWindowMilliseconds) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Records that a confined kind could not run because the workers for it were down.
+     *
+     * @param service - service of the jobs
+     * @param route - route of the jobs
+     * @param now - current monotonic time, in milliseconds
+     */
+    public recordShutOut(service: string, route: string, now: number): void {
+        const kind = this.confined.get(formatKey(service, route));
+        if (kind !== undefined) {
+            kind.lastTroubleAt = now;
+        }
+    }
+
+    private isOnProbation(key: string, now: number): boolean {
+        return now - (this.releasedAt.get(key) ?? Number.NEGATIVE_INFINITY) <= probationMilliseconds;
+    }
+
+    /**
+     * Releases the kinds that have run without a crash for long enough.
+     *
+     * @param now - current monotonic time, in milliseconds
+     * @returns the released kinds
+     */
+    public release(now: number): readonly JobKindName[] {
+        const released: JobKindName[] = [];
+        for (const [key, { service, route, lastTroubleAt }] of this.confined) {
+            if (now - lastTroubleAt >= cleanMilliseconds) {
+                this.confined.delete(key);
+                this.charges.delete(key);
+                this.releasedAt.set(key, now);
+                released.push({ service, route });
+            }
+        }
+        return released;
+    }
+
+    /**
+     * Tells whether a kind is confined.
+     *
+     * @param service - service of the jobs
+     * @param route - route of the jobs
+     * @returns true when it is to run on few workers
+     */
+    public isConfined(service: string, route: string): boolean {
+        return this.confined.size > 0 && this.confined.has(formatKey(service, route));
+    }
+
+    /**
+     * Tells whether any kind of a service is confined.
+     *
+     * @param service - the service
+     * @returns true when some of its workers are kept for confined kinds
+     */
+    public hasConfined(service: string): boolean {
+        for (const kind of this.confined.values()) {
+            if (kind.service === service) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
+
+/** Tells whether two crashes point to the kind rather than to one job of it, or to another kind. */
+function areIndependent(left: Charge, right: Charge): boolean {
+    const haveCommonJob = [...left.jobs].some(job => right.jobs.has(job));
+    const areCoincident = Math.abs(left.at - right.at) <= coincidenceMilliseconds;
+    return !haveCommonJob && !areCoincident && (left.isOnlyKind || right.isOnlyKind);
+}
+
+function formatKey(service: string, route: string): string {
+    return `${service} ${route}`;
+}
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -91,6 +91,16 @@
             },
         );
         this.metrics.addGauge("evacuated_zones", evacuatedZonesHelp, () => this.core.evacuations.zones.length);
+        this.metrics.addGauge(
+            "confined_kinds",
+            "Routes whose jobs run on few workers because they crash workers",
+            () => {
+                return this.core.crashFigures.confinedKinds;
+            },
+        );
+        this.metrics.addGauge("crashing_jobs", "Jobs that are known to crash the workers that run them", () => {
+            return this.core.crashFigures.crashingJobs;
+        });
         this.metrics.addQueueGauges(() => this.core.listQueueUse());
         this.datagrams = new CapacityDatagrams(
             request => this.loop.accept({ kind: "capacity-requested", request }),
