fix(agent): nothing is started over a capacity that has shrunk, also after a restart or a pause

Could happen: starts over the capacity of a worker that guards none, for up to one interval between reports: by a restarted agent, which began with the capacity that was recorded when the worker registered; by one that woke from a pause, which had missed the reports; by the repetition of a start whose answer was late, which checked nothing. Cause: the capacity counted as a property that one incarnation keeps, like its service and labels. Class: a permission acted on after it had run out. Change: a shrunk capacity is recorded at once, one that grows at most every 10 s; entries tell an agent that restored its worker the capacity that the former process had reported, before its first start; an agent whose latest report is older than 2.5 intervals, on the worker's clock, starts nothing until the next one; a start is not repeated while more runs than fit. What remains: agent and all entries restart after the store was away while the capacity shrank: up to one interval.

--- a/packages/lovagepitch-direct/src/__tests__/recovery.feature
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.feature
@@ -41,3 +41,14 @@
         Given an agent whose worker "life-2" has reported
         When worker "life-2" reports that it drains
         Then the latest record of the agent names no worker
+
+    # Guards against a restarted agent that begins with the capacity that its worker had when it registered.
+    Scenario: A capacity that shrinks is recorded at once, one that grows after a while
+        Given an agent whose worker "life-1" has reported
+        When the worker reports 8 cores
+        Then the latest record of the agent has 8 cores
+        When the worker reports 12 cores
+        Then the latest record of the agent has 8 cores
+        When 11 s pass for the agent
+        And the worker reports 12 cores
+        Then the latest record of the agent has 12 cores
--- a/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
@@ -90,3 +90,19 @@
     assert.equal(records.at(-1)?.registration, undefined);
     assert.equal(records.length, 2);
 });
+
+let nextSequence = 10;
+
+When("the worker reports {int} cores", (cores: number) => {
+    const report = createReport("life-1");
+    nextSequence += 1;
+    agent.accept({
+        kind: "worker-reported",
+        report: { ...report, capacity: { ...report.capacity, milliCores: cores * 1000 }, sequence: nextSequence },
+    });
+});
+
+Then("the latest record of the agent has {int} cores", (cores: number) => {
+    const records = agent.outputs.filter(output => output.kind === "worker-changed");
+    assert.equal(records.at(-1)?.registration?.capacity.milliCores, cores * 1000);
+});
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -42,10 +42,11 @@
     /**
      * @param identity - incarnation, instance and availability zone of the process
      * @param clock - monotonic clock
+     * @param reportIntervalMilliseconds - time between two reports of the worker; undefined when it is not known
      */
-    public constructor(identity: AgentIdentity, clock: Clock) {
+    public constructor(identity: AgentIdentity, clock: Clock, reportIntervalMilliseconds?: number) {
         super();
-        this.state = new AgentState(identity, clock);
+        this.state = new AgentState(identity, clock, reportIntervalMilliseconds);
     }
 
     /** Number of evacuated zones that the agent knows. */
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -113,6 +113,11 @@
      * the former incarnation, and the worker gets no tasks.
      */
     readonly hasReported: boolean;
+    /**
+     * True until the worker reports, when its properties are those that an earlier process has recorded; its capacity may
+     * have changed since.
+     */
+    readonly isRestored: boolean;
     /** Earliest end of a draining worker; undefined when it is not draining or has not reported the end. */
     readonly endsAt: number | undefined;
     /**
@@ -171,6 +176,8 @@
     public configurationRequestedAt = Number.NEGATIVE_INFINITY;
     /** Evacuated zones in force. */
     public evacuations: ZoneEvacuations = noEvacuations;
+    /** Capacity of the worker in the latest record for a restarted process, and when that was written. */
+    public recordedCapacity: { readonly capacity: Resources; readonly at: number } | undefined;
     public isShuttingDown = false;
     public hasStopped = false;
     public nextCall = 1;
@@ -196,8 +203,13 @@
     /**
      * @param identity - incarnation, instance and availability zone of the process
      * @param clock - monotonic clock
+     * @param reportIntervalMilliseconds - time between two reports of the worker; undefined when it is not known
      */
-    public constructor(public readonly identity: AgentIdentity, public readonly clock: Clock) {}
+    public constructor(
+        public readonly identity: AgentIdentity,
+        public readonly clock: Clock,
+        public readonly reportIntervalMilliseconds: number | undefined,
+    ) {}
 
     /** Current monotonic time, in milliseconds. */
     public get now(): number {
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -116,6 +116,7 @@
         isOnTrial: state.health.isOnTrial,
         speed: state.runSpeed.value,
         isolation: findIsolation(state),
+        ...worker.isRestored ? { isRestored: true } : {},
     };
 }
 
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -8,6 +8,7 @@
 import { inviteEntry, receiveEntryLocations, recordReachable, recordUnreachable } from "./knownEntries.js";
 import { receiveStart, withdrawQueuedOrder } from "./orderQueue.js";
 import { declineStart, stopRun } from "./runOrders.js";
+import { limitRestoredCapacity } from "./workerCapacity.js";
 import { receiveEvacuations } from "./zoneEvacuation.js";
 
 /**
@@ -182,6 +183,7 @@
     frame.invitations?.forEach(invitation => inviteEntry(state, invitation));
     receiveConfiguration(state, frame);
     receiveEvacuations(state, frame.evacuations);
+    limitRestoredCapacity(state, frame.workerCapacity);
     frame.crashes?.forEach(crash => state.crashRecords.add(crash, state.now));
     for (const stop of frame.stops) {
         withdrawQueuedOrder(state, frame.entry, stop);
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -2,13 +2,14 @@
  * Start and stop orders to the worker, and the handling of their answers.
  */
 import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
-import { fitsInto } from "../model/resources.js";
+import { fitsInto, noResources } from "../model/resources.js";
 import { orderTimeoutMilliseconds } from "../model/timing.js";
 import { getMaximumRuns } from "../policies/workerHealth.js";
 import type { OrderOutcome } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { mustBeKeptApart } from "./isolation.js";
 import { endRun, reportEnd } from "./runEnds.js";
+import { isCapacityKnown } from "./workerCapacity.js";
 import { isZoneEvacuated } from "./zoneEvacuation.js";
 
 /** The worker rejects a start that arrives later than this, in milliseconds; it usually answers within a few. */
@@ -102,8 +103,10 @@
 }
 
 function getRepeatAt(state: AgentState, row: RunRow): number | undefined {
-    // A repeated order could be the one that starts the task, in a zone in which none may start any more.
-    const mayRepeat = state.worker?.isResponsive === true && !isZoneEvacuated(state);
+    // A repeated order could be the one that starts the task, in a zone in which none may start any more, or beyond a
+    // capacity that has shrunk.
+    const mayRepeat = state.worker?.isResponsive === true && !isZoneEvacuated(state)
+        && fitsInto(noResources, state.free);
     return mayRepeat && row.state === "starting" && row.startAttempts === 1
         ? row.lastOrderSentAt + state.answerTime.repeatDelayMilliseconds
         : undefined;
@@ -301,13 +304,14 @@
  * Tells whether the worker accepts new tasks.
  *
  * @param state - state of the agent
- * @returns false while its zone is evacuated, while the worker is unknown, has not reported, is unresponsive, draining, paused or runs its trial task, while it has a run
+ * @returns false while its zone is evacuated, while the worker is unknown, has not reported lately, is unresponsive, draining, paused or runs its trial task, while it has a run
  *   of an earlier agent process, and when the agent shuts down
  */
 export function acceptsTasks(state: AgentState): boolean {
     const { worker } = state;
     return worker !== undefined && worker.isConfirmed && worker.hasReported && worker.isResponsive
-        && !worker.report.isDraining && !state.isShuttingDown && !isZoneEvacuated(state)
+        && isCapacityKnown(state, worker) && !worker.report.isDraining && !state.isShuttingDown
+        && !isZoneEvacuated(state)
         && !hasUnknownRun(state) && state.runs.size < getMaximumRuns(state.health, state.now);
 }
 
--- a/packages/lovagepitch-direct/src/agent/workerLives.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLives.ts
@@ -90,6 +90,7 @@
         life: state.nextLife,
         isLaterLife: true,
         hasReported: sign.report !== undefined,
+        isRestored: false,
         endsAt: undefined,
         needsEpoch: false,
         epoch: deriveEpoch(sign.startedAt, sign.workerClock, worker.epoch),
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -6,6 +6,7 @@
 import { initialWorkerHealth } from "../policies/workerHealth.js";
 import type { AgentState, WorkerRow } from "./agentState.js";
 import { endAllRunsAsLost } from "./runEnds.js";
+import { isCapacityToBeRecorded, logCapacityChange } from "./workerCapacity.js";
 import { beginLaterLife, compareLives, deriveEpoch } from "./workerLives.js";
 
 /**
@@ -26,9 +27,10 @@
         if (life === "earlier" || report.sequence <= worker.report.sequence) {
             return;
         }
-        if (!worker.hasReported) {
+        if (!worker.hasReported || isCapacityToBeRecorded(state, report.capacity)) {
             recordWorkerChange(state, report.isDraining ? undefined : report);
         }
+        logCapacityChange(state, worker, report);
         if (report.isDraining && !worker.report.isDraining) {
             state.log("info", "worker drains", { worker: report.id });
             recordWorkerChange(state, undefined);
@@ -38,6 +40,7 @@
         state.worker = {
             ...worker,
             hasReported: true,
+            isRestored: false,
             report: { ...report, isDraining, startedAt: report.startedAt ?? worker.report.startedAt },
             endsAt: computeWorkerEnd(state, report) ?? worker.endsAt,
         };
@@ -75,6 +78,7 @@
         workerClock: 0,
         sequence: Number.NEGATIVE_INFINITY,
     }, true);
+    state.recordedCapacity = { capacity: registration.capacity, at: state.now };
     state.log("info", "worker restored", { worker: registration.id, service: registration.service });
 }
 
@@ -96,6 +100,9 @@
             capacity: worker.capacity,
             labels: worker.labels,
         };
+    state.recordedCapacity = registration === undefined
+        ? undefined
+        : { capacity: registration.capacity, at: state.now };
     state.outputs.push({ kind: "worker-changed", registration });
 }
 
@@ -108,6 +115,7 @@
         life: state.nextLife,
         isLaterLife: false,
         hasReported: true,
+        isRestored: needsEpoch,
         endsAt: computeWorkerEnd(state, report),
         needsEpoch,
         epoch: deriveEpoch(report.startedAt, report.workerClock, 0),
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -150,6 +150,8 @@
     /** Run time distributions by route name. */
     public readonly runTimes = new Map<string, RunTimeDistribution>();
     public readonly workerSpeeds = new WorkerSpeeds();
+    /** Capacity of each worker as it last reported it, by instance, for an agent that restarts. */
+    public readonly reportedCapacities = new Map<string, Resources>();
     public readonly crashRecords = new CrashRecords();
     public readonly crashEvidence = new CrashEvidence();
     public readonly crashingKinds = new CrashingKinds();
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -56,6 +56,7 @@
         && isOptional(value.entryZones, zones => isArrayOf(zones, isString))
         && isOptional(value.invitations, invitations => isArrayOf(invitations, isEntryLocation))
         && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations)
+        && isOptional(value.workerCapacity, isResources)
         && isOptional(value.crashes, crashes => isArrayOf(crashes, isWorkerCrash));
 }
 
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -139,6 +139,8 @@
     readonly configuration: ConfigurationNotice;
     /** Evacuated zones; only when the entry's state is newer than the one that the agent has named. */
     readonly evacuations?: ZoneEvacuations | undefined;
+    /** Capacity that the worker had according to an earlier process of the agent; only while the agent has restored it. */
+    readonly workerCapacity?: Resources | undefined;
     /** Crashes of workers that the agent was not sent on this connection. */
     readonly crashes?: readonly WorkerCrash[];
 }
--- a/packages/lovagepitch-direct/src/model/workerStatus.ts
+++ b/packages/lovagepitch-direct/src/model/workerStatus.ts
@@ -44,6 +44,8 @@
     readonly isOnTrial: boolean;
     /** Separation of the tasks that run; undefined while other tasks may run beside them. */
     readonly isolation?: Isolation | undefined;
+    /** True while the capacity is that of a record; undefined once the worker has reported it. */
+    readonly isRestored?: boolean | undefined;
     /** Estimated run time divided by actual run time, learned from ended runs; undefined while it is unknown. */
     readonly speed?: number | undefined;
 }
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -23,6 +23,8 @@
     readonly onWorkerChanged: (registration: WorkerRegistration | undefined) => void;
     /** Called once after a shutdown was requested and all runs have ended. */
     readonly onStopped: () => void;
+    /** Time between two reports of the worker; undefined when it is not known. */
+    readonly reportIntervalMilliseconds?: number | undefined;
 }
 
 /** Agent of one worker. */
@@ -40,7 +42,7 @@
         const { identity, clock } = options;
         this.log = new RateLimitedLog(identity.instance, clock, this.metrics);
         this.unreadableFrames = new UnreadableFrames(this.log, this.metrics);
-        const core = new AgentCore(identity, clock);
+        const core = new AgentCore(identity, clock, options.reportIntervalMilliseconds);
         this.loop = new TickLoop(core, clock, outputs => outputs.forEach(o => this.perform(o)));
         this.metrics.addGauge("worker_speed", "Estimated by actual run time, 0 while unknown", () => core.workerSpeed);
         this.metrics.addGauge("evacuated_zones", evacuatedZonesHelp, () => core.evacuatedZones);
--- a/packages/lovagepitch-direct/src/process/workerDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/workerDirectory.ts
@@ -33,6 +33,8 @@
     /** True while an earlier write without an answer may still take effect. */
     private hasUncertainWrite = false;
     private isWriting = false;
+    /** True once a worker was recorded; a later one is written without delay, because its capacity may have shrunk. */
+    private hasRecorded = false;
 
     /**
      * @param rows - rows of the store
@@ -78,7 +80,7 @@
 
     private async writeCurrent(): Promise<void> {
         const writeAt = this.clock.nowMilliseconds() + this.random.nextFraction() * maximumRecordDelayMilliseconds;
-        while (this.current !== undefined && this.clock.nowMilliseconds() < writeAt) {
+        while (!this.hasRecorded && this.current !== undefined && this.clock.nowMilliseconds() < writeAt) {
             await delay(retryDelayMilliseconds);
         }
         for (;;) {
@@ -92,6 +94,7 @@
             }
         }
         this.isWriting = false;
+        this.hasRecorded = true;
     }
 
     /** Writes the row unless it is known to have the value; returns true when it has. */
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
@@ -86,6 +86,16 @@
         And 40 harmless jobs arrive within 1000 ms
         Then the guarantees hold after the crashes
 
+    # Guards against a record from before the capacity shrank, because the store was away when it did.
+    Scenario: A restarted agent starts nothing beyond a capacity that has shrunk while its record could not be written
+        When 20 harmless jobs arrive within 500 ms
+        And the store takes no records
+        And the capacity of every worker shrinks to 5 cores
+        And 40 harmless jobs arrive within 5000 ms
+        And every agent is killed and restarts from its record
+        And 40 harmless jobs arrive within 1000 ms
+        Then the guarantees hold after the crashes
+
     # Guards against an agent that acts on a capacity from before it was frozen.
     Scenario: An agent that wakes starts nothing beyond a capacity that has shrunk meanwhile
         When 20 harmless jobs arrive within 500 ms
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
@@ -153,6 +153,10 @@
     world.deployment.workers.forEach((_, index) => world.deployment.fleet.setCapacity(index, cores * 1000));
 });
 
+When("the store takes no records", () => {
+    world.deployment.losesRecords = true;
+});
+
 When("every agent is killed and restarts from its record", () => {
     world.deployment.workers.forEach((_, index) => {
         world.deployment.killAgent(index);
--- a/packages/lovagepitch-testing/src/direct/deploymentParts.ts
+++ b/packages/lovagepitch-testing/src/direct/deploymentParts.ts
@@ -9,6 +9,7 @@
 import type { DirectDeploymentOptions } from "./directDeploymentOptions.js";
 import type { DirectRecord } from "./directRecord.js";
 import { FakeWorker } from "./fakeWorker.js";
+import { reportIntervalMilliseconds } from "./workerReports.js";
 
 /** Creates the parts of one deployment. */
 export class DeploymentParts {
@@ -55,7 +56,7 @@
             instance: `agent-${index}`,
             availabilityZone: this.getZone(index),
         };
-        return new AgentCore(identity, this.clock);
+        return new AgentCore(identity, this.clock, reportIntervalMilliseconds);
     }
 
     /**
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -21,9 +21,7 @@
 import { LinkNetwork } from "./linkNetwork.js";
 import { WorkerFleet } from "./workerFleet.js";
 import { WorkerPort } from "./workerPort.js";
-
-/** Interval between two reports of a worker. */
-const reportIntervalMilliseconds = 1500;
+import { reportIntervalMilliseconds } from "./workerReports.js";
 
 /** Simulated deployment for direct jobs. */
 export class DirectDeployment {
@@ -44,6 +42,8 @@
     /** Worker that each agent has recorded for its next process. */
     private readonly recordedWorkers = new Map<number, WorkerRegistration | undefined>();
     private readonly submissionTimes = new Map<string, number[]>();
+    /** True while the store takes no records of agents. */
+    public losesRecords = false;
     private nextRequestId = 1;
 
     /**
@@ -345,7 +345,9 @@
                 this.workerPort.requestView(agent, output.call, output);
                 return;
             case "worker-changed":
-                this.recordedWorkers.set(agent, output.registration);
+                if (!this.losesRecords) {
+                    this.recordedWorkers.set(agent, output.registration);
+                }
                 return;
             default:
         }
--- a/packages/lovagepitch-testing/src/direct/workerReports.ts
+++ b/packages/lovagepitch-testing/src/direct/workerReports.ts
@@ -6,6 +6,9 @@
 import { testedService } from "./defaultJob.js";
 import type { FakeWorker } from "./fakeWorker.js";
 
+/** Interval between two reports of a worker. */
+export const reportIntervalMilliseconds = 1500;
+
 /** Creates reports and records which workers drain. */
 export class WorkerReports {
     private readonly drainEndTimes = new Map<string, number | undefined>();
