--- a/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
+++ b/packages/lovagepitch-cli/src/__tests__/commandLine.steps.ts
@@ -177,12 +177,16 @@
         job,
         task: 0,
     });
-    environment.files.set("agent.log", stalled);
+    const crashes = [[[job, 0, 1, 14], ["other", 3, 1, 200]], [["other", 3, 2, 30]]].map((runs, index) => {
+        return createLine(`2026-03-21T05:57:55.8${index}0Z`, "agent-a", "worker has crashed", { worker: "w-1", runs });
+    });
+    environment.files.set("agent.log", [stalled, ...crashes].join("\n"));
 });
 
 Then("the command's output lists the events of job {string} in order of time", (job: string) => {
     assert.deepEqual(environment.output, [
         "2026-03-21T05:57:55.328Z entry-1: tasks placed tasks=[[0,1,\"a\"]]",
+        "2026-03-21T05:57:55.800Z agent-a: worker has crashed worker=w-1 runs=[[0,1,14]] otherRuns=1",
         "2026-03-21T05:57:55.900Z agent-a: run stopped because of insufficient progress task=0",
         "2026-03-21T05:57:56.839Z entry-1: job answered answer=done",
     ], job);
--- a/packages/lovagepitch-cli/src/commands/explainJob.ts
+++ b/packages/lovagepitch-cli/src/commands/explainJob.ts
@@ -60,10 +60,11 @@
     return text.split("\n").flatMap(line => {
         const start = line.indexOf("{");
         const fields = start >= 0 && line.includes(id) ? parseFields(line.slice(start)) : undefined;
-        if (fields === undefined || fields["job"] !== id) {
+        const jobFields = fields === undefined || fields["job"] === id ? fields : selectRuns(fields, id);
+        if (fields === undefined || jobFields === undefined) {
             return [];
         }
-        const details = Object.entries(fields)
+        const details = Object.entries(jobFields)
             .filter(([name]) => !excludedDetailFields.has(name))
             .map(([name, value]) => `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`);
         return [{
@@ -75,6 +76,28 @@
     });
 }
 
+/**
+ * Selects the runs of a job from a line about a worker, whose runs are lists of job, task, run and age.
+ *
+ * @param fields - fields of the line
+ * @param id - id of the job
+ * @returns the fields with only the runs of the job, and the number of the others; undefined when it had none there
+ */
+function selectRuns(
+    fields: Readonly<Record<string, unknown>>,
+    id: string,
+): Readonly<Record<string, unknown>> | undefined {
+    const runs: readonly unknown[] = Array.isArray(fields["runs"]) ? fields["runs"] : [];
+    const own = runs.filter(run => Array.isArray(run) && run[0] === id);
+    return own.length === 0
+        ? undefined
+        : {
+            ...fields,
+            runs: own.map(run => (run as readonly unknown[]).slice(1)),
+            otherRuns: runs.length - own.length,
+        };
+}
+
 function parseFields(text: string): Readonly<Record<string, unknown>> | undefined {
     try {
         return JSON.parse(text) as Readonly<Record<string, unknown>>;
