fix(agent): a task that has stalled elsewhere is not held against the next worker

Could happen: a task that makes no progress on any worker had each worker that ran it paused for 400 ms and more, one after the other, as long as its job was open and each time that it was sent again. Change: start orders say that the task has stalled on another worker; the agent stops the run all the same, but does not pause its worker. Other tasks of a worker that stalls still do. Its run without progress is still moved on until the job is of no use: it has not failed, and the users' pages know no other verdict.

--- a/packages/lovagepitch-direct/src/agent/stalledRuns.ts
+++ b/packages/lovagepitch-direct/src/agent/stalledRuns.ts
@@ -43,7 +43,10 @@
                 slowWorkerSpeed,
             });
             stopRun(state, row, "stalled");
-            state.updateHealth(recordStall(state.health, state.now));
+            // A task that has stalled elsewhere too is more likely the cause than two workers.
+            if (row.order?.hasStalled !== true) {
+                state.updateHealth(recordStall(state.health, state.now));
+            }
         }
         else if (run !== undefined) {
             moveRunOffEndingWorker(state, worker, row, run);
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -57,6 +57,8 @@
     /** Number of the latest run; 1 for the first. */
     readonly latestRun: number;
     readonly failures: number;
+    /** True once a run of the task has stalled. */
+    readonly hasStalled: boolean;
     /** Incarnations of agents on which a run of the task started and did not succeed. */
     readonly avoidedAgents: readonly string[];
 }
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -1,7 +1,7 @@
 /**
  * Places waiting tasks on workers, and ends jobs that can no longer finish in time.
  */
-import { formatRunKey, type StartOrder } from "../model/frames.js";
+import { formatRunKey, type Isolation, type StartOrder } from "../model/frames.js";
 import type { WaitingJob } from "../policies/jobOrder.js";
 import { canStartJob } from "../policies/jobStart.js";
 import type { PriorityRank } from "../policies/priorityRanks.js";
@@ -9,7 +9,14 @@
 import type { ShareState } from "../policies/queueShares.js";
 import { refuseHopelessJobs } from "./earlyRefusal.js";
 import { endJob } from "./endJob.js";
-import { type EntryState, estimateWork, formatTaskKey, type JobRow, mayHaveStarted } from "./entryState.js";
+import {
+    type EntryState,
+    estimateWork,
+    formatTaskKey,
+    type JobRow,
+    mayHaveStarted,
+    type TaskHistory,
+} from "./entryState.js";
 import { holdForLink } from "./linkAllowance.js";
 import { PlacementRound, sharedIsolation } from "./placementRound.js";
 import { refreshWorkerSpeeds } from "./speedReports.js";
@@ -166,31 +173,18 @@
     if (agent === undefined) {
         return undefined;
     }
-    const order: StartOrder = {
-        job: job.id,
-        task,
-        run: (history?.latestRun ?? 0) + 1,
-        service: job.service,
-        specification: job.specification,
-        needs: job.needs,
-        estimatedMilliseconds: job.estimatedMilliseconds,
-        mayWaitMilliseconds: Math.max(0, Math.min(maximumQueueTimeMilliseconds, spareMilliseconds)),
-        urgency: {
-            priority: job.priority,
-            isBegun,
-            ...readShareState(state, row) === "short" ? { isShort: true } : {},
-            spareMilliseconds: Math.round(spareMilliseconds),
-        },
-        maximumPerWorker: job.maximumPerWorker,
-        requiredLabel: job.requiredLabel,
-        route: job.route,
-        ...isolation === undefined ? {} : { isolation },
-    };
+    const order = createOrder(state, row, task, history, isolation);
     const identity = { job: job.id, task, run: order.run };
     if (isolation !== undefined) {
         state.isolatedJobs.set(agent.agent, isolation === "job" ? job.id : sharedIsolation);
     }
-    state.taskHistories.set(taskKey, { failures: 0, avoidedAgents: [], ...history, latestRun: order.run });
+    state.taskHistories.set(taskKey, {
+        failures: 0,
+        hasStalled: false,
+        avoidedAgents: [],
+        ...history,
+        latestRun: order.run,
+    });
     state.placedTasks.set(formatRunKey(identity), {
         identity,
         agent: agent.agent,
@@ -211,6 +205,38 @@
     return { task, run: order.run, instance: agent.instance };
 }
 
+function createOrder(
+    state: EntryState,
+    row: JobRow,
+    task: number,
+    history: TaskHistory | undefined,
+    isolation: Isolation | undefined,
+): StartOrder {
+    const { job } = row;
+    const spareMilliseconds = row.deadlines.latestStart - state.now;
+    return {
+        job: job.id,
+        task,
+        run: (history?.latestRun ?? 0) + 1,
+        service: job.service,
+        specification: job.specification,
+        needs: job.needs,
+        estimatedMilliseconds: job.estimatedMilliseconds,
+        mayWaitMilliseconds: Math.max(0, Math.min(maximumQueueTimeMilliseconds, spareMilliseconds)),
+        urgency: {
+            priority: job.priority,
+            isBegun: mayHaveStarted(row),
+            ...readShareState(state, row) === "short" ? { isShort: true } : {},
+            spareMilliseconds: Math.round(spareMilliseconds),
+        },
+        maximumPerWorker: job.maximumPerWorker,
+        requiredLabel: job.requiredLabel,
+        route: job.route,
+        ...history?.hasStalled === true ? { hasStalled: true } : {},
+        ...isolation === undefined ? {} : { isolation },
+    };
+}
+
 /**
  * Refuses jobs that can no longer start in time, and interrupts started jobs whose result would be useless.
  *
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -88,7 +88,12 @@
         return;
     }
     const taskKey = formatTaskKey(job.id, ended.task);
-    const history = state.taskHistories.get(taskKey) ?? { latestRun: ended.run, failures: 0, avoidedAgents: [] };
+    const history = state.taskHistories.get(taskKey) ?? {
+        latestRun: ended.run,
+        failures: 0,
+        hasStalled: false,
+        avoidedAgents: [],
+    };
     const failures = history.failures + (ended.end === "failed" ? 1 : 0);
     const hasStarted = ended.end !== "not-started";
     if (!hasStarted) {
@@ -98,6 +103,7 @@
     state.taskHistories.set(taskKey, {
         ...history,
         failures,
+        hasStalled: history.hasStalled || ended.end === "stalled",
         avoidedAgents: hasStarted ? [...history.avoidedAgents, placed.agent] : history.avoidedAgents,
     });
     const updated = {
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -77,7 +77,8 @@
         && isNumber(value.mayWaitMilliseconds) && isObject<StartOrder["urgency"]>(value.urgency)
         && isNumber(value.urgency.priority) && isNumber(value.urgency.spareMilliseconds)
         && isNumber(value.maximumPerWorker) && isOptional(value.requiredLabel, isString)
-        && isOptional(value.route, isString) && isOptional(value.isolation, isIsolation);
+        && isOptional(value.hasStalled, isBoolean) && isOptional(value.route, isString)
+        && isOptional(value.isolation, isIsolation);
 }
 
 function isIsolation(value: unknown): boolean {
@@ -155,6 +156,10 @@
     return value === undefined || isPresent(value);
 }
 
+function isBoolean(value: unknown): value is boolean {
+    return typeof value === "boolean";
+}
+
 function isString(value: unknown): value is string {
     return typeof value === "string";
 }
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -71,6 +71,8 @@
     readonly urgency: OrderUrgency;
     readonly maximumPerWorker: number;
     readonly requiredLabel: string | undefined;
+    /** True when the task has stalled on another worker; undefined otherwise, and in frames of earlier versions. */
+    readonly hasStalled?: boolean;
     /** Route of the job; undefined in frames of earlier versions. */
     readonly route?: string;
     /** Beside what the task may run; undefined when it may run beside all tasks, and in frames of earlier versions. */
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
@@ -77,6 +77,16 @@
             | 2    |
             | 3    |
 
+    # Guards against a task that takes workers out of service one after the other without crashing them.
+    Scenario: A task that makes no progress on any worker is held against at most one of them for each sending
+        When 20 harmless jobs arrive within 600 ms
+        And a job with a task that makes no progress arrives at entry 0
+        And 60 harmless jobs arrive within 3000 ms
+        And 1000 ms pass for the crashing workers
+        Then at most 1 worker was paused for each sending of that job
+        And every harmless job was done
+        And the guarantees hold after the crashes
+
     # Guards against two runs of a task, starts beyond the budget or the capacity, and blame, when all of this comes together.
     Scenario Outline: Faults in random order with crashing tasks and changing capacities, seed <seed>
         When 20 faults occur in random order with crashing tasks and changing capacities, seed <seed>
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
@@ -16,6 +16,9 @@
 
 const crashingJob = "c000000000000001";
 
+/** A job of which one task makes no progress. */
+const stuckJob = "5000000000000001";
+
 class CrashWorld {
     public deployment: DirectDeployment;
     public mixedLoad: MixedLoad | undefined;
@@ -31,7 +34,10 @@
             workers,
             milliCores: 16_000,
             seed,
-            getTaskDurationMilliseconds: run => 100 + (run.task * 37) % 100,
+            getTaskDurationMilliseconds: run => {
+                const isStuck = run.job === stuckJob && run.task === 1;
+                return isStuck ? Number.MAX_SAFE_INTEGER : 100 + (run.task * 37) % 100;
+            },
             getCrashMilliseconds: run => run.job.startsWith("c") && run.task === 1 ? crashMilliseconds : undefined,
         });
     }
@@ -88,6 +94,16 @@
     world.submit(entry, crashingJob);
 });
 
+When("a job with a task that makes no progress arrives at entry {int}", (entry: number) => {
+    world.submit(entry, stuckJob);
+});
+
+Then("at most {int} worker was paused for each sending of that job", (maximum: number) => {
+    const paused = world.deployment.agentEvents.get("worker paused") ?? 0;
+    const sendings = world.deployment.listSubmissions(stuckJob).length;
+    assert.ok(paused <= maximum * sendings, `${paused} workers were paused, the job was sent ${sendings} times`);
+});
+
 When("{int} ms pass, and callers send interrupted jobs again at the other entry", (milliseconds: number) => {
     world.pass(milliseconds);
 });
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -42,6 +42,8 @@
     /** Worker that each agent has recorded for its next process. */
     private readonly recordedWorkers = new Map<number, WorkerRegistration | undefined>();
     private readonly submissionTimes = new Map<string, number[]>();
+    /** Numbers of log lines of agents, by event. */
+    public readonly agentEvents = new Map<string, number>();
     /** True while the store takes no records of agents. */
     public losesRecords = false;
     private nextRequestId = 1;
@@ -344,6 +346,9 @@
             case "view":
                 this.workerPort.requestView(agent, output.call, output);
                 return;
+            case "log":
+                this.agentEvents.set(output.event, (this.agentEvents.get(output.event) ?? 0) + 1);
+                return;
             case "worker-changed":
                 if (!this.losesRecords) {
                     this.recordedWorkers.set(agent, output.registration);
