fix(entry): a confined kind is not released before it has run

Cause: no crash for 3 s counted as clean, but nothing of the kind had run: the workers kept for it still ran long tasks of others. Change: at least 20 runs have to succeed at the entry since the latest crash, or 30 s pass.

--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
@@ -64,8 +64,11 @@
             | two crashes 500 ms apart, both beside another likely kind | not confined |
             | two crashes 500 ms apart without another kind             | not confined |
 
-    Scenario: A confined kind is released after 3 s without a crash, and one crash soon after confines it again
+    # Guards against releasing a kind that had no crash only because it did not run.
+    Scenario: A confined kind is released after 3 s with runs and without a crash, and one crash soon after confines it again
         When a kind of jobs is confined
+        Then it is still confined 3000 ms after its latest crash
+        When 20 of its runs succeed
         Then it is still confined 2900 ms after its latest crash
         And it is released 3000 ms after its latest crash
         And one crash 10000 ms later confines it again
--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
@@ -104,6 +104,12 @@
     assert.ok(kinds.isConfined(service, "crashing"));
 });
 
+When("{int} of its runs succeed", (count: number) => {
+    for (let index = 0; index < count; index += 1) {
+        kinds.recordSuccess(service, "crashing");
+    }
+});
+
 Then("it is still confined {int} ms after its latest crash", (milliseconds: number) => {
     assert.deepEqual(kinds.release(now + milliseconds), []);
 });
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -79,6 +79,7 @@
     const { job } = row;
     if (ended.end === "succeeded") {
         recordRunTime(state, row, placed.agent, ended);
+        state.crashingKinds.recordSuccess(job.service, job.route);
         const succeededTasks = row.succeededTasks + 1;
         const updated = { ...row, succeededTasks, openRuns: row.openRuns - 1, hasEndedRun: true };
         state.jobs.set(job.id, updated);
--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -10,6 +10,12 @@
 /** Time for which a confined kind has to run without a crash before it is released, in milliseconds. */
 const cleanMilliseconds = 3000;
 
+/** Number of its runs that have to succeed at an entry before it is released; about those of three jobs of a confined kind. */
+const cleanRuns = 20;
+
+/** A kind without a crash for this long is released although it has hardly run, in milliseconds. */
+const longestConfinementMilliseconds = 30_000;
+
 /** Time after its release within which a single crash confines a kind again, in milliseconds. */
 const probationMilliseconds = 15_000;
 
@@ -27,6 +33,8 @@
     readonly route: string;
     /** Latest instant at which it crashed a worker, or could not run because the workers for it were down. */
     lastTroubleAt: number;
+    /** Number of runs that have succeeded since then. */
+    successes: number;
 }
 
 /** A kind of jobs: those of one route at one service. */
@@ -68,12 +76,13 @@
             const kind = this.confined.get(key);
             if (kind !== undefined) {
                 kind.lastTroubleAt = Math.max(kind.lastTroubleAt, crashedAt);
+                kind.successes = 0;
             }
             else if (
                 (this.isOnProbation(key, crashedAt) || recent.some(earlier => areIndependent(earlier, charge)))
                 && this.hasOtherKind(service, key, crashedAt)
             ) {
-                this.confined.set(key, { service, route, lastTroubleAt: crashedAt });
+                this.confined.set(key, { service, route, lastTroubleAt: crashedAt, successes: 0 });
                 begun.push({ service, route });
             }
         }
@@ -122,6 +131,19 @@
         }
     }
 
+    /**
+     * Records a run that has succeeded.
+     *
+     * @param service - service of the job
+     * @param route - route of the job
+     */
+    public recordSuccess(service: string, route: string): void {
+        const kind = this.confined.size === 0 ? undefined : this.confined.get(formatKey(service, route));
+        if (kind !== undefined) {
+            kind.successes += 1;
+        }
+    }
+
     private isOnProbation(key: string, now: number): boolean {
         return now - (this.releasedAt.get(key) ?? Number.NEGATIVE_INFINITY) <= probationMilliseconds;
     }
@@ -134,8 +156,9 @@
      */
     public release(now: number): readonly JobKindName[] {
         const released: JobKindName[] = [];
-        for (const [key, { service, route, lastTroubleAt }] of this.confined) {
-            if (now - lastTroubleAt >= cleanMilliseconds) {
+        for (const [key, { service, route, lastTroubleAt, successes }] of this.confined) {
+            const requiredMilliseconds = successes >= cleanRuns ? cleanMilliseconds : longestConfinementMilliseconds;
+            if (now - lastTroubleAt >= requiredMilliseconds) {
                 this.confined.delete(key);
                 this.charges.delete(key);
                 this.releasedAt.set(key, now);
