feat(entry): the fewer jobs of a confined kind crash workers, the more of them share one

Hypothesis: one job at a time limits a kind of which few jobs crash workers far more than the crashes do. Change: the number of jobs that may share a worker grows by one with two done jobs and is halved by each crash; it counts by the processor capacity in use, which all entries see.

--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
@@ -73,6 +73,15 @@
         And it is released 3000 ms after its latest crash
         And one crash 10000 ms later confines it again
 
+    # Guards against a kind of which few jobs crash workers being served one job at a time.
+    Scenario: The fewer jobs of a confined kind crash workers, the more of them share one
+        When a kind of jobs is confined
+        Then 1 of its jobs may share a worker
+        When 20 of its jobs are done
+        Then 11 of its jobs may share a worker
+        When one of its jobs crashes a worker
+        Then 5 of its jobs may share a worker
+
     Scenario: A third of the workers, at least one, is kept for jobs that may crash them, and crashed ones come first
         Then of 11 workers 4 are kept, of 2 workers 1, and of 1 worker none
         And a worker that has crashed is among those kept
--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
@@ -110,6 +110,21 @@
     }
 });
 
+When("{int} of its jobs are done", (count: number) => {
+    for (let index = 0; index < count; index += 1) {
+        kinds.recordDoneJob(service, "crashing");
+    }
+});
+
+When("one of its jobs crashes a worker", () => {
+    now += 500;
+    chargeKinds({ crashing: "d" });
+});
+
+Then("{int} of its jobs may share a worker", (count: number) => {
+    assert.equal(kinds.countParallelJobs(service, "crashing"), count);
+});
+
 Then("it is still confined {int} ms after its latest crash", (milliseconds: number) => {
     assert.deepEqual(kinds.release(now + milliseconds), []);
 });
--- a/packages/lovagepitch-direct/src/entry/endJob.ts
+++ b/packages/lovagepitch-direct/src/entry/endJob.ts
@@ -25,6 +25,9 @@
     for (let task = 0; task < job.taskCount; task += 1) {
         state.taskHistories.delete(formatTaskKey(job.id, task));
     }
+    if (answer.kind === "done") {
+        state.crashingKinds.recordDoneJob(job.service, job.route);
+    }
     stopJobRuns(state, job.id);
     const afterMilliseconds = Math.round(state.now - row.acceptedAt);
     for (const request of row.requests) {
--- a/packages/lovagepitch-direct/src/entry/placementRound.ts
+++ b/packages/lovagepitch-direct/src/entry/placementRound.ts
@@ -189,7 +189,9 @@
     private canShare({ row, available, capacity }: WorkerResources, job: DirectJob, plan: SeparationPlan): boolean {
         const own = this.state.isolatedJobs.get(row.agent);
         if (plan.isolation === undefined) {
-            return row.worker?.isolation === undefined && own === undefined;
+            const usedMilliCores = capacity.milliCores - available.milliCores + job.needs.milliCores;
+            return row.worker?.isolation === undefined && own === undefined
+                && usedMilliCores <= plan.maximumUsedMilliCores;
         }
         const isShared = plan.isolation === "shared" && (own === sharedIsolation || row.worker?.isolation === "shared");
         const isUnused = available.milliCores >= capacity.milliCores;
--- a/packages/lovagepitch-direct/src/entry/workerSeparation.ts
+++ b/packages/lovagepitch-direct/src/entry/workerSeparation.ts
@@ -22,11 +22,18 @@
     readonly permitted: ReadonlySet<string> | undefined;
     /** Instances whose workers the job uses only when no other has room. */
     readonly avoided: ReadonlySet<string>;
+    /** Processor capacity that may be in use on a worker of the job, in thousandths of a core; infinite for all of it. */
+    readonly maximumUsedMilliCores: number;
 }
 
 const noInstances: ReadonlySet<string> = new Set();
 
-const openPlan: SeparationPlan = { isolation: undefined, permitted: undefined, avoided: noInstances };
+const openPlan: SeparationPlan = {
+    isolation: undefined,
+    permitted: undefined,
+    avoided: noInstances,
+    maximumUsedMilliCores: Number.POSITIVE_INFINITY,
+};
 
 /** Workers of one service that are kept for jobs that may crash them. */
 interface Quarantine {
@@ -60,18 +67,25 @@
             return openPlan;
         }
         const verdict = judgeJob(state, job);
-        const isConfined = state.crashingKinds.isConfined(job.service, job.route);
+        const parallelJobs = state.crashingKinds.countParallelJobs(job.service, job.route);
         const quarantine = this.getQuarantine(job.service);
         const hasQuarantine = quarantine.instances.size > 0;
         if (verdict === "isolated") {
-            const permitted = hasQuarantine ? quarantine.trial : undefined;
-            return { isolation: "shared", permitted, avoided: noInstances };
+            return { ...openPlan, isolation: "shared", permitted: hasQuarantine ? quarantine.trial : undefined };
         }
-        if (verdict === "suspected" || isConfined) {
-            const permitted = quarantine.hasConfinedKinds ? quarantine.instances : quarantine.trial;
-            return { isolation: "job", permitted: hasQuarantine ? permitted : undefined, avoided: noInstances };
+        const kept = quarantine.hasConfinedKinds ? quarantine.instances : quarantine.trial;
+        const permitted = hasQuarantine ? kept : undefined;
+        if (verdict === "suspected" || parallelJobs === 1) {
+            return { ...openPlan, isolation: "job", permitted };
         }
-        return { isolation: undefined, permitted: undefined, avoided: quarantine.reserved };
+        if (parallelJobs > 1) {
+            return {
+                ...openPlan,
+                permitted,
+                maximumUsedMilliCores: parallelJobs * job.taskCount * job.needs.milliCores,
+            };
+        }
+        return { ...openPlan, avoided: quarantine.reserved };
     }
 
     /**
--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -19,6 +19,15 @@
 /** Time after its release within which a single crash confines a kind again, in milliseconds. */
 const probationMilliseconds = 15_000;
 
+/**
+ * Jobs by which the number of jobs that may share a worker grows with each job of the kind that is done (additive increase);
+ * each crash halves the number (multiplicative decrease).
+ */
+const parallelJobsPerDoneJob = 0.5;
+
+/** Largest number of jobs of a confined kind that may share a worker. */
+const maximumParallelJobs = 64;
+
 /** A crash that a kind may have caused. */
 interface Charge {
     readonly at: number;
@@ -35,6 +44,8 @@
     lastTroubleAt: number;
     /** Number of runs that have succeeded since then. */
     successes: number;
+    /** Number of its jobs that may share a worker. */
+    parallelJobs: number;
 }
 
 /** A kind of jobs: those of one route at one service. */
@@ -77,12 +88,14 @@
             if (kind !== undefined) {
                 kind.lastTroubleAt = Math.max(kind.lastTroubleAt, crashedAt);
                 kind.successes = 0;
+                kind.parallelJobs = Math.max(1, kind.parallelJobs / 2);
             }
             else if (
                 (this.isOnProbation(key, crashedAt) || recent.some(earlier => areIndependent(earlier, charge)))
                 && this.hasOtherKind(service, key, crashedAt)
             ) {
-                this.confined.set(key, { service, route, lastTroubleAt: crashedAt, successes: 0 });
+                const row = { service, route, lastTroubleAt: crashedAt, successes: 0, parallelJobs: 1 };
+                this.confined.set(key, row);
                 begun.push({ service, route });
             }
         }
@@ -144,6 +157,30 @@
         }
     }
 
+    /**
+     * Records a job that is done.
+     *
+     * @param service - service of the job
+     * @param route - route of the job
+     */
+    public recordDoneJob(service: string, route: string): void {
+        const kind = this.confined.size === 0 ? undefined : this.confined.get(formatKey(service, route));
+        if (kind !== undefined) {
+            kind.parallelJobs = Math.min(maximumParallelJobs, kind.parallelJobs + parallelJobsPerDoneJob);
+        }
+    }
+
+    /**
+     * Tells how many jobs of a confined kind may share a worker. The fewer of them crash it, the more may.
+     *
+     * @param service - service of the jobs
+     * @param route - route of the jobs
+     * @returns number of jobs, at least 1; 0 when the kind is not confined
+     */
+    public countParallelJobs(service: string, route: string): number {
+        return Math.floor(this.confined.get(formatKey(service, route))?.parallelJobs ?? 0);
+    }
+
     private isOnProbation(key: string, now: number): boolean {
         return now - (this.releasedAt.get(key) ?? Number.NEGATIVE_INFINITY) <= probationMilliseconds;
     }
