fix(entry): jobs of a confined kind that can't be served in time are refused at once

Cause: a confined job was refused early only while all workers kept for its kind were down. Change: it is also refused when the jobs of its kind that wait before it, at one job for each place on the kept workers, take longer than it can wait. The record of a shut-out kind is gone; the release counts successes since.

--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -51,8 +51,7 @@
     const isContended = waiting.length > 1 || round.hasQueuedOrders;
     let placedMilliCores = 0;
     for (const { row } of waiting) {
-        if (!mayHaveStarted(row) && round.separation.isShutOut(row.job)) {
-            state.crashingKinds.recordShutOut(row.job.service, row.job.route, state.now);
+        if (isShutOut(state, round, row)) {
             refuseJob(state, row, "kind-confined");
             continue;
         }
@@ -63,6 +62,9 @@
             placedMilliCores += placeJob(state, round, row);
         }
         const waitingTasks = state.jobs.get(row.job.id)?.waitingTasks.length ?? 0;
+        if (waitingTasks > 0) {
+            round.separation.recordWaiting(row.job);
+        }
         if (isHeld || !round.link.canContinueJob) {
             state.heldTasks += waitingTasks;
         }
@@ -76,6 +78,13 @@
     }
 }
 
+/** Tells whether a job that has not started is of a confined kind that can't serve it in time. */
+function isShutOut(state: EntryState, round: PlacementRound, row: JobRow): boolean {
+    const { latestStart, longestTaskMilliseconds } = row.deadlines;
+    return !mayHaveStarted(row)
+        && round.separation.isShutOut(row.job, longestTaskMilliseconds, latestStart - state.now);
+}
+
 function listWaitingJobs(state: EntryState): readonly (WaitingJob & { readonly row: JobRow })[] {
     return [...state.jobs.values()]
         // An expired job is ended in the same tick; orders and their stops would cross in one frame.
--- a/packages/lovagepitch-direct/src/entry/workerSeparation.ts
+++ b/packages/lovagepitch-direct/src/entry/workerSeparation.ts
@@ -41,6 +41,8 @@
     readonly instances: ReadonlySet<string>;
     /** The one that accepts tasks and is preferred for jobs that run alone. */
     readonly trial: ReadonlySet<string>;
+    /** Number of the kept workers that accept tasks. */
+    readonly acceptingCount: number;
     /** Those that other jobs leave free. */
     readonly reserved: ReadonlySet<string>;
     readonly hasConfinedKinds: boolean;
@@ -49,6 +51,8 @@
 /** Decides which jobs may share workers. */
 export class WorkerSeparation {
     private readonly quarantines = new Map<string, Quarantine>();
+    /** Number of jobs that wait in this round, by route, of confined kinds only. */
+    private readonly waitingConfinedJobs = new Map<string, number>();
 
     /**
      * @param state - state of the entry
@@ -89,17 +93,34 @@
     }
 
     /**
-     * Tells whether a job of a confined kind can't run now because none of the few workers for it accepts tasks.
+     * Tells whether a job of a confined kind can't be served in time: none of the few workers for its kind accepts tasks, or
+     * the jobs of its kind that wait before it take them for longer than it can wait.
      *
-     * @param job - job to be placed
-     * @returns true when all of them are down
+     * @param job - job that has not started
+     * @param longestTaskMilliseconds - expected run time of its longest task, in milliseconds
+     * @param spareMilliseconds - time left until its latest start, in milliseconds
+     * @returns true when it is to be refused
      */
-    public isShutOut(job: DirectJob): boolean {
-        if (!this.state.crashingKinds.isConfined(job.service, job.route)) {
+    public isShutOut(job: DirectJob, longestTaskMilliseconds: number, spareMilliseconds: number): boolean {
+        const parallelJobs = this.state.crashingKinds.countParallelJobs(job.service, job.route);
+        const { instances, acceptingCount } = this.getQuarantine(job.service);
+        if (parallelJobs === 0 || instances.size === 0) {
             return false;
         }
-        const { instances, trial } = this.getQuarantine(job.service);
-        return instances.size > 0 && trial.size === 0;
+        const jobsAhead = this.waitingConfinedJobs.get(job.route) ?? 0;
+        const waitMilliseconds = jobsAhead * longestTaskMilliseconds / Math.max(1, acceptingCount * parallelJobs);
+        return acceptingCount === 0 || waitMilliseconds > spareMilliseconds;
+    }
+
+    /**
+     * Counts a job that this round could not place, for the jobs of its kind that follow it.
+     *
+     * @param job - job with tasks that still wait
+     */
+    public recordWaiting(job: DirectJob): void {
+        if (this.state.crashingKinds.isConfined(job.service, job.route)) {
+            this.waitingConfinedJobs.set(job.route, (this.waitingConfinedJobs.get(job.route) ?? 0) + 1);
+        }
     }
 
     private getQuarantine(service: string): Quarantine {
@@ -137,6 +158,7 @@
         return {
             instances: all,
             trial,
+            acceptingCount: chosen.instances.filter(instance => accepting.has(instance)).length,
             reserved: hasConfinedKinds ? all : needsTrial ? trial : noInstances,
             hasConfinedKinds,
         };
--- a/packages/lovagepitch-direct/src/model/directJob.ts
+++ b/packages/lovagepitch-direct/src/model/directJob.ts
@@ -53,7 +53,7 @@
     | "no-room-in-time"
     /** Its queue takes more than its share while others wait. */
     | "over-share"
-    /** Jobs of its kind crash workers, and none of the few workers that run them accepts tasks. */
+    /** Jobs of its kind crash workers, and the few workers that run them are down or can not serve it in time. */
     | "kind-confined"
     | "queue-full"
     | "shutting-down"
--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -40,8 +40,8 @@
 interface ConfinedKind {
     readonly service: string;
     readonly route: string;
-    /** Latest instant at which it crashed a worker, or could not run because the workers for it were down. */
-    lastTroubleAt: number;
+    /** When it last crashed a worker, in milliseconds. */
+    lastCrashAt: number;
     /** Number of runs that have succeeded since then. */
     successes: number;
     /** Number of its jobs that may share a worker. */
@@ -86,7 +86,7 @@
             this.charges.set(key, [...recent, charge]);
             const kind = this.confined.get(key);
             if (kind !== undefined) {
-                kind.lastTroubleAt = Math.max(kind.lastTroubleAt, crashedAt);
+                kind.lastCrashAt = Math.max(kind.lastCrashAt, crashedAt);
                 kind.successes = 0;
                 kind.parallelJobs = Math.max(1, kind.parallelJobs / 2);
             }
@@ -94,7 +94,7 @@
                 (this.isOnProbation(key, crashedAt) || recent.some(earlier => areIndependent(earlier, charge)))
                 && this.hasOtherKind(service, key, crashedAt)
             ) {
-                const row = { service, route, lastTroubleAt: crashedAt, successes: 0, parallelJobs: 1 };
+                const row = { service, route, lastCrashAt: crashedAt, successes: 0, parallelJobs: 1 };
                 this.confined.set(key, row);
                 begun.push({ service, route });
             }
@@ -130,20 +130,6 @@
         return false;
     }
 
-    /**
-     * Records that a confined kind could not run because the workers for it were down.
-     *
-     * @param service - service of the jobs
-     * @param route - route of the jobs
-     * @param now - current monotonic time, in milliseconds
-     */
-    public recordShutOut(service: string, route: string, now: number): void {
-        const kind = this.confined.get(formatKey(service, route));
-        if (kind !== undefined) {
-            kind.lastTroubleAt = now;
-        }
-    }
-
     /**
      * Records a run that has succeeded.
      *
@@ -193,9 +179,9 @@
      */
     public release(now: number): readonly JobKindName[] {
         const released: JobKindName[] = [];
-        for (const [key, { service, route, lastTroubleAt, successes }] of this.confined) {
+        for (const [key, { service, route, lastCrashAt, successes }] of this.confined) {
             const requiredMilliseconds = successes >= cleanRuns ? cleanMilliseconds : longestConfinementMilliseconds;
-            if (now - lastTroubleAt >= requiredMilliseconds) {
+            if (now - lastCrashAt >= requiredMilliseconds) {
                 this.confined.delete(key);
                 this.charges.delete(key);
                 this.releasedAt.set(key, now);
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
@@ -105,6 +105,13 @@
             | 9    |
             | 10   |
 
+    # Guards against jobs that are held until their latest start although the few workers for their kind can't serve them.
+    Scenario: Jobs of a confined kind that can't be served in time are refused at once
+        When a fifth of the long jobs of the default mix crash their workers after 10 ms, seed 1
+        Then at least half of the refused long jobs were refused within 100 ms
+        And no other job has failed
+        And the guarantees hold after the crashes
+
     # Guards against starts beyond a capacity that has shrunk.
     Scenario: Nothing is started beyond a capacity that has shrunk, also by a restarted agent
         When 20 harmless jobs arrive within 500 ms
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
@@ -145,20 +145,21 @@
 });
 
 When(
-    "a tenth of the urgent jobs of the default mix crash their workers after {int} ms, seed {int}",
-    (milliseconds: number, seed: number) => {
+    /^a (tenth|fifth) of the (urgent|long) jobs of the default mix crash their workers after (\d+) ms, seed (\d+)$/,
+    (share: string, kind: string, milliseconds: string, seed: string) => {
         const mixedLoad = new MixedLoad({
             entries: 4,
             workers: 11,
             rateFactor: 0.7,
             durationSeconds: 14,
-            seed,
+            seed: Number(seed),
+            ...kind === "long" ? { burstKind: kind, burstFactor: 3 } : {},
             crashingJobs: {
-                kind: "urgent",
-                share: 0.1,
+                kind,
+                share: share === "tenth" ? 0.1 : 0.2,
                 fromMilliseconds: 2000,
                 untilMilliseconds: 10_000,
-                crashMilliseconds: milliseconds,
+                crashMilliseconds: Number(milliseconds),
             },
         });
         mixedLoad.run();
@@ -275,6 +276,14 @@
     }
 });
 
+Then("at least half of the refused long jobs were refused within {int} ms", (limit: number) => {
+    const refused = world.mixedLoad?.listOutcomes().filter(({ kind, outcome }) => {
+        return kind === "long" && outcome === "refused";
+    }) ?? [];
+    const early = refused.filter(job => (job.answeredAfterMilliseconds ?? Infinity) <= limit);
+    assert.ok(refused.length > 0 && early.length >= refused.length / 2, `${early.length} of ${refused.length}`);
+});
+
 Then("every crashing job that was answered has failed or was refused or interrupted", () => {
     const { mixedLoad } = world;
     const { answers } = world.deployment.record;
