fix(entry): a job that may crash workers is not restricted to workers that can't run it

Could happen: a suspected or confined job that requires a label, an accelerator or more capacity than the kept workers have would find no worker, as the kept ones are chosen without regard to it; found by reading the change. Change: the restriction is dropped for a job that none of the kept workers can run while others can. A service without confined kinds or open crashes is not looked at further, so placement costs what it did before the first crash. All scenarios of crashing tasks pass.

--- a/packages/lovagepitch-direct/src/entry/workerSeparation.ts
+++ b/packages/lovagepitch-direct/src/entry/workerSeparation.ts
@@ -3,6 +3,7 @@
  */
 import type { DirectJob } from "../model/directJob.js";
 import type { Isolation } from "../model/frames.js";
+import { fitsInto } from "../model/resources.js";
 import type { JobVerdict } from "../policies/crashEvidence.js";
 import { chooseQuarantine } from "../policies/quarantine.js";
 import { canReceiveTasks } from "./agentFrames.js";
@@ -72,26 +73,44 @@
         }
         const verdict = judgeJob(state, job);
         const parallelJobs = state.crashingKinds.countParallelJobs(job.service, job.route);
+        if (verdict === "clear" && parallelJobs === 0 && !this.mayKeepWorkers(job.service)) {
+            return openPlan;
+        }
         const quarantine = this.getQuarantine(job.service);
-        const hasQuarantine = quarantine.instances.size > 0;
         if (verdict === "isolated") {
-            return { ...openPlan, isolation: "shared", permitted: hasQuarantine ? quarantine.trial : undefined };
+            return { ...openPlan, isolation: "shared", permitted: this.restrict(job, quarantine.trial) };
         }
         const kept = quarantine.hasConfinedKinds ? quarantine.instances : quarantine.trial;
-        const permitted = hasQuarantine ? kept : undefined;
         if (verdict === "suspected" || parallelJobs === 1) {
-            return { ...openPlan, isolation: "job", permitted };
+            return { ...openPlan, isolation: "job", permitted: this.restrict(job, kept) };
         }
         if (parallelJobs > 1) {
-            return {
-                ...openPlan,
-                permitted,
-                maximumUsedMilliCores: parallelJobs * job.taskCount * job.needs.milliCores,
-            };
+            const maximumUsedMilliCores = parallelJobs * job.taskCount * job.needs.milliCores;
+            return { ...openPlan, permitted: this.restrict(job, kept), maximumUsedMilliCores };
         }
         return { ...openPlan, avoided: quarantine.reserved };
     }
 
+    /** Tells whether workers of a service may be kept for jobs that may crash them. */
+    private mayKeepWorkers(service: string): boolean {
+        const { crashEvidence, crashingKinds, now } = this.state;
+        return crashingKinds.hasConfined(service) || crashEvidence.hasOpenCrash(service, now - trialMilliseconds);
+    }
+
+    /** Restricts a job to some instances, unless their workers lack a label or the capacity that it needs. */
+    private restrict(job: DirectJob, instances: ReadonlySet<string>): ReadonlySet<string> | undefined {
+        if (this.getQuarantine(job.service).instances.size === 0) {
+            return undefined;
+        }
+        const rows = [...this.state.agents.values()].filter(({ worker }) => worker?.service === job.service);
+        const kept = rows.filter(({ instance }) => instances.has(instance));
+        const isDown = kept.length === 0 && job.requiredLabel === undefined && job.needs.accelerators === 0;
+        const isSuitable = ({ worker }: AgentRow): boolean =>
+            worker !== undefined && fitsInto(job.needs, worker.capacity)
+            && (job.requiredLabel === undefined || worker.labels.includes(job.requiredLabel));
+        return isDown || kept.some(isSuitable) || !rows.some(isSuitable) ? instances : undefined;
+    }
+
     /**
      * Tells whether a job of a confined kind can't be served in time: none of the few workers for its kind accepts tasks, or
      * the jobs of its kind that wait before it take them for longer than it can wait.
@@ -103,10 +122,10 @@
      */
     public isShutOut(job: DirectJob, longestTaskMilliseconds: number, spareMilliseconds: number): boolean {
         const parallelJobs = this.state.crashingKinds.countParallelJobs(job.service, job.route);
-        const { instances, acceptingCount } = this.getQuarantine(job.service);
-        if (parallelJobs === 0 || instances.size === 0) {
+        if (parallelJobs === 0 || this.plan(job).permitted === undefined) {
             return false;
         }
+        const { acceptingCount } = this.getQuarantine(job.service);
         const jobsAhead = this.waitingConfinedJobs.get(job.route) ?? 0;
         const waitMilliseconds = jobsAhead * longestTaskMilliseconds / Math.max(1, acceptingCount * parallelJobs);
         return acceptingCount === 0 || waitMilliseconds > spareMilliseconds;
--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -4,7 +4,7 @@
  */
 import { coincidenceMilliseconds, type CrashCauses } from "./crashEvidence.js";
 
-/** Two crashes that are this far apart count as independent, in milliseconds. */
+/** Longest time between two crashes that confine a kind, in milliseconds. */
 const confinementWindowMilliseconds = 5000;
 
 /** Time for which a confined kind has to run without a crash before it is released, in milliseconds. */
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.feature
@@ -44,6 +44,16 @@
         Then the crashing job has failed, and its tasks crashed at most 3 workers
         And the guarantees hold after the crashes
 
+    # Guards against restricting a job to workers that lack the label it requires.
+    Scenario: A suspected job that only some workers may run is tried on these
+        Given 2 entries and 6 workers of two kinds whose tasks may crash them
+        When 8 harmless jobs for the first kind of workers arrive within 500 ms
+        And worker 0 crashes for another cause
+        And 8 harmless jobs for the first kind of workers arrive within 500 ms
+        And 8000 ms pass, and callers send interrupted jobs again at the other entry
+        Then every harmless job was done
+        And the guarantees hold after the crashes
+
     # Guards against blaming tasks for a rack that fails.
     Scenario: No task is blamed when workers crash for another cause
         When 20 harmless jobs arrive within 500 ms
--- a/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/crashingTasks.steps.ts
@@ -2,6 +2,7 @@
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import assert from "node:assert/strict";
 import { DirectDeployment } from "../../direct/directDeployment.js";
+import type { WorkerKind } from "../../direct/directDeploymentOptions.js";
 import { MixedLoad } from "../../direct/mixedLoad.js";
 import { injectCrashFault } from "./directFaults.js";
 
@@ -25,14 +26,16 @@
     public readonly harmlessJobs: string[] = [];
     public crashedAgents: readonly number[] = [];
     private readonly entries = new Map<string, number>();
+    private readonly labels = new Map<string, string | undefined>();
     private seenAnswers = 0;
     private nextId = 1;
 
-    public constructor(entries: number, workers: number, seed = 1) {
+    public constructor(entries: number, workers: number, seed = 1, workerKinds: readonly WorkerKind[] = []) {
         this.deployment = new DirectDeployment({
             entries,
             workers,
             milliCores: 16_000,
+            workerKinds,
             seed,
             getTaskDurationMilliseconds: run => {
                 const isStuck = run.job === stuckJob && run.task === 1;
@@ -42,17 +45,18 @@
         });
     }
 
-    public submit(entry: number, id: string): void {
+    public submit(entry: number, id: string, requiredLabel?: string): void {
         this.entries.set(id, entry);
-        this.deployment.submit(entry, { id });
+        this.labels.set(id, requiredLabel);
+        this.deployment.submit(entry, { id, requiredLabel });
     }
 
-    public submitHarmless(count: number, milliseconds: number): void {
+    public submitHarmless(count: number, milliseconds: number, requiredLabel?: string): void {
         for (let index = 0; index < count; index += 1) {
             const id = `a${this.nextId.toString(16).padStart(15, "0")}`;
             this.nextId += 1;
             this.harmlessJobs.push(id);
-            this.submit(index % 2, id);
+            this.submit(index % 2, id, requiredLabel);
             this.pass(Math.round(milliseconds / count));
         }
     }
@@ -67,7 +71,7 @@
                 if (answer.kind === "interrupted") {
                     const entry = 1 - (this.entries.get(job) ?? 0);
                     const at = deployment.clock.nowMilliseconds() + resendMilliseconds;
-                    deployment.queue.schedule(at, () => this.submit(entry, job), undefined);
+                    deployment.queue.schedule(at, () => this.submit(entry, job, this.labels.get(job)), undefined);
                 }
             }
             this.seenAnswers = answers.length;
@@ -86,6 +90,25 @@
     world = new CrashWorld(entries, workers);
 });
 
+Given(
+    "{int} entries and {int} workers of two kinds whose tasks may crash them",
+    (entries: number, workers: number) => {
+        const kinds = ["a", "b"].map(label => ({ label, size: 1, speed: 1 }));
+        world = new CrashWorld(entries, workers, 1, kinds);
+    },
+);
+
+When(
+    "{int} harmless jobs for the first kind of workers arrive within {int} ms",
+    (count: number, milliseconds: number) => {
+        world.submitHarmless(count, milliseconds, "a");
+    },
+);
+
+When("worker {int} crashes for another cause", (index: number) => {
+    world.deployment.fleet.crash(index);
+});
+
 When("{int} harmless jobs arrive within {int} ms", (count: number, milliseconds: number) => {
     world.submitHarmless(count, milliseconds);
 });
