--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -48,7 +48,15 @@
         if (isSource) {
             state.configurationRequestedAt = state.now;
         }
-        state.outputs.push({ kind: "frame", address: row.address, frame: createFrame(state, row, worker, isSource) });
+        const frame = createFrame(state, row, worker, isSource);
+        if (!row.hasSentFirstFrame && frame.ended.length > 0) {
+            state.log("info", "ends repeated on a new connection", {
+                address: row.address,
+                entry: row.incarnation,
+                ends: frame.ended.length,
+            });
+        }
+        state.outputs.push({ kind: "frame", address: row.address, frame });
         state.entries.set(row.address, {
             ...row,
             hasSentFirstFrame: true,
--- a/packages/lovagepitch-direct/src/agent/orderQueue.ts
+++ b/packages/lovagepitch-direct/src/agent/orderQueue.ts
@@ -19,7 +19,17 @@
  * @param order - start order of the task
  */
 export function receiveStart(state: AgentState, entry: string, order: StartOrder): void {
-    if (state.runs.has(formatRunKey(order))) {
+    const known = state.runs.get(formatRunKey(order));
+    if (known !== undefined) {
+        const { job, task, run } = order;
+        state.log("warn", "start order ignored because a run of its number is known", {
+            job,
+            task,
+            run,
+            entry,
+            knownEntry: known.entry,
+            state: known.state,
+        });
         return;
     }
     const { worker } = state;
--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -69,7 +69,7 @@
     receiveEvacuations(state, frame.evacuations, "agent");
     receiveCrashes(state, frame.crashes);
     for (const ended of frame.ended) {
-        receiveRunEnd(state, ended);
+        receiveRunEnd(state, frame.agent, ended);
     }
     if (frame.openRuns !== undefined) {
         const openRunKeys = new Set(frame.openRuns.map(formatRunKey));
@@ -131,7 +131,8 @@
 function endLostRuns(state: EntryState, isLost: (placed: PlacedTask) => boolean): void {
     for (const placed of [...state.placedTasks.values()]) {
         if (isLost(placed)) {
-            receiveRunEnd(state, { ...placed.identity, end: "lost", ranMilliseconds: state.now - placed.placedAt });
+            const ranMilliseconds = state.now - placed.placedAt;
+            receiveRunEnd(state, placed.agent, { ...placed.identity, end: "lost", ranMilliseconds });
         }
     }
 }
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -21,14 +21,23 @@
  * Processes the end of a run.
  *
  * @param state - state of the entry
+ * @param reporter - incarnation of the agent that has reported the end
  * @param ended - the run, how it ended and its duration
  */
-export function receiveRunEnd(state: EntryState, ended: EndedRun): void {
+export function receiveRunEnd(state: EntryState, reporter: string, ended: EndedRun): void {
     const key = formatRunKey(ended);
     const placed = state.placedTasks.get(key);
     if (placed === undefined) {
         return;
     }
+    if (placed.agent !== reporter) {
+        state.log("warn", "end of a run reported by another agent than it was placed at", {
+            ...ended,
+            reporter,
+            agent: placed.agent,
+            placedFor: Math.round(state.now - placed.placedAt),
+        });
+    }
     state.placedTasks.delete(key);
     state.isPlacementDue = true;
     state.drainRate.record(placed.needs.milliCores * ended.ranMilliseconds / 1000, state.now);
