test(testing): jobs that are sent again, failing; an answer counts successes of its own submission

Change: eight scenarios with the production cores, known red until the fix; the record asks for successes since the entry took the submission that it answers, which is stricter than before. Ends of the first submission that agents repeat start each long task a second time beside itself; so do, without any broken connection of a running process, ends that belong to a killed entry and reach its successor at the same address.

--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.feature
@@ -0,0 +1,40 @@
+@direct
+Feature: Jobs that are sent again
+
+    A caller whose connection breaks sends its job again, to the same entry or another one. Runs of the earlier submission,
+    and messages about them that are late or repeated, belong to that submission only.
+
+    Background:
+        Given 2 entries and 4 workers for jobs that are sent again
+
+    # Guards against ends that an agent repeats on a new connection: they ended the runs of the next submission.
+    Scenario Outline: Ends of the first submission that agents repeat end no run of the second one, <milliseconds> ms after its start
+        When a job of short and long tasks runs at entry 0 for 300 ms and its caller's connection breaks
+        And it is sent again to entry 0 after 1300 ms
+        And <milliseconds> ms later all connections between entries and agents are replaced
+        And 6000 ms pass for the jobs that are sent again
+        Then no task ran twice at the same time, and each answer was that of its submission
+        And the job that was sent again was done
+
+        Examples:
+            | milliseconds |
+            | 0            |
+            | 3            |
+            | 20           |
+            | 90           |
+
+    # Guards against ends for a former process of the entry, which agents repeated to its successor at the same address.
+    Scenario Outline: Ends that belong to a killed entry end no run of its successor, with the connections of agent <agent> late
+        When a job of short and long tasks runs at entry 0 for 300 ms and its caller's connection breaks
+        And entry 0 is killed and restarted after 200 ms, and agent <agent> connects only 1500 ms later
+        And it is sent again to entry 0 after 1300 ms
+        And 6000 ms pass for the jobs that are sent again
+        Then no task ran twice at the same time, and each answer was that of its submission
+        And the job that was sent again was done
+
+        Examples:
+            | agent |
+            | 0     |
+            | 1     |
+            | 2     |
+            | 3     |
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -104,7 +104,7 @@
         this.jobs.set(job.id, complete);
         this.submissionTimes.set(job.id, [...this.listSubmissions(job.id), this.clock.nowMilliseconds()]);
         this.record.clearCancellation(job.id);
-        this.record.recordSubmission(job.id, complete.specification, alwaysFails);
+        this.record.recordSubmission(entry, job.id, complete.specification, alwaysFails);
         this.deliverInput(this.getEntryHost(entry), { kind: "submitted", request, job: complete });
         return request;
     }
@@ -117,7 +117,7 @@
      * @param job - id of the job
      */
     public closeCallerConnection(entry: number, request: number, job: string): void {
-        this.record.recordCancellation(job);
+        this.record.recordCancellation(entry, job);
         this.deliverInput(this.getEntryHost(entry), { kind: "caller-disconnected", request, job });
     }
 
@@ -128,6 +128,7 @@
      */
     public killEntry(entry: number): void {
         this.getEntryHost(entry).isRunning = false;
+        this.record.recordEntryEnd(entry);
         this.linkNetwork.close(other => other === entry);
     }
 
--- a/packages/lovagepitch-testing/src/direct/directRecord.ts
+++ b/packages/lovagepitch-testing/src/direct/directRecord.ts
@@ -40,7 +40,10 @@
     private readonly failingJobs = new Set<string>();
     private readonly startedJobs = new Set<string>();
     private readonly runningTasks = new Map<string, string>();
-    private readonly succeededTasks = new Map<string, Set<number>>();
+    /** Instant of the latest success of each task, by job and position of the task. */
+    private readonly succeededTasks = new Map<string, Map<number, number>>();
+    /** Instant since which an entry has an open submission of a job, by entry and job. */
+    private readonly openSubmissions = new Map<string, number>();
     /** Jobs with a task that has crashed a worker. */
     private readonly crashingJobs = new Set<string>();
     /** Number of workers that crashed while a task ran, and of its starts after the bound was reached, by task. */
@@ -55,12 +58,15 @@
     /**
      * Records the submission of a job.
      *
+     * @param entry - index of the entry
      * @param job - id of the job
      * @param specification - specification that each start of its tasks must carry
      * @param alwaysFails - true if every run of the job fails
      */
-    public recordSubmission(job: string, specification: string, alwaysFails: boolean): void {
+    public recordSubmission(entry: number, job: string, specification: string, alwaysFails: boolean): void {
         this.submittedSpecifications.set(job, specification);
+        const submission = formatSubmission(entry, job);
+        this.openSubmissions.set(submission, this.openSubmissions.get(submission) ?? this.clock.nowMilliseconds());
         if (alwaysFails) {
             this.failingJobs.add(job);
         }
@@ -69,10 +75,25 @@
     /**
      * Records that the last caller of a job has disconnected, which cancels the job.
      *
+     * @param entry - index of the entry
      * @param job - id of the job
      */
-    public recordCancellation(job: string): void {
+    public recordCancellation(entry: number, job: string): void {
         this.cancellationTimes.set(job, this.clock.nowMilliseconds());
+        this.openSubmissions.delete(formatSubmission(entry, job));
+    }
+
+    /**
+     * Records that the process of an entry has ended, and with it its open submissions.
+     *
+     * @param entry - index of the entry
+     */
+    public recordEntryEnd(entry: number): void {
+        for (const submission of [...this.openSubmissions.keys()]) {
+            if (submission.startsWith(formatSubmission(entry, ""))) {
+                this.openSubmissions.delete(submission);
+            }
+        }
     }
 
     /**
@@ -184,8 +205,8 @@
             this.runningTasks.delete(task);
         }
         if (end === "succeeded") {
-            const tasks = this.succeededTasks.get(run.job) ?? new Set<number>();
-            this.succeededTasks.set(run.job, tasks.add(run.task));
+            const tasks = this.succeededTasks.get(run.job) ?? new Map<number, number>();
+            this.succeededTasks.set(run.job, tasks.set(run.task, this.clock.nowMilliseconds()));
         }
     }
 
@@ -199,9 +220,11 @@
      */
     public recordAnswer(entry: number, job: string, answer: JobAnswer, taskCount: number): void {
         this.answers.push({ job, entry, answer, atMilliseconds: this.clock.nowMilliseconds() });
-        if (answer.kind === "done" && this.succeededTasks.get(job)?.size !== taskCount) {
-            this.violations.push(`job ${job} was answered as done, but not all of its tasks succeeded`);
+        const submission = formatSubmission(entry, job);
+        if (answer.kind === "done" && this.countSuccesses(job, this.openSubmissions.get(submission)) !== taskCount) {
+            this.violations.push(`job ${job} was answered as done, but not all tasks of this submission succeeded`);
         }
+        this.openSubmissions.delete(submission);
         // An earlier sending of the job that was answered as interrupted has told the caller that tasks had started.
         const wasInterrupted = this.answers.some(other => other.job === job && other.answer.kind === "interrupted");
         if (answer.kind === "refused" && this.startedJobs.has(job) && !wasInterrupted) {
@@ -213,6 +236,11 @@
         }
     }
 
+    /** Counts the tasks of a job that have succeeded since an instant. */
+    private countSuccesses(job: string, since = Number.POSITIVE_INFINITY): number {
+        return [...this.succeededTasks.get(job)?.values() ?? []].filter(at => at >= since).length;
+    }
+
     /** Tells whether two workers have crashed under the same task of a job; the users' rules let it be given up then. */
     private hasCrashedTwice(job: string): boolean {
         const tasks = this.crashes.flatMap(({ running }) => running).filter(run => run.job === job).map(run =>
@@ -276,3 +304,7 @@
         return this.answers.filter(({ answer }) => answer.kind === kind).length;
     }
 }
+
+function formatSubmission(entry: number, job: string): string {
+    return `${entry} ${job}`;
+}
