fix(direct): a run is named by its submission, and ends only by a report of the agent that it was placed at

Cause: a run was named by job, task and a number that begins at 1 with each submission, and this name was compared across submissions and agents. An agent that reconnects repeats the ends that it keeps; the entry took them for ends of the next submission's runs at other agents. Class: an identity that is unique in a smaller scope than the one in which it is compared. Change: an identity holds the number of the submission, unique in the process of the entry. An entry looks an end up by it and takes it from the run's own agent only. An agent looks up runs and queued orders by entry and identity, so an order of another entry or a later submission is no longer dropped in silence but declined while a run of the task is there. Workers know job, task and number only; the agent numbers the runs of a task at its worker itself. Frames of earlier versions have no submission: their ends are matched at the run's own agent.

--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -2,7 +2,7 @@
  * Inputs and outputs of an agent's core.
  */
 import type { EntryLocation } from "../model/entryLocation.js";
-import type { AgentFrame, EntryFrame, RunIdentity, StartOrder } from "../model/frames.js";
+import type { AgentFrame, EntryFrame, StartOrder } from "../model/frames.js";
 import type { LogLine } from "../model/logLine.js";
 import type { WorkerRegistration, WorkerReport } from "../model/workerStatus.js";
 
@@ -21,14 +21,26 @@
     /** A different incarnation of the worker answered. */
     | "other-incarnation";
 
+/**
+ * A run as the worker knows it. The agent numbers the runs of a task at its worker, whichever entry and submission they
+ * belong to, so that no number names two of them.
+ */
+export interface WorkerRun {
+    readonly job: string;
+    /** Position of the task in its job. */
+    readonly task: number;
+    /** Higher than that of every earlier run of the task at the worker which this process of the agent has ordered. */
+    readonly run: number;
+}
+
 /** A run that the worker reports as running. */
-export interface ReportedRun extends RunIdentity {
+export interface ReportedRun extends WorkerRun {
     /** Completed part of the task, 0 to 100. */
     readonly percent: number;
 }
 
 /** A run that the worker reports as ended. */
-export interface ReportedRunEnd extends RunIdentity {
+export interface ReportedRunEnd extends WorkerRun {
     /** Increases by one with each end in one incarnation of the worker. */
     readonly sequence: number;
     readonly end: "succeeded" | "failed" | "stopped" | "lost";
@@ -77,7 +89,7 @@
         readonly kind: "start-answered" | "stop-answered";
         /** Life that the order was sent to. */
         readonly life: number;
-        readonly run: RunIdentity;
+        readonly run: WorkerRun;
         readonly outcome: OrderOutcome;
     }
     | { readonly kind: "connected"; readonly address: string }
@@ -94,6 +106,7 @@
         /** Life of the worker that the agent knows, returned with the answer. */
         readonly life: number;
         readonly order: StartOrder;
+        readonly run: WorkerRun;
         readonly epoch: number;
         /** Instant on the worker's clock after which the worker rejects the order. */
         readonly latestStart: number;
@@ -105,7 +118,7 @@
         readonly worker: string;
         /** Life of the worker that the agent knows, returned with the answer. */
         readonly life: number;
-        readonly run: RunIdentity;
+        readonly run: WorkerRun;
         readonly epoch: number;
         /** Time after which the order counts as unanswered. */
         readonly timeoutMilliseconds: number;
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -13,11 +13,14 @@
 import type { PartnerCandidate } from "../policies/partnerChoice.js";
 import { RunSpeed } from "../policies/runSpeed.js";
 import { initialWorkerHealth, type WorkerHealth } from "../policies/workerHealth.js";
-import type { AgentOutput } from "./agentPorts.js";
+import type { AgentOutput, WorkerRun } from "./agentPorts.js";
+import { RunNumbers } from "./runNumbers.js";
 
 /** A run that occupies or may occupy the worker. */
 export interface RunRow {
+    /** The run as its entry knows it. */
     readonly identity: RunIdentity;
+    readonly workerRun: WorkerRun;
     /** Undefined for a run that this process did not start but found at the worker. */
     readonly order: StartOrder | undefined;
     /** Incarnation of the entry that ordered the run; undefined for a run that was found at the worker. */
@@ -154,7 +157,10 @@
 
 /** Mutable state of an agent, shared by its systems. */
 export class AgentState {
+    /** Runs by the key of their number at the worker. */
     public readonly runs = new Table<string, RunRow>();
+    public readonly runNumbers = new RunNumbers();
+    /** Queued orders by entry and run. */
     public readonly queuedOrders = new Table<string, QueuedOrder>();
     public readonly knownEntries = new Table<string, KnownEntry>();
     public readonly entries = new Table<string, EntryRow>();
@@ -239,13 +245,30 @@
         return using;
     }
 
+    /**
+     * Finds a run that an entry has ordered.
+     *
+     * @param entry - incarnation of the entry
+     * @param identity - the run as the entry knows it
+     * @returns its row, or undefined when the entry has no such run here
+     */
+    public findRun(entry: string, identity: RunIdentity): RunRow | undefined {
+        const key = formatRunKey(identity);
+        for (const row of this.runs.values()) {
+            if (row.entry === entry && formatRunKey(row.identity) === key) {
+                return row;
+            }
+        }
+        return undefined;
+    }
+
     /**
      * Adds a run and reserves its resources.
      *
      * @param row - row of the new run
      */
     public addRun(row: RunRow): void {
-        this.runs.set(formatRunKey(row.identity), row);
+        this.runs.set(formatRunKey(row.workerRun), row);
         this.reserved = addResources(this.reserved, row.order?.needs ?? noResources);
         this.markUpdatePending();
     }
@@ -256,7 +279,7 @@
      * @param row - row of the ended run
      */
     public removeRun(row: RunRow): void {
-        if (this.runs.delete(formatRunKey(row.identity))) {
+        if (this.runs.delete(formatRunKey(row.workerRun))) {
             this.reserved = subtractResources(this.reserved, row.order?.needs ?? noResources);
             this.markUpdatePending();
         }
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -1,7 +1,7 @@
 /**
  * Frames to entries: ended runs, state of the worker, heartbeats, and configurations that entries have asked for.
  */
-import type { AgentFrame } from "../model/frames.js";
+import { type AgentFrame, pickRunIdentity } from "../model/frames.js";
 import { addResources, noResources } from "../model/resources.js";
 import { heartbeatIntervalMilliseconds, idleHeartbeatIntervalMilliseconds } from "../model/timing.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
@@ -137,6 +137,6 @@
     const queued = [...state.queuedOrders.values()].filter(({ entry }) => entry === row.incarnation);
     return [
         ...running.map(run => run.identity),
-        ...queued.map(({ order }) => ({ job: order.job, task: order.task, run: order.run })),
+        ...queued.map(({ order }) => pickRunIdentity(order)),
     ];
 }
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -187,8 +187,8 @@
     frame.crashes?.forEach(crash => state.crashRecords.add(crash, state.now));
     for (const stop of frame.stops) {
         withdrawQueuedOrder(state, frame.entry, stop);
-        const run = state.runs.get(formatRunKey(stop));
-        if (run !== undefined && run.entry === frame.entry) {
+        const run = state.findRun(frame.entry, stop);
+        if (run !== undefined) {
             stopRun(state, run, "stopped");
         }
     }
@@ -200,7 +200,7 @@
             age: state.now - leaseRenewedAt,
             starts: frame.starts.length,
         });
-        frame.starts.filter(start => !state.runs.has(formatRunKey(start)))
+        frame.starts.filter(start => state.findRun(frame.entry, start) === undefined)
             .forEach(start => declineStart(state, frame.entry, start));
         return;
     }
--- a/packages/lovagepitch-direct/src/agent/orderQueue.ts
+++ b/packages/lovagepitch-direct/src/agent/orderQueue.ts
@@ -3,7 +3,7 @@
  * holds orders of all entries, so the most urgent one of the deployment starts first, and a worker whose task has ended
  * does not stay idle until entries learn of it.
  */
-import { formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
+import { formatRunKey, pickRunIdentity, type RunIdentity, type StartOrder } from "../model/frames.js";
 import { compareWaitingWork, type WaitingWork } from "../policies/waitingOrder.js";
 import type { AgentState, QueuedOrder } from "./agentState.js";
 import { declineStart, findStartObstacle, startRun } from "./runOrders.js";
@@ -19,24 +19,17 @@
  * @param order - start order of the task
  */
 export function receiveStart(state: AgentState, entry: string, order: StartOrder): void {
-    const known = state.runs.get(formatRunKey(order));
+    const known = state.findRun(entry, order);
     if (known !== undefined) {
-        const { job, task, run } = order;
-        state.log("warn", "start order ignored because a run of its number is known", {
-            job,
-            task,
-            run,
-            entry,
-            knownEntry: known.entry,
-            state: known.state,
-        });
+        const { state: knownState } = known;
+        state.log("warn", "repeated start order ignored", { ...pickRunIdentity(order), entry, state: knownState });
         return;
     }
     const { worker } = state;
     const obstacle = worker === undefined ? "no worker" : findStartObstacle(state, worker, order);
     if (worker === undefined || (obstacle !== undefined && obstacle !== "insufficient free resources")) {
         declineStart(state, entry, order);
-        state.log("info", "start declined", { job: order.job, task: order.task, run: order.run, obstacle });
+        state.log("info", "start declined", { ...pickRunIdentity(order), obstacle });
     }
     else if (obstacle === undefined) {
         startRun(state, worker, entry, order);
@@ -55,7 +48,7 @@
  */
 function enqueueOrder(state: AgentState, entry: string, order: StartOrder): void {
     const queued = { order, entry, receivedAt: state.now, expiresAt: state.now + order.mayWaitMilliseconds };
-    state.queuedOrders.set(formatRunKey(order), queued);
+    state.queuedOrders.set(formatOrderKey(entry, order), queued);
     state.markUpdatePending();
     const excess = listByUrgency(state).at(maximumQueuedOrders);
     if (excess !== undefined) {
@@ -77,7 +70,7 @@
         const { worker } = state;
         const obstacle = worker === undefined ? "no worker" : findStartObstacle(state, worker, order);
         if (worker !== undefined && obstacle === undefined) {
-            state.queuedOrders.delete(formatRunKey(order));
+            state.queuedOrders.delete(formatOrderKey(entry, order));
             startRun(state, worker, entry, order);
         }
         else if (obstacle !== "insufficient free resources" || state.now >= expiresAt) {
@@ -94,18 +87,22 @@
  * @param identity - run of the order
  */
 export function withdrawQueuedOrder(state: AgentState, entry: string, identity: RunIdentity): void {
-    const queued = state.queuedOrders.get(formatRunKey(identity));
-    if (queued?.entry === entry) {
+    const queued = state.queuedOrders.get(formatOrderKey(entry, identity));
+    if (queued !== undefined) {
         returnOrder(state, queued);
     }
 }
 
 function returnOrder(state: AgentState, queued: QueuedOrder): void {
-    state.queuedOrders.delete(formatRunKey(queued.order));
+    state.queuedOrders.delete(formatOrderKey(queued.entry, queued.order));
     state.markUpdatePending();
     declineStart(state, queued.entry, queued.order);
 }
 
+function formatOrderKey(entry: string, identity: RunIdentity): string {
+    return `${entry} ${formatRunKey(identity)}`;
+}
+
 function listByUrgency(state: AgentState): readonly QueuedOrder[] {
     return [...state.queuedOrders.values()].sort((left, right) => {
         return compareWaitingWork(describeUrgency(left), describeUrgency(right));
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -1,11 +1,11 @@
 /**
  * Start and stop orders to the worker, and the handling of their answers.
  */
-import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
+import { type EndedRun, formatRunKey, pickRunIdentity, type StartOrder } from "../model/frames.js";
 import { fitsInto, noResources } from "../model/resources.js";
 import { orderTimeoutMilliseconds } from "../model/timing.js";
 import { getMaximumRuns } from "../policies/workerHealth.js";
-import type { OrderOutcome } from "./agentPorts.js";
+import type { OrderOutcome, WorkerRun } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { mustBeKeptApart } from "./isolation.js";
 import { endRun, reportEnd } from "./runEnds.js";
@@ -26,7 +26,7 @@
  * @param order - start order of the task
  */
 export function declineStart(state: AgentState, entry: string, order: StartOrder): void {
-    const ended: EndedRun = { ...createRunIdentity(order), end: "not-started", ranMilliseconds: 0 };
+    const ended: EndedRun = { ...pickRunIdentity(order), end: "not-started", ranMilliseconds: 0 };
     reportEnd(state, entry, ended);
 }
 
@@ -40,8 +40,10 @@
  */
 export function startRun(state: AgentState, worker: WorkerRow, entry: string, order: StartOrder): void {
     const { now } = state;
+    const workerRun = state.runNumbers.take(order, now);
     state.addRun({
-        identity: createRunIdentity(order),
+        identity: pickRunIdentity(order),
+        workerRun,
         order,
         entry,
         state: "starting",
@@ -55,15 +57,16 @@
         percentChangedAt: now,
         stopReason: "not-started",
     });
-    sendStart(state, worker, order);
+    sendStart(state, worker, order, workerRun);
 }
 
-function sendStart(state: AgentState, worker: WorkerRow, order: StartOrder): void {
+function sendStart(state: AgentState, worker: WorkerRow, order: StartOrder, run: WorkerRun): void {
     state.outputs.push({
         kind: "start",
         worker: worker.report.id,
         life: worker.life,
         order,
+        run,
         epoch: worker.epoch,
         latestStart: Math.floor(state.now + worker.clockOffset + startWindowMilliseconds),
         timeoutMilliseconds: orderTimeoutMilliseconds,
@@ -81,8 +84,8 @@
     for (const row of state.runs.values()) {
         const dueAt = getRepeatAt(state, row);
         if (worker !== undefined && row.order !== undefined && dueAt !== undefined && state.now >= dueAt) {
-            state.runs.set(formatRunKey(row.identity), { ...row, startAttempts: row.startAttempts + 1 });
-            sendStart(state, worker, row.order);
+            state.runs.set(formatRunKey(row.workerRun), { ...row, startAttempts: row.startAttempts + 1 });
+            sendStart(state, worker, row.order, row.workerRun);
         }
     }
 }
@@ -124,7 +127,7 @@
     if (row.state === "stopped" || worker === undefined) {
         return;
     }
-    state.runs.set(formatRunKey(row.identity), {
+    state.runs.set(formatRunKey(row.workerRun), {
         ...row,
         state: "stopping",
         lastOrderSentAt: state.now,
@@ -135,7 +138,7 @@
         kind: "stop",
         worker: worker.report.id,
         life: worker.life,
-        run: row.identity,
+        run: row.workerRun,
         epoch: worker.epoch,
         timeoutMilliseconds: orderTimeoutMilliseconds,
     });
@@ -145,11 +148,11 @@
  * Processes the worker's answer to a start order.
  *
  * @param state - state of the agent
- * @param identity - run of the order
+ * @param run - run of the order, as the worker knows it
  * @param outcome - outcome of the order
  */
-export function receiveStartAnswer(state: AgentState, identity: RunIdentity, outcome: OrderOutcome): void {
-    const row = state.runs.get(formatRunKey(identity));
+export function receiveStartAnswer(state: AgentState, run: WorkerRun, outcome: OrderOutcome): void {
+    const row = state.runs.get(formatRunKey(run));
     if (row?.state !== "starting") {
         return;
     }
@@ -174,14 +177,14 @@
             return isOnlyAttempt ? endRun(state, row, "not-started") : recordUnanswered(state, row);
         case "unknown": {
             const unansweredAttempts = row.unansweredAttempts + 1;
-            state.runs.set(formatRunKey(identity), { ...row, unansweredAttempts });
+            state.runs.set(formatRunKey(run), { ...row, unansweredAttempts });
             return unansweredAttempts === row.startAttempts ? recordUnanswered(state, row) : undefined;
         }
     }
 }
 
 function recordStarted(state: AgentState, row: RunRow): void {
-    state.runs.set(formatRunKey(row.identity), {
+    state.runs.set(formatRunKey(row.workerRun), {
         ...row,
         state: "running",
         runningSince: state.now,
@@ -197,7 +200,7 @@
 
 /** Leaves the run to the next view, which shows whether the worker has accepted the order. */
 function recordUnanswered(state: AgentState, row: RunRow): void {
-    state.runs.set(formatRunKey(row.identity), { ...row, state: "unanswered" });
+    state.runs.set(formatRunKey(row.workerRun), { ...row, state: "unanswered" });
     if (state.worker?.isResponsive === false) {
         revokeStart(state, row);
     }
@@ -219,11 +222,11 @@
  * Processes the worker's answer to a stop order.
  *
  * @param state - state of the agent
- * @param identity - run of the order
+ * @param run - run of the order, as the worker knows it
  * @param outcome - outcome of the order
  */
-export function receiveStopAnswer(state: AgentState, identity: RunIdentity, outcome: OrderOutcome): void {
-    const row = state.runs.get(formatRunKey(identity));
+export function receiveStopAnswer(state: AgentState, run: WorkerRun, outcome: OrderOutcome): void {
+    const row = state.runs.get(formatRunKey(run));
     if (row?.state !== "stopping") {
         return;
     }
@@ -234,7 +237,7 @@
         requestNewEpoch(state);
         return;
     }
-    state.runs.set(formatRunKey(identity), { ...row, state: "stopped", visibleFromCall: state.nextCall });
+    state.runs.set(formatRunKey(run), { ...row, state: "stopped", visibleFromCall: state.nextCall });
 }
 
 /**
@@ -324,7 +327,3 @@
     }
     return false;
 }
-
-function createRunIdentity(order: StartOrder): RunIdentity {
-    return { job: order.job, task: order.task, run: order.run };
-}
--- a/packages/lovagepitch-direct/src/agent/stalledRuns.ts
+++ b/packages/lovagepitch-direct/src/agent/stalledRuns.ts
@@ -75,7 +75,7 @@
         return row.identity.run === 1 && isYoungRun(worker.lastAnsweredAt - row.runningSince, estimated, usualSpeed);
     });
     const deltas = significantRuns.map(row => {
-        const earlier = state.percentsAtMeasurement.get(formatRunKey(row.identity));
+        const earlier = state.percentsAtMeasurement.get(formatRunKey(row.workerRun));
         return {
             percent: row.percent - (earlier ?? 0),
             elapsedMilliseconds: worker.lastAnsweredAt
@@ -84,7 +84,7 @@
         };
     });
     state.speedMeasuredAt = worker.lastAnsweredAt;
-    state.percentsAtMeasurement = new Map(runningRows.map(row => [formatRunKey(row.identity), row.percent]));
+    state.percentsAtMeasurement = new Map(runningRows.map(row => [formatRunKey(row.workerRun), row.percent]));
     return measureSlowWorkerSpeed(deltas, state.runSpeed.takeRecent(), usualSpeed);
 }
 
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -227,7 +227,7 @@
 function reconcileRuns(state: AgentState, call: number, reported: readonly ReportedRun[]): void {
     const reportedByKey = new Map(reported.map(run => [formatRunKey(run), run]));
     for (const row of [...state.runs.values()]) {
-        const run = reportedByKey.get(formatRunKey(row.identity));
+        const run = reportedByKey.get(formatRunKey(row.workerRun));
         if (run === undefined) {
             // The worker had answered the start or stop order before this view was requested, so the run has ended.
             if (call >= row.visibleFromCall) {
@@ -249,7 +249,7 @@
 }
 
 function updateRun(state: AgentState, row: RunRow, reported: ReportedRun): void {
-    const key = formatRunKey(row.identity);
+    const key = formatRunKey(row.workerRun);
     if (row.state === "starting" || row.state === "unanswered") {
         state.runs.set(key, {
             ...row,
@@ -272,8 +272,10 @@
 /** Adds and stops a run that an earlier process of this agent started. */
 function stopUnknownRun(state: AgentState, run: ReportedRun): void {
     const { now } = state;
+    const workerRun = { job: run.job, task: run.task, run: run.run };
     const row: RunRow = {
-        identity: { job: run.job, task: run.task, run: run.run },
+        identity: workerRun,
+        workerRun,
         order: undefined,
         entry: undefined,
         state: "running",
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -29,6 +29,8 @@
 /** A job that has not been answered. */
 export interface JobRow {
     readonly job: DirectJob;
+    /** Unique in this process; tells runs of this submission from those of earlier ones of the same job. */
+    readonly submission: number;
     /** Ids of the requests that wait for its answer; more than one when the job was submitted again. */
     readonly requests: readonly number[];
     readonly acceptedAt: number;
@@ -167,6 +169,7 @@
     public isPlacementDue = false;
     public lastPlacementAt = 0;
     public readonly outputs: EntryOutput[] = [];
+    private submissionCount = 0;
 
     /**
      * @param identity - incarnation, instance and availability zone of the process
@@ -188,6 +191,16 @@
         return this.policies.linkBacklog;
     }
 
+    /**
+     * Numbers a submission.
+     *
+     * @returns a number that this process has not used before
+     */
+    public takeSubmissionNumber(): number {
+        this.submissionCount += 1;
+        return this.submissionCount;
+    }
+
     /** Current monotonic time, in milliseconds. */
     public get now(): number {
         return this.clock.nowMilliseconds();
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -1,7 +1,7 @@
 /**
  * Places waiting tasks on workers, and ends jobs that can no longer finish in time.
  */
-import { formatRunKey, type Isolation, type StartOrder } from "../model/frames.js";
+import { formatRunKey, type Isolation, pickRunIdentity, type StartOrder } from "../model/frames.js";
 import type { WaitingJob } from "../policies/jobOrder.js";
 import { canStartJob } from "../policies/jobStart.js";
 import type { PriorityRank } from "../policies/priorityRanks.js";
@@ -183,7 +183,7 @@
         return undefined;
     }
     const order = createOrder(state, row, task, history, isolation);
-    const identity = { job: job.id, task, run: order.run };
+    const identity = pickRunIdentity(order);
     if (isolation !== undefined) {
         state.isolatedJobs.set(agent.agent, isolation === "job" ? job.id : sharedIsolation);
     }
@@ -227,6 +227,7 @@
         job: job.id,
         task,
         run: (history?.latestRun ?? 0) + 1,
+        submission: row.submission,
         service: job.service,
         specification: job.specification,
         needs: job.needs,
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -1,7 +1,7 @@
 /**
  * Results of runs: a task succeeds, is placed again, or fails its job.
  */
-import { type EndedRun, formatRunKey } from "../model/frames.js";
+import { type EndedRun, formatRunKey, type RunIdentity } from "../model/frames.js";
 import { RunTimeDistribution } from "../policies/runTimeDistribution.js";
 import { recordFailure, recordSuccess, type WorkerHealth } from "../policies/workerHealth.js";
 import { endJob } from "./endJob.js";
@@ -18,26 +18,20 @@
 const failuresUntilPause = 2;
 
 /**
- * Processes the end of a run.
+ * Processes the end of a run. An end that names no run placed at the agent that reports it is ignored: it is repeated, or
+ * the entry has already given the run up.
  *
  * @param state - state of the entry
  * @param reporter - incarnation of the agent that has reported the end
  * @param ended - the run, how it ended and its duration
  */
 export function receiveRunEnd(state: EntryState, reporter: string, ended: EndedRun): void {
-    const key = formatRunKey(ended);
-    const placed = state.placedTasks.get(key);
+    const placed = findPlacedTask(state, reporter, ended);
     if (placed === undefined) {
+        state.log("info", "end of a run that is not open ignored", { ...ended, reporter });
         return;
     }
-    if (placed.agent !== reporter) {
-        state.log("warn", "end of a run reported by another agent than it was placed at", {
-            ...ended,
-            reporter,
-            agent: placed.agent,
-            placedFor: Math.round(state.now - placed.placedAt),
-        });
-    }
+    const key = formatRunKey(placed.identity);
     state.placedTasks.delete(key);
     state.isPlacementDue = true;
     state.drainRate.record(placed.needs.milliCores * ended.ranMilliseconds / 1000, state.now);
@@ -57,6 +51,18 @@
     }
 }
 
+function findPlacedTask(state: EntryState, agent: string, identity: RunIdentity): PlacedTask | undefined {
+    if (identity.submission !== undefined) {
+        const placed = state.placedTasks.get(formatRunKey(identity));
+        return placed?.agent === agent ? placed : undefined;
+    }
+    // An agent of an earlier version names no submission.
+    const key = formatRunKey(identity);
+    return [...state.placedTasks.values()].find(placed => {
+        return placed.agent === agent && formatRunKey({ ...placed.identity, submission: undefined }) === key;
+    });
+}
+
 function evaluateWorkerHealth(
     state: EntryState,
     agent: AgentRow,
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -27,6 +27,7 @@
     }
     const row: JobRow = {
         job,
+        submission: state.takeSubmissionNumber(),
         requests: [request],
         acceptedAt: state.now,
         deadlines: computeDeadlines(state, job),
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -8,13 +8,15 @@
 import type { WorkerStatus } from "./workerStatus.js";
 import type { ZoneEvacuations } from "./zoneEvacuations.js";
 
-/** Identifies one run of one task. */
+/** Identifies one run of one task among all runs that one process of an entry orders. */
 export interface RunIdentity {
     readonly job: string;
     /** Position of the task in its job. */
     readonly task: number;
-    /** 1 for the first run of the task; increases by one with each further run. */
+    /** 1 for the first run of the task under its submission; increases by one with each further run. */
     readonly run: number;
+    /** Number of the submission, unique in the process of the entry; undefined in frames of earlier versions. */
+    readonly submission?: number | undefined;
 }
 
 /** How a run ended. */
@@ -150,9 +152,19 @@
 /**
  * Formats the map key of a run.
  *
- * @param identity - job, task and run number
- * @returns a string that is unique to the run
+ * @param identity - identity of the run
+ * @returns a string that is unique to the run in the process of its entry
  */
-export function formatRunKey(identity: RunIdentity): string {
-    return `${identity.job}/${identity.task}/${identity.run}`;
+export function formatRunKey({ job, task, run, submission }: RunIdentity): string {
+    return `${submission ?? ""}/${task}/${run}/${job}`;
+}
+
+/**
+ * Selects the fields that identify a run.
+ *
+ * @param identity - a run with any further fields
+ * @returns the identity alone
+ */
+export function pickRunIdentity({ job, task, run, submission }: RunIdentity): RunIdentity {
+    return { job, task, run, ...submission === undefined ? {} : { submission } };
 }
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -163,10 +163,8 @@
         const { worker } = this.options;
         switch (output.kind) {
             case "start": {
-                const { order } = output;
                 const outcome = await worker.start(output);
-                const run = { job: order.job, task: order.task, run: order.run };
-                this.loop.accept({ kind: "start-answered", life: output.life, run, outcome });
+                this.loop.accept({ kind: "start-answered", life: output.life, run: output.run, outcome });
                 return;
             }
             case "stop": {
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -40,12 +40,11 @@
      */
     public perform(agent: number, output: AgentOutput & { readonly kind: "start" | "stop" }): void {
         if (output.kind === "start") {
-            const { order, life } = output;
-            const run = { job: order.job, task: order.task, run: order.run };
+            const { order, run, life } = output;
             this.sendOrder(
                 agent,
                 output,
-                target => target.start(order, output.epoch, output.latestStart),
+                target => target.start({ ...order, ...run }, output.epoch, output.latestStart),
                 outcome => ({ kind: "start-answered", life, run, outcome }),
             );
         }
