fix(entry): the end of a run counts only for the submission that the run belongs to

Cause: a job whose caller's connection breaks is removed and its runs are stopped; it may be submitted again before their ends are reported. The run's row was found, but its end went to the row that the job's id has now: the task was added to the waiting tasks of the second submission, which held it already, so it was started twice; a success was counted as one of the second submission's. Change: the end goes on only to the row of its own submission. Seen: five scenarios that send the job again within 10 ms failed with every long task on two workers, and pass.

--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -37,7 +37,9 @@
     state.drainRate.record(placed.needs.milliCores * ended.ranMilliseconds / 1000, state.now);
     removeStoppingRun(state, ended.job, key);
     const agent = state.agents.get(placed.agent);
-    const row = state.jobs.get(ended.job);
+    const openRow = state.jobs.get(ended.job);
+    // The job may have been submitted again since this run was placed.
+    const row = openRow?.submission === placed.identity.submission ? openRow : undefined;
     if (agent !== undefined) {
         const health = evaluateWorkerHealth(state, agent, ended, row);
         logPause(state, agent, health);
--- a/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.feature
@@ -38,3 +38,19 @@
             | 1     |
             | 2     |
             | 3     |
+
+    # Guards against ends of the first submission that arrive when the second one is open, and were counted for it.
+    Scenario Outline: A job that ran for <runs> ms and is sent again after <pause> ms waits for its first runs, and counts none of their ends
+        When a job of short and long tasks runs at entry 0 for <runs> ms and its caller's connection breaks
+        And it is sent again to entry 0 after <pause> ms
+        And 6000 ms pass for the jobs that are sent again
+        Then no task ran twice at the same time, and each answer was that of its submission
+        And the job that was sent again was done
+
+        Examples:
+            | runs | pause |
+            | 300  | 0     |
+            | 300  | 5     |
+            | 98   | 0     |
+            | 98   | 2     |
+            | 130  | 10    |
