--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -29,6 +29,10 @@
     orderDelayMilliseconds: number | undefined;
     /** Each so many-th call is executed 2.5 s late and gets no response; undefined for no fault. */
     unansweredCallInterval: number | undefined;
+    /** Stops are executed after this delay, in milliseconds, and get no response; undefined for no fault. */
+    stopDelayMilliseconds: number | undefined;
+    /** Stops are rejected, as by an unhealthy worker that answers all other calls. */
+    rejectsStops: boolean;
     /** Starts are executed after their latest instant too. */
     ignoresLatestStart: boolean;
     /** Orders are executed without delay, but their responses are lost. */
@@ -58,6 +62,8 @@
     public readonly faults: WorkerFaults = {
         orderDelayMilliseconds: undefined,
         unansweredCallInterval: undefined,
+        stopDelayMilliseconds: undefined,
+        rejectsStops: false,
         ignoresLatestStart: false,
         dropsResponses: false,
         isPartitioned: false,
@@ -221,6 +227,9 @@
      */
     public stop(run: RunIdentity, epoch: number): OrderOutcome {
         this.advance();
+        if (this.faults.rejectsStops) {
+            return "rejected";
+        }
         if (epoch < this.highestEpoch) {
             return "outdated-epoch";
         }
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -2,7 +2,7 @@
  * Simulated connections between agents and their workers, with the faults of the workers.
  */
 import type { AgentInput, AgentOutput, OrderOutcome } from "@lovagepitch/direct/agent/agentPorts";
-import type { StopRequest, ViewOutcome, ViewRequest } from "@lovagepitch/direct/process/workerOrders";
+import type { ViewOutcome, ViewRequest } from "@lovagepitch/direct/process/workerOrders";
 import type { ManualClock } from "@lovagepitch/utils/clock";
 import type { EventQueue } from "../harness/eventQueue.js";
 import type { CoreHost } from "./coreHost.js";
@@ -63,13 +63,13 @@
      * Sends an order to a worker.
      *
      * @param agent - index of the agent
-     * @param order - names the incarnation that the order is for, and its timeout
+     * @param order - names the incarnation that the order is for, its kind and its timeout
      * @param execute - executes the order at the worker
      * @param createInput - converts the outcome to an input of the agent
      */
     private sendOrder(
         agent: number,
-        order: Pick<StopRequest, "worker" | "timeoutMilliseconds">,
+        order: Pick<AgentOutput & { readonly kind: "start" | "stop" }, "kind" | "worker" | "timeoutMilliseconds">,
         execute: (
             worker: FakeWorker,
         ) => "accepted" | "rejected" | "superseded" | "outdated-epoch" | "unknown" | "other-incarnation",
@@ -94,7 +94,8 @@
             respond("other-incarnation", linkLatencyMilliseconds);
             return;
         }
-        const lateMilliseconds = faults.orderDelayMilliseconds
+        const lateMilliseconds = (order.kind === "stop" ? faults.stopDelayMilliseconds : undefined)
+            ?? faults.orderDelayMilliseconds
             ?? (worker.isNextCallLate() ? lateCallDelayMilliseconds : undefined);
         const delay = lateMilliseconds ?? linkLatencyMilliseconds;
         this.queue.schedule(this.clock.nowMilliseconds() + delay, () => {
