fix(entry): stops lost with a connection are sent again also when the job is open again

Cause: on an agent's new connection an entry sends the stops of ended jobs again, and took a job for ended by its id. A job that was submitted again before the agent reconnected counts as open, so its former runs went on, under a lease that the entry itself renews, beside those of the second submission. Change: a placed run whose submission is not the open one is stopped. Seen: three scenarios that lose the stops with silent connections and send the job again after 0, 50 and 200 ms failed with all four tasks on two workers each, and pass.

--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -78,10 +78,11 @@
     }
 }
 
-/** Sends the stops of ended jobs again, because those sent on an earlier connection may not have arrived. */
+/** Sends the stops of ended submissions again, because those sent on an earlier connection may not have arrived. */
 function resendStops(state: EntryState, agent: string): void {
     for (const placed of state.placedTasks.values()) {
-        if (placed.agent === agent && !state.jobs.has(placed.identity.job)) {
+        const { job, submission } = placed.identity;
+        if (placed.agent === agent && state.jobs.get(job)?.submission !== submission) {
             state.getPendingOrders(agent).stops.push(placed.identity);
         }
     }
--- a/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.feature
@@ -54,3 +54,17 @@
             | 98   | 0     |
             | 98   | 2     |
             | 130  | 10    |
+
+    # Guards against a stop that is lost with its connection and not sent again, because the job is open again by then.
+    Scenario Outline: Stops that are lost with their connections are sent again although the job was sent again after <pause> ms
+        When a job of tasks of 4 s runs at entry 0 for 300 ms, all connections become silent and its caller's connection breaks
+        And it is sent again to entry 0 after <pause> ms
+        And 12000 ms pass for the jobs that are sent again
+        Then no task ran twice at the same time, and each answer was that of its submission
+        And the job that was sent again was done
+
+        Examples:
+            | pause |
+            | 0     |
+            | 50    |
+            | 200   |
--- a/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.steps.ts
@@ -2,6 +2,7 @@
 import type { DirectJob } from "@lovagepitch/direct/model/directJob";
 import assert from "node:assert/strict";
 import { DirectDeployment } from "../../direct/directDeployment.js";
+import { setFault } from "./directFaults.js";
 
 /** Run times of the tasks of the job, by position, in milliseconds: the first half ends before the caller is cut off. */
 const taskMilliseconds = [100, 120, 140, 160, 1500, 1500, 1500, 1500];
@@ -13,7 +14,16 @@
     callerWaitMilliseconds: 20_000,
 } satisfies Partial<DirectJob>;
 
+/** Job of tasks that run longer than a caller waits before it sends a job again. */
+const longJob = {
+    id: "c000000000000002",
+    taskCount: 4,
+    estimatedMilliseconds: 4000,
+    callerWaitMilliseconds: 20_000,
+} satisfies Partial<DirectJob>;
+
 let deployment = createDeployment(2, 4);
+let latest: Partial<DirectJob> & { readonly id: string } = job;
 
 function createDeployment(entries: number, workers: number): DirectDeployment {
     return new DirectDeployment({
@@ -21,7 +31,9 @@
         workers,
         milliCores: 16_000,
         seed: 1,
-        getTaskDurationMilliseconds: run => taskMilliseconds[run.task] ?? 100,
+        getTaskDurationMilliseconds: run => {
+            return run.job === longJob.id ? longJob.estimatedMilliseconds : taskMilliseconds[run.task] ?? 100;
+        },
     });
 }
 
@@ -31,16 +43,41 @@
 
 When(
     "a job of short and long tasks runs at entry {int} for {int} ms and its caller's connection breaks",
+    (entry: number, milliseconds: number) => runUntilDisconnect(job, entry, milliseconds, () => undefined),
+);
+
+When(
+    "a job of tasks of 4 s runs at entry {int} for {int} ms and its caller's connection breaks",
+    (entry: number, milliseconds: number) => runUntilDisconnect(longJob, entry, milliseconds, () => undefined),
+);
+
+When(
+    "a job of tasks of 4 s runs at entry {int} for {int} ms, all connections become silent and its caller's connection breaks",
     (entry: number, milliseconds: number) => {
-        const request = deployment.submit(entry, job);
-        deployment.advance(milliseconds);
-        deployment.closeCallerConnection(entry, request, job.id);
+        runUntilDisconnect(longJob, entry, milliseconds, () => deployment.silenceConnections());
     },
 );
 
+function runUntilDisconnect(
+    submitted: typeof latest,
+    entry: number,
+    milliseconds: number,
+    beforeDisconnect: () => void,
+): void {
+    latest = submitted;
+    const request = deployment.submit(entry, submitted);
+    deployment.advance(milliseconds);
+    beforeDisconnect();
+    deployment.closeCallerConnection(entry, request, submitted.id);
+}
+
 When("it is sent again to entry {int} after {int} ms", (entry: number, milliseconds: number) => {
     deployment.advance(milliseconds);
-    deployment.submit(entry, job);
+    deployment.submit(entry, latest);
+});
+
+When("all workers execute stops alone {int} ms late", (stopDelayMilliseconds: number) => {
+    deployment.workers.forEach((_, index) => setFault(deployment, index, { stopDelayMilliseconds }));
 });
 
 When("{int} ms later all connections between entries and agents are replaced", (milliseconds: number) => {
