fix(entry): a job that is sent again waits for the ends of its former runs, not for a fixed time

Cause: the entry took the runs of an ended job for ended after 1,274 ms. That bound holds from the last frame of an agent that is lost. An agent that is alive renews the leases of its worker, so a run whose stop the worker executes late goes on. Change: a run counts as stopping until its agent has reported its end, does not list it on a new connection, or is itself lost.

--- a/packages/lovagepitch-direct/src/entry/endJob.ts
+++ b/packages/lovagepitch-direct/src/entry/endJob.ts
@@ -3,7 +3,6 @@
  */
 import type { JobAnswer } from "../model/directJob.js";
 import { formatRunKey } from "../model/frames.js";
-import { lostAgentTimeoutMilliseconds } from "../model/timing.js";
 import { type EntryState, formatTaskKey, type JobRow } from "./entryState.js";
 
 /**
@@ -54,15 +53,14 @@
 
 /** Stops every run of a job and tracks the runs until they have ended, in case the job is submitted again. */
 function stopJobRuns(state: EntryState, job: string): void {
-    const stopping = new Map<string, number>();
+    const stopping = new Set(state.stoppingRuns.get(job));
     for (const placed of [...state.placedTasks.values()]) {
         if (placed.identity.job === job) {
-            const key = formatRunKey(placed.identity);
             state.getPendingOrders(placed.agent).stops.push(placed.identity);
-            stopping.set(key, state.now + lostAgentTimeoutMilliseconds);
+            stopping.add(formatRunKey(placed.identity));
         }
     }
     if (stopping.size > 0) {
-        state.stoppingRuns.set(job, new Map([...state.stoppingRuns.get(job) ?? [], ...stopping]));
+        state.stoppingRuns.set(job, stopping);
     }
 }
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -162,7 +162,6 @@
             this.nextLostAgentCheckAt = state.now + maximumTickIntervalMilliseconds;
             removeLostAgents(state);
         }
-        removeStoppedRuns(state);
         releaseKinds(state);
         placeTasks(state);
         expireJobs(state);
@@ -212,12 +211,3 @@
         }
     }
 }
-
-/** Removes runs of ended jobs that cannot be running any more. */
-function removeStoppedRuns(state: EntryState): void {
-    for (const [job, runs] of state.stoppingRuns.entries()) {
-        if ([...runs.values()].every(endsAt => state.now > endsAt)) {
-            state.stoppingRuns.delete(job);
-        }
-    }
-}
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -122,11 +122,8 @@
     public readonly placedTasks = new Table<string, PlacedTask>();
     /** Histories by task key, only of jobs in `jobs`. */
     public readonly taskHistories = new Table<string, TaskHistory>();
-    /**
-     * Runs of ended jobs that may still be running, by job: run key and the instant after which the run cannot be
-     * running.
-     */
-    public readonly stoppingRuns = new Table<string, ReadonlyMap<string, number>>();
+    /** Keys of runs of ended submissions that may still be running, by job; no task of the job starts until they have ended. */
+    public readonly stoppingRuns = new Table<string, ReadonlySet<string>>();
     public readonly agents = new Table<string, AgentRow>();
     public readonly pendingOrders = new Map<string, PendingOrders>();
     /** All entries of the deployment that are known, by address. */
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -151,7 +151,8 @@
     if (stopping?.has(runKey) !== true) {
         return;
     }
-    const rest = new Map([...stopping].filter(([key]) => key !== runKey));
+    const rest = new Set(stopping);
+    rest.delete(runKey);
     if (rest.size === 0) {
         state.stoppingRuns.delete(job);
     }
--- a/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/resubmittedJobs.feature
@@ -55,6 +55,20 @@
             | 98   | 2     |
             | 130  | 10    |
 
+    # Guards against a run whose stop is executed late: the entry took it for ended after a fixed time, with its agent alive.
+    Scenario Outline: A job sent again after <pause> ms does not run beside runs whose stops are executed <delay> ms late
+        When a job of tasks of 4 s runs at entry 0 for 300 ms and its caller's connection breaks
+        And all workers execute stops alone <delay> ms late
+        And it is sent again to entry 0 after <pause> ms
+        And 12000 ms pass for the jobs that are sent again
+        Then no task ran twice at the same time, and each answer was that of its submission
+
+        Examples:
+            | delay | pause |
+            | 1500  | 0     |
+            | 1500  | 1000  |
+            | 2500  | 1300  |
+
     # Guards against a stop that is lost with its connection and not sent again, because the job is open again by then.
     Scenario Outline: Stops that are lost with their connections are sent again although the job was sent again after <pause> ms
         When a job of tasks of 4 s runs at entry 0 for 300 ms, all connections become silent and its caller's connection breaks
