fix(entry): an agent of an earlier version that reconnects keeps its runs

Cause: since identities hold a submission, the open runs in the first frame of an agent that names none matched no placed run, so all would have counted as lost and run again beside themselves during a rolling upgrade. Found by reading. Change: a message that names no submission names the run of its job, task and number at that agent.

--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -1,7 +1,7 @@
 /**
  * Frames from agents: free capacity, ended runs, and lost and restored connections.
  */
-import { type AgentFrame, formatRunKey } from "../model/frames.js";
+import { type AgentFrame, namesRun } from "../model/frames.js";
 import {
     idleSilenceLimitMilliseconds,
     lostAgentTimeoutMilliseconds,
@@ -19,7 +19,8 @@
  * Processes a frame from an agent.
  *
  * @param state - state of the entry
- * @param connection - id of the connection that delivered it; the agent's newest connection replaces earlier ones
+ * @param connection - id of the connection that delivered it; the connection with the agent's newest first frame replaces
+ *   earlier ones
  * @param frame - received frame
  */
 export function receiveAgentFrame(state: EntryState, connection: number, frame: AgentFrame): void {
@@ -72,8 +73,9 @@
         receiveRunEnd(state, frame.agent, ended);
     }
     if (frame.openRuns !== undefined) {
-        const openRunKeys = new Set(frame.openRuns.map(formatRunKey));
-        endLostRuns(state, placed => placed.agent === frame.agent && !openRunKeys.has(formatRunKey(placed.identity)));
+        const { openRuns } = frame;
+        const isOpen = ({ identity }: PlacedTask): boolean => openRuns.some(run => namesRun(run, identity));
+        endLostRuns(state, placed => placed.agent === frame.agent && !isOpen(placed));
         resendStops(state, frame.agent);
     }
 }
--- a/packages/lovagepitch-direct/src/entry/runResults.ts
+++ b/packages/lovagepitch-direct/src/entry/runResults.ts
@@ -1,7 +1,7 @@
 /**
  * Results of runs: a task succeeds, is placed again, or fails its job.
  */
-import { type EndedRun, formatRunKey, type RunIdentity } from "../model/frames.js";
+import { type EndedRun, formatRunKey, namesRun, type RunIdentity } from "../model/frames.js";
 import { RunTimeDistribution } from "../policies/runTimeDistribution.js";
 import { recordFailure, recordSuccess, type WorkerHealth } from "../policies/workerHealth.js";
 import { endJob } from "./endJob.js";
@@ -54,15 +54,10 @@
 }
 
 function findPlacedTask(state: EntryState, agent: string, identity: RunIdentity): PlacedTask | undefined {
-    if (identity.submission !== undefined) {
-        const placed = state.placedTasks.get(formatRunKey(identity));
-        return placed?.agent === agent ? placed : undefined;
-    }
-    // An agent of an earlier version names no submission.
-    const key = formatRunKey(identity);
-    return [...state.placedTasks.values()].find(placed => {
-        return placed.agent === agent && formatRunKey({ ...placed.identity, submission: undefined }) === key;
-    });
+    const placed = identity.submission === undefined
+        ? [...state.placedTasks.values()].find(other => other.agent === agent && namesRun(identity, other.identity))
+        : state.placedTasks.get(formatRunKey(identity));
+    return placed?.agent === agent ? placed : undefined;
 }
 
 function evaluateWorkerHealth(
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -38,7 +38,7 @@
         && isString(value.availabilityZone) && isNumber(value.sentAt) && isNumber(value.includedSequence)
         && isOptional(value.includedForMilliseconds, isNumber)
         && isOptional(value.worker, isWorkerStatus) && isArrayOf(value.ended, isEndedRun)
-        && isOptional(value.openRuns, runs => isArrayOf(runs, isRunIdentity))
+        && isOptional(value.openRuns, runs => isArrayOf(runs, isRunIdentity)) && isOptional(value.entry, isString)
         && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations)
         && isOptional(value.crashes, crashes => isArrayOf(crashes, isWorkerCrash));
 }
@@ -100,7 +100,8 @@
 }
 
 function isRunIdentity(value: unknown): value is RunIdentity & Readonly<Record<string, unknown>> {
-    return isObject<RunIdentity>(value) && isString(value.job) && isNumber(value.task) && isNumber(value.run);
+    return isObject<RunIdentity>(value) && isString(value.job) && isNumber(value.task) && isNumber(value.run)
+        && isOptional(value.submission, isNumber);
 }
 
 function isWorkerStatus(value: unknown): boolean {
--- a/packages/lovagepitch-direct/src/model/frames.ts
+++ b/packages/lovagepitch-direct/src/model/frames.ts
@@ -112,6 +112,11 @@
     readonly ended: readonly EndedRun[];
     /** All runs and queued orders of this entry that have not ended; only in the first frame of a connection. */
     readonly openRuns: readonly RunIdentity[] | undefined;
+    /**
+     * Incarnation of the entry that `ended` and `openRuns` of a first frame refer to; undefined when the agent knows none, and
+     * in frames of earlier versions.
+     */
+    readonly entry?: string | undefined;
     readonly configuration: ConfigurationNotice;
     /** Evacuated zones; only when the agent's state is newer than the one that the entry has named. */
     readonly evacuations?: ZoneEvacuations | undefined;
@@ -159,6 +164,18 @@
     return `${submission ?? ""}/${task}/${run}/${job}`;
 }
 
+/**
+ * Tells whether a message names a run. A peer of an earlier version names no submission.
+ *
+ * @param named - identity in the message
+ * @param run - the run
+ * @returns true when every part of the identity that the message has is that of the run
+ */
+export function namesRun(named: RunIdentity, run: RunIdentity): boolean {
+    const { submission } = named.submission === undefined ? named : run;
+    return formatRunKey(named) === formatRunKey({ ...run, submission });
+}
+
 /**
  * Selects the fields that identify a run.
  *
