fix(entry): a frame of a former connection that arrives late is ignored

Cause: any first frame replaced the connection of its agent. One that was sent before the newer connection's first frame and arrives after it (data that the agent had written before it closed the connection) lists none of the runs placed since; they counted as lost and were placed again, beside themselves. Change: a frame that its agent sent before the newest one received is ignored; agents' clocks only increase. Seen: formerConnections, first scenario: a second start order before, one after.

--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -33,6 +33,14 @@
     if (previous !== undefined && !isFirstFrame && previous.connection !== connection) {
         return;
     }
+    if (previous !== undefined && frame.sentAt < previous.newestSentAt) {
+        state.log("info", "late frame of a former connection ignored", {
+            agent: frame.agent,
+            instance: frame.instance,
+            behind: previous.newestSentAt - frame.sentAt,
+        });
+        return;
+    }
     if (isFirstFrame) {
         state.linkBacklog.forget(frame.agent);
     }
