fix(direct): ends and open runs name the process of the entry that they belong to

Cause: an agent that reconnects to an address before it has heard of the entry's new process repeats what it knows of the former one; both number submissions from 1, so an end could match a run of the successor. Ends that waited for a connection's first frame were sent to whichever process answered. Change: the first frame names the process that its ends and open runs belong to, and others ignore them; ends that wait for a former process are dropped once its successor is known. Frames of earlier versions name none and are read as before. Seen: formerConnections: answered as done with the success of a run that the entry had not placed, and an end sent to the successor, before; none after.

--- a/packages/lovagepitch-direct/src/__tests__/formerConnections.feature
+++ b/packages/lovagepitch-direct/src/__tests__/formerConnections.feature
@@ -11,3 +11,17 @@
         And 200 ms pass for the entry with frames of agent "X" on connection 2
         Then the entry has sent 1 start order
         And it has sent frames on connection 2 only
+
+    # Guards against the end of a former process's run of the same number, which answered a caller of its successor.
+    Scenario: An agent that knows only the former process of an entry repeats its ends
+        Given an entry that has placed a task at agent "X" on connection 2
+        When agent "X" connects again with the success of a run of the same number, for entry process "entry-0"
+        Then no caller was answered
+        And the entry has sent 2 start orders
+
+    # Guards against ends that wait for a connection's first frame and are sent to the successor of their entry.
+    Scenario: A run ends after its agent has connected to the successor of its entry, and before it knows that
+        Given an agent with a run of entry process "entry-1" that connects again
+        When the run ends before the first frame of the entry arrives
+        And the first frame comes from entry process "entry-2"
+        Then no end was reported to the successor
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -96,6 +96,7 @@
         worker: worker === undefined || !isRetiring ? worker : { ...worker, acceptsTasks: false },
         ended: row.hasSentFirstFrame ? row.pendingEnds : listRecentEnds(state, row),
         openRuns: row.hasSentFirstFrame ? undefined : listOpenRuns(state, row),
+        ...row.hasSentFirstFrame ? {} : { entry: row.incarnation },
         configuration: {
             version: state.configurationVersion,
             configuration: isConfigurationDue(state, row) ? configuration : undefined,
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -153,13 +153,15 @@
     if (row?.connection !== "open") {
         return;
     }
-    if (row.incarnation !== frame.entry) {
+    const isOtherProcess = row.incarnation !== frame.entry;
+    if (isOtherProcess) {
         state.log("info", "connected to entry", { address, entry: frame.entry });
     }
-    const leaseRenewedAt = Math.max(row.incarnation === frame.entry ? row.leaseRenewedAt : 0, frame.newestSentAt);
+    const leaseRenewedAt = Math.max(isOtherProcess ? 0 : row.leaseRenewedAt, frame.newestSentAt);
     state.entries.set(address, {
         ...row,
         incarnation: frame.entry,
+        pendingEnds: isOtherProcess ? [] : row.pendingEnds,
         leaseRenewedAt,
         lastActivityAt: state.now,
         includedSequence: frame.sequence,
--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -77,11 +77,13 @@
     receiveConfiguration(state, frame.configuration.configuration, "agent");
     receiveEvacuations(state, frame.evacuations, "agent");
     receiveCrashes(state, frame.crashes);
-    for (const ended of frame.ended) {
+    // An agent that has not heard of this process yet speaks of the runs of its predecessor.
+    const isAboutThisProcess = frame.entry === undefined || frame.entry === state.identity.incarnation;
+    for (const ended of isAboutThisProcess ? frame.ended : []) {
         receiveRunEnd(state, frame.agent, ended);
     }
     if (frame.openRuns !== undefined) {
-        const { openRuns } = frame;
+        const openRuns = isAboutThisProcess ? frame.openRuns : [];
         const isOpen = ({ identity }: PlacedTask): boolean => openRuns.some(run => namesRun(run, identity));
         endLostRuns(state, placed => placed.agent === frame.agent && !isOpen(placed));
         resendStops(state, frame.agent);
