fix(agent): an agent repeats only recent ends that the entry has not confirmed

Cause: ends were to be kept for 3 s, but old ones were dropped only when there were more than 200 for an entry, and nothing told which ones the entry had received. Change: ends are kept until the entry returns the send time of a later frame (it has done so in every frame), at most 3 s. Seen: formerConnections: a confirmed end and one of 3,100 ms were repeated before and are not now; unconfirmed ones still are.

--- a/packages/lovagepitch-direct/src/__tests__/formerConnections.feature
+++ b/packages/lovagepitch-direct/src/__tests__/formerConnections.feature
@@ -25,3 +25,16 @@
         When the run ends before the first frame of the entry arrives
         And the first frame comes from entry process "entry-2"
         Then no end was reported to the successor
+
+    # Guards against ends of any age that were repeated with each new connection, also those that the entry had received.
+    Scenario Outline: An agent repeats an end that is <age> ms old and <state> <times> times on a new connection
+        Given an agent whose run has ended, which entry process "entry-1" has <state>
+        When <age> ms pass and the agent connects again
+        Then its first frame repeats <times> ends
+
+        Examples:
+            | age  | state         | times |
+            | 50   | not confirmed | 1     |
+            | 400  | not confirmed | 1     |
+            | 50   | confirmed     | 0     |
+            | 3100 | not confirmed | 0     |
--- a/packages/lovagepitch-direct/src/__tests__/formerConnections.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/formerConnections.steps.ts
@@ -99,3 +99,29 @@
     const ends = agent.outputs.slice(framesBefore).flatMap(output => output.kind === "frame" ? output.frame.ended : []);
     assert.deepEqual(ends, []);
 });
+
+Given(
+    /^an agent whose run has ended, which entry process "entry-1" has (not confirmed|confirmed)$/,
+    (state: string) => {
+        agent = new AgentDriver(false);
+        agent.prepare("life-1");
+        agent.receiveStarts([createOrder(job)]);
+        agent.accept({ kind: "start-answered", life: 1, run: { job, task: 0, run: 1 }, outcome: "accepted" });
+        agent.answerView({ running: [], ended: [{ job, task: 0, run: 1, sequence: 1, end: "succeeded" }] });
+        agent.advance(20);
+        agent.receiveStarts([], state === "confirmed" ? 0 : 100);
+    },
+);
+
+When("{int} ms pass and the agent connects again", (milliseconds: number) => {
+    agent.accept({ kind: "disconnected", address: entryAddress, wasRefused: false });
+    agent.advance(milliseconds);
+    framesBefore = agent.outputs.length;
+    agent.accept({ kind: "connected", address: entryAddress });
+    agent.advance(5);
+});
+
+Then("its first frame repeats {int} ends", (count: number) => {
+    const frames = agent.outputs.slice(framesBefore).flatMap(output => output.kind === "frame" ? [output.frame] : []);
+    assert.equal(frames[0]?.ended.length, count);
+});
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -54,6 +54,11 @@
     readonly stopReason: "stopped" | "stalled" | "moved" | "not-started";
 }
 
+/** An ended run, and when it ended. */
+export interface RecentEnd extends EndedRun {
+    readonly endedAt: number;
+}
+
 /** A start order that waits at the agent for free capacity. */
 export interface QueuedOrder {
     readonly order: StartOrder;
@@ -166,8 +171,8 @@
     public readonly entries = new Table<string, EntryRow>();
     /** Next instant at which the partners are chosen again, in milliseconds. */
     public nextPartnerChoiceAt = 0;
-    /** Recently ended runs by entry incarnation, for an entry that reconnects. */
-    public readonly recentEnds = new Table<string, (EndedRun & { readonly endedAt: number })[]>();
+    /** Ended runs that their entry has not confirmed, by incarnation of the entry, for an entry that reconnects. */
+    public readonly recentEnds = new Table<string, readonly RecentEnd[]>();
     /** Crashes of this worker and of others that entries have passed on. */
     public readonly crashRecords = new CrashRecords();
     public worker: WorkerRow | undefined;
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -10,6 +10,7 @@
 import type { AgentState, EntryRow } from "./agentState.js";
 import { findConfigurationSource } from "./configurationSource.js";
 import { findIsolation } from "./isolation.js";
+import { listUnconfirmedEnds } from "./runEnds.js";
 import { acceptsTasks } from "./runOrders.js";
 
 /**
@@ -130,7 +131,7 @@
 }
 
 function listRecentEnds(state: AgentState, row: EntryRow): AgentFrame["ended"] {
-    return row.incarnation === undefined ? [] : state.recentEnds.get(row.incarnation) ?? [];
+    return row.incarnation === undefined ? [] : listUnconfirmedEnds(state, row.incarnation);
 }
 
 function listOpenRuns(state: AgentState, row: EntryRow): AgentFrame["openRuns"] {
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -7,6 +7,7 @@
 import type { AgentState, EntryRow } from "./agentState.js";
 import { inviteEntry, receiveEntryLocations, recordReachable, recordUnreachable } from "./knownEntries.js";
 import { receiveStart, withdrawQueuedOrder } from "./orderQueue.js";
+import { forgetConfirmedEnds } from "./runEnds.js";
 import { declineStart, stopRun } from "./runOrders.js";
 import { limitRestoredCapacity } from "./workerCapacity.js";
 import { receiveEvacuations } from "./zoneEvacuation.js";
@@ -174,6 +175,7 @@
         lastUsedAt: frame.starts.length > 0 ? state.now : row.lastUsedAt,
         retiringSince: frame.starts.length > 0 ? undefined : row.retiringSince,
     });
+    forgetConfirmedEnds(state, frame.entry, frame.newestSentAt);
     recordReachable(state, address);
     receiveEntryLocations(
         state,
--- a/packages/lovagepitch-direct/src/agent/runEnds.ts
+++ b/packages/lovagepitch-direct/src/agent/runEnds.ts
@@ -1,8 +1,8 @@
 /**
  * Ends of runs: the run's resources are freed and the end is reported to the entry.
  */
-import type { EndedRun, RunEnd } from "../model/frames.js";
-import type { AgentState, RunRow } from "./agentState.js";
+import { type EndedRun, pickRunIdentity, type RunEnd } from "../model/frames.js";
+import type { AgentState, RecentEnd, RunRow } from "./agentState.js";
 
 /**
  * Time for which an end is kept for an entry that reconnects, in milliseconds; longer than any entry waits for a lost
@@ -10,9 +10,6 @@
  */
 const endRetentionMilliseconds = 3000;
 
-/** Number of kept ends above which old ones are removed; about as many as one entry causes in the retention time. */
-const recentEndsCleanupThreshold = 200;
-
 /**
  * Removes a run that no longer occupies the worker, and reports its end to the entry that ordered it.
  *
@@ -36,15 +33,8 @@
  * @param ended - the run, how it ended and its duration
  */
 export function reportEnd(state: AgentState, entry: string, ended: EndedRun): void {
-    const recent = state.recentEnds.get(entry) ?? [];
-    recent.push({ ...ended, endedAt: state.now });
-    if (recent.length > recentEndsCleanupThreshold) {
-        const kept = recent.filter(old => state.now - old.endedAt < endRetentionMilliseconds);
-        state.recentEnds.set(entry, kept);
-    }
-    else {
-        state.recentEnds.set(entry, recent);
-    }
+    forgetOldEnds(state);
+    state.recentEnds.set(entry, [...state.recentEnds.get(entry) ?? [], { ...ended, endedAt: state.now }]);
     for (const row of state.entries.values()) {
         if (row.incarnation === entry && row.connection === "open" && row.hasSentFirstFrame) {
             state.entries.set(row.address, {
@@ -56,6 +46,51 @@
     }
 }
 
+function forgetOldEnds(state: AgentState): void {
+    for (const [entry] of [...state.recentEnds.entries()]) {
+        keepEnds(state, entry, end => state.now - end.endedAt < endRetentionMilliseconds);
+    }
+}
+
+/**
+ * Forgets the ends that an entry has received. A frame reports all ends that are older than itself and not confirmed.
+ *
+ * @param state - state of the agent
+ * @param entry - incarnation of the entry
+ * @param newestSentAt - when the newest frame that the entry has received was sent, in milliseconds
+ */
+export function forgetConfirmedEnds(state: AgentState, entry: string, newestSentAt: number): void {
+    keepEnds(state, entry, end => end.endedAt >= newestSentAt);
+}
+
+/**
+ * Lists the ends that an entry may not have received.
+ *
+ * @param state - state of the agent
+ * @param entry - incarnation of the entry
+ * @returns ends to be reported on a new connection
+ */
+export function listUnconfirmedEnds(state: AgentState, entry: string): readonly EndedRun[] {
+    forgetOldEnds(state);
+    return (state.recentEnds.get(entry) ?? []).map(({ end, ranMilliseconds, ...identity }) => {
+        return { ...pickRunIdentity(identity), end, ranMilliseconds };
+    });
+}
+
+function keepEnds(state: AgentState, entry: string, isKept: (end: RecentEnd) => boolean): void {
+    const ends = state.recentEnds.get(entry);
+    if (ends === undefined || ends.every(isKept)) {
+        return;
+    }
+    const kept = ends.filter(isKept);
+    if (kept.length > 0) {
+        state.recentEnds.set(entry, kept);
+    }
+    else {
+        state.recentEnds.delete(entry);
+    }
+}
+
 /**
  * Ends every run as lost, because the worker's incarnation has ended or its lease has expired.
  *
