feat(direct): the submission of an ended run is sent by position; test: identities with and without it

Cause: by name it takes some 14 bytes for each end. Change: it follows the duration; earlier versions ignore a number there. Seen: frameFormats: frames with and without submissions arrive as they were sent.

--- a/packages/lovagepitch-direct/src/__tests__/frameFormats.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/frameFormats.steps.ts
@@ -99,10 +99,17 @@
 
 const text = fastCheck.string({ unit: "binary", maxLength: 80 });
 
+/** Peers of earlier versions name no submission. */
+const runIdentity = fastCheck.record(
+    { job: text, ...identity, submission: fastCheck.nat() },
+    { ...plain, requiredKeys: ["job", "task", "run"] },
+);
+
 const start = fastCheck.tuple(
     fastCheck.record({
         job: fastCheck.constantFrom("a1", "a2"),
         ...identity,
+        submission: fastCheck.constantFrom(1, 2),
         specification: fastCheck.oneof(text, fastCheck.constant("\ud800 alone"), fastCheck.constant("x".repeat(700))),
         mayWaitMilliseconds: fastCheck.double({ min: 0, max: 30, noNaN: true }),
         maximumPerWorker: fastCheck.constantFrom(1, 2, Number.MAX_SAFE_INTEGER),
@@ -128,7 +135,7 @@
     fastCheck.record({
         entry: fastCheck.constantFrom("entry-1", "entry-2"),
         starts: fastCheck.array(start, { maxLength: 6 }),
-        stops: fastCheck.array(fastCheck.record({ job: text, ...identity }, plain)),
+        stops: fastCheck.array(runIdentity),
         entryAddresses: fastCheck.constantFrom<readonly string[]>([], ["10.1.0.2:7720"]),
         awaitsCapacity: fastCheck.boolean(),
         crashes: fastCheck.array(crash, { maxLength: 2 }),
@@ -160,7 +167,7 @@
             ),
         ),
         ended: fastCheck.array(
-            fastCheck.tuple(fastCheck.record({ job: text, ...identity }, plain), otherField).map(([run, other]) => ({
+            fastCheck.tuple(runIdentity, otherField).map(([run, other]) => ({
                 ...run,
                 end: "succeeded" as const,
                 ranMilliseconds: 80.25,
@@ -169,7 +176,7 @@
         ),
         includedForMilliseconds: fastCheck.constantFrom(0, 12),
         crashes: fastCheck.array(crash, { maxLength: 2 }),
-        openRuns: fastCheck.constantFrom(undefined, [], [{ job: "a2", task: 0, run: 1 }]),
+        openRuns: fastCheck.oneof(fastCheck.constant(undefined), fastCheck.array(runIdentity, { maxLength: 2 })),
     }, plain),
     otherField,
 ).map(([fields, other]) => ({ ...createAgentFrame(fields), ...other }));
--- a/packages/lovagepitch-direct/src/links/agentFrameFormat.ts
+++ b/packages/lovagepitch-direct/src/links/agentFrameFormat.ts
@@ -32,7 +32,14 @@
     "isOnTrial",
 ]);
 
-const knownEndFields: ReadonlySet<string> = new Set<keyof EndedRun>(["job", "task", "run", "end", "ranMilliseconds"]);
+const knownEndFields: ReadonlySet<string> = new Set<keyof EndedRun>([
+    "job",
+    "task",
+    "run",
+    "submission",
+    "end",
+    "ranMilliseconds",
+]);
 
 const knownNotice: ReadonlySet<string> = new Set(["version"]);
 
@@ -131,10 +138,15 @@
 function listEndFields(ended: EndedRun): unknown {
     const fields = [ended.job, ended.task, ended.run, ended.end, ended.ranMilliseconds];
     const others = collectOthers(ended, knownEndFields);
-    return others === 0 ? fields : [...fields, others];
+    // Earlier versions read only the other fields here, and ignore a number.
+    const submission = ended.submission === undefined ? [] : [ended.submission];
+    return others === 0 ? [...fields, ...submission] : [...fields, ...submission, others];
 }
 
 function readEndFields(value: unknown): unknown {
-    const [job, task, run, end, ranMilliseconds, others] = expectArray(value);
-    return addOthers({ job, task, run, end, ranMilliseconds }, others);
+    const [job, task, run, end, ranMilliseconds, sixth, seventh] = expectArray(value);
+    const fields = { job, task, run, end, ranMilliseconds };
+    return typeof sixth === "number"
+        ? addOthers({ ...fields, submission: sixth }, seventh)
+        : addOthers(fields, sixth);
 }
