fix(direct): do not refuse a job as not run after an earlier submission was ordered

Cause: an entry refused a job that came again (503, not run) although tasks of its earlier submission had started; it forgot the job with its answer. An interrupted submission renews the memory.

--- a/packages/lovagepitch-direct/src/entry/endJob.ts
+++ b/packages/lovagepitch-direct/src/entry/endJob.ts
@@ -3,7 +3,7 @@
  */
 import type { JobAnswer } from "../model/directJob.js";
 import { formatRunKey } from "../model/frames.js";
-import { type EntryState, formatTaskKey, type JobRow } from "./entryState.js";
+import { type EntryState, formatTaskKey, type JobRow, mayHaveStarted } from "./entryState.js";
 
 /**
  * Answers all callers of a job and removes the job.
@@ -27,6 +27,9 @@
     if (answer.kind === "done") {
         state.crashingKinds.recordDoneJob(job.service, job.route);
     }
+    if (mayHaveStarted(row) || answer.kind === "interrupted") {
+        state.orderedJobs.record(job.id, state.now);
+    }
     stopJobRuns(state, job.id);
     const afterMilliseconds = Math.round(state.now - row.acceptedAt);
     for (const request of row.requests) {
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -18,6 +18,7 @@
 import type { EntryPolicies } from "../policies/entryPolicies.js";
 import type { JobDeadlines } from "../policies/jobDeadlines.js";
 import type { LinkBacklog } from "../policies/linkBacklog.js";
+import { OrderedJobs } from "../policies/orderedJobs.js";
 import { PriorityRanks } from "../policies/priorityRanks.js";
 import { DrainRate } from "../policies/retryAfter.js";
 import { RoomRate } from "../policies/roomRate.js";
@@ -124,6 +125,8 @@
     public readonly taskHistories = new Table<string, TaskHistory>();
     /** Keys of runs of ended submissions that may still be running, by job; no task of the job starts until they have ended. */
     public readonly stoppingRuns = new Table<string, ReadonlySet<string>>();
+    /** Jobs whose earlier submissions may have started tasks. */
+    public readonly orderedJobs = new OrderedJobs();
     public readonly agents = new Table<string, AgentRow>();
     public readonly pendingOrders = new Map<string, PendingOrders>();
     /** All entries of the deployment that are known, by address. */
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -54,7 +54,8 @@
 }
 
 /**
- * Refuses a job of which no task has started.
+ * Refuses a job of which no task has started under this submission. A job of which tasks may have started under an earlier
+ * one is interrupted.
  *
  * @param state - state of the entry
  * @param row - row of the job
@@ -71,6 +72,11 @@
         endJob(state, row, { kind: "interrupted", reason: "a run of the job was lost when its worker crashed" });
         return;
     }
+    if (state.orderedJobs.has(row.job.id, state.now)) {
+        // Not a refusal, which would say that the job has not run.
+        endJob(state, row, { kind: "interrupted", reason: "tasks of an earlier submission may have started" }, inputs);
+        return;
+    }
     const { linkMilliseconds = 0 } = inputs;
     const drainRate = state.drainRate.read(state.now);
     const fraction = state.random.nextFraction();
--- a/packages/lovagepitch-direct/src/model/directJob.ts
+++ b/packages/lovagepitch-direct/src/model/directJob.ts
@@ -44,7 +44,10 @@
     | { readonly kind: "refused"; readonly reason: RefusalReason; readonly retryAfterSeconds: number }
     /** The caller cancelled the job or closed the connection. */
     | { readonly kind: "cancelled" }
-    /** Tasks had started and are being stopped; the caller may submit the job again. */
+    /**
+     * Tasks had started, under this submission or an earlier one, and are being stopped; the caller may submit the job
+     * again.
+     */
     | { readonly kind: "interrupted"; readonly reason: string };
 
 /** Reason for which a job was refused. */
