fix(direct): answer no job with the result of another one of its id

Cause: a submission was attached to the open job of its id whatever it asked for, and an id was read and cancelled through any queue. Change: a submission with another queue, specification, number of tasks or needs is answered 409 while the other job is open; the open job goes on. An id is known in its own queue only.

--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -117,11 +117,12 @@
      * Describes the progress of an open job.
      *
      * @param id - id of the job
-     * @returns the progress, or undefined when no job of that id is open
+     * @param route - name of the job's route
+     * @returns the progress, or undefined when no job of that id and route is open
      */
-    public describeJob(id: string): "waiting" | "started" | undefined {
+    public describeJob(id: string, route: string): "waiting" | "started" | undefined {
         const row = this.state.jobs.get(id);
-        if (row === undefined) {
+        if (row?.job.route !== route) {
             return undefined;
         }
         return mayHaveStarted(row) ? "started" : "waiting";
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -1,7 +1,7 @@
 /**
  * Submissions, cancellations and disconnects of callers.
  */
-import type { DirectJob, RefusalReason } from "../model/directJob.js";
+import { type DirectJob, isSameJob, type RefusalReason } from "../model/directJob.js";
 import { computeJobDeadlines, type JobDeadlines } from "../policies/jobDeadlines.js";
 import { computeRetryAfterSeconds, maximumRetryAfterSeconds } from "../policies/retryAfter.js";
 import { endJob } from "./endJob.js";
@@ -12,7 +12,7 @@
 const maximumOpenJobs = 4000;
 
 /**
- * Accepts a job, or attaches the request to the open job of the same id.
+ * Accepts a job, or attaches the request to the open job of the same id if it asks for the same work.
  *
  * @param state - state of the entry
  * @param request - id of the caller's request
@@ -20,6 +20,15 @@
  */
 export function receiveJob(state: EntryState, request: number, job: DirectJob): void {
     const known = state.jobs.get(job.id);
+    if (known !== undefined && !isSameJob(known.job, job)) {
+        state.outputs.push({ kind: "answer", request, job: job.id, answer: { kind: "id-in-use" }, afterMilliseconds: 0 });
+        state.log("warn", "job rejected because another one of its id is open", {
+            job: job.id,
+            route: job.route,
+            openRoute: known.job.route,
+        });
+        return;
+    }
     if (known !== undefined) {
         state.jobs.set(job.id, { ...known, requests: [...known.requests, request] });
         state.log("info", "job submitted again", { job: job.id, callers: known.requests.length + 1 });
--- a/packages/lovagepitch-direct/src/model/directJob.ts
+++ b/packages/lovagepitch-direct/src/model/directJob.ts
@@ -2,7 +2,7 @@
  * A direct job: the caller chooses its id and receives its answer as the response to the submission. Jobs are not
  * stored.
  */
-import type { Resources } from "./resources.js";
+import { fitsInto, type Resources } from "./resources.js";
 
 /** A job as an entry accepts it. */
 export interface DirectJob {
@@ -34,6 +34,20 @@
     readonly callerWaitMilliseconds: number;
 }
 
+/**
+ * Tells whether a submission repeats that of another job.
+ *
+ * @param job - a job
+ * @param other - a job of the same id
+ * @returns true when both ask for the same work in the same queue
+ */
+export function isSameJob(job: DirectJob, other: DirectJob): boolean {
+    return job.id === other.id && job.route === other.route && job.specification === other.specification
+        && job.taskCount === other.taskCount && job.requiredLabel === other.requiredLabel
+        && job.maximumPerWorker === other.maximumPerWorker && fitsInto(job.needs, other.needs)
+        && fitsInto(other.needs, job.needs);
+}
+
 /** How a job ended for its caller. */
 export type JobAnswer =
     /** Every task succeeded. */
@@ -42,6 +56,8 @@
     | { readonly kind: "failed" }
     /** No task of the job has started or will start. */
     | { readonly kind: "refused"; readonly reason: RefusalReason; readonly retryAfterSeconds: number }
+    /** Another job of this id is open at the entry. */
+    | { readonly kind: "id-in-use" }
     /** The caller cancelled the job or closed the connection. */
     | { readonly kind: "cancelled" }
     /**
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -187,10 +187,11 @@
      * Cancels a job.
      *
      * @param id - id of the job
-     * @returns false when no job of that id is open at this entry
+     * @param route - name of the job's route
+     * @returns false when no job of that id and route is open at this entry
      */
-    public cancel(id: string): boolean {
-        const isKnown = this.core.describeJob(id) !== undefined;
+    public cancel(id: string, route: string): boolean {
+        const isKnown = this.core.describeJob(id, route) !== undefined;
         if (isKnown) {
             this.loop.accept({ kind: "cancelled", job: id });
         }
@@ -201,10 +202,11 @@
      * Describes the progress of an open job.
      *
      * @param id - id of the job
-     * @returns the progress, or undefined when no job of that id is open at this entry
+     * @param route - name of the job's route
+     * @returns the progress, or undefined when no job of that id and route is open at this entry
      */
-    public describeJob(id: string): "waiting" | "started" | undefined {
-        return this.core.describeJob(id);
+    public describeJob(id: string, route: string): "waiting" | "started" | undefined {
+        return this.core.describeJob(id, route);
     }
 
     /**
