fix(direct): refuse runs and needs with numbers that no process sends

Cause: frames were accepted with tasks and runs that are negative or fractional, and with start orders of negative needs, after which an agent reported more free resources than its worker has. Change: a task is an integer from 0, a run one from 1, needs are not negative; other frames close their connection. Seen: absurdNumbers.feature: 14 refusals and the agent's seeded frames failed before (16,001 of 16,000 thousandths of a core free). Passed before too: 300 seeded frames of agents, 300 ends of other identities (with slashes in the job, absurd numbers), an end twice in one frame, largest numbers of callers.

--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -73,7 +73,7 @@
 
 function isStartOrder(value: unknown): boolean {
     return isObject<StartOrder>(value) && isRunIdentity(value) && isString(value.service)
-        && isString(value.specification) && isResources(value.needs) && isNumber(value.estimatedMilliseconds)
+        && isString(value.specification) && isNeeds(value.needs) && isNumber(value.estimatedMilliseconds)
         && isNumber(value.mayWaitMilliseconds) && isObject<StartOrder["urgency"]>(value.urgency)
         && isNumber(value.urgency.priority) && isNumber(value.urgency.spareMilliseconds)
         && isNumber(value.maximumPerWorker) && isOptional(value.requiredLabel, isString)
@@ -100,8 +100,8 @@
 }
 
 function isRunIdentity(value: unknown): value is RunIdentity & Readonly<Record<string, unknown>> {
-    return isObject<RunIdentity>(value) && isString(value.job) && isNumber(value.task) && isNumber(value.run)
-        && isOptional(value.submission, isNumber);
+    return isObject<RunIdentity>(value) && isString(value.job) && isIntegerFrom(0, value.task)
+        && isIntegerFrom(1, value.run) && isOptional(value.submission, number => isIntegerFrom(0, number));
 }
 
 function isWorkerStatus(value: unknown): boolean {
@@ -140,11 +140,16 @@
     return isString(value) && /^[^\s:]+:\d{1,5}$/.test(value) && splitAddress(value).port <= maximumPort;
 }
 
-function isResources(value: unknown): boolean {
+function isResources(value: unknown): value is Resources {
     return isObject<Resources>(value) && isNumber(value.milliCores) && isNumber(value.memoryMegabytes)
         && isNumber(value.accelerators);
 }
 
+/** Negative needs would count as free resources. */
+function isNeeds(value: unknown): boolean {
+    return isResources(value) && value.milliCores >= 0 && value.memoryMegabytes >= 0 && value.accelerators >= 0;
+}
+
 function isObject<Message>(value: unknown): value is Unchecked<Message> {
     return typeof value === "object" && value !== null;
 }
@@ -165,6 +170,10 @@
     return typeof value === "string";
 }
 
+function isIntegerFrom(minimum: number, value: unknown): value is number {
+    return Number.isSafeInteger(value) && Number(value) >= minimum;
+}
+
 function isNumber(value: unknown): value is number {
     return Number.isFinite(value);
 }
