--- a/packages/lovagepitch-direct/src/__tests__/absurdNumbers.feature
+++ b/packages/lovagepitch-direct/src/__tests__/absurdNumbers.feature
@@ -20,6 +20,12 @@
             | ended run                   | run 0       |
             | open run                    | task 0.5    |
             | open run                    | run -1      |
+            | start order                 | submission -1   |
+            | ended run                   | submission ""   |
+            | ended run                   | submission "1"  |
+            | ended run                   | submission null |
+            | open run                    | submission 0.5  |
+            | stop order                  | submission "1"  |
             | start order                 | -1 cores    |
             | start order                 | -1 memory   |
 
--- a/packages/lovagepitch-direct/src/__tests__/absurdNumbers.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/absurdNumbers.steps.ts
@@ -68,11 +68,14 @@
     "open run": changes => isAgentFrame({ ...agentFrame, openRuns: [{ ...run, ...changes }] }),
 };
 
-Then(/^the (.+) with a run of (task|run) (\S+) is refused$/, (message: string, field: string, value: string) => {
-    const accepts = createFrames[message];
-    assert.equal(accepts?.({}), true, "the unchanged message is refused");
-    assert.equal(accepts?.({ [field]: Number(value) }), false);
-});
+Then(
+    /^the (.+) with a run of (task|run|submission) (\S+) is refused$/,
+    (message: string, field: string, value: string) => {
+        const accepts = createFrames[message];
+        assert.equal(accepts?.({}), true, "the unchanged message is refused");
+        assert.equal(accepts?.({ [field]: JSON.parse(value) as unknown }), false);
+    },
+);
 
 Then(/^the start order with a run of -1 (cores|memory) is refused$/, (what: string) => {
     const needs = { [what === "cores" ? "milliCores" : "memoryMegabytes"]: -1 };
--- a/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
+++ b/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
@@ -7,7 +7,7 @@
 import { EntryCore } from "../entry/entryCore.js";
 import type { EntryInput, EntryOutput } from "../entry/entryPorts.js";
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
-import type { AgentFrame, EndedRun, RunIdentity, StartOrder } from "../model/frames.js";
+import type { AgentFrame, EndedRun, EntryFrame, RunIdentity, StartOrder } from "../model/frames.js";
 import { entryAddress } from "./agentDriver.js";
 
 /** Service of all workers and jobs. */
@@ -210,8 +210,13 @@
             .filter(order => order.job === job);
     }
 
-    /** Lists the frames that were sent to an agent on its present connection. */
-    private listFrames(agent: string): readonly { readonly sequence: number }[] {
+    /**
+     * Lists the frames that were sent to an agent on its present connection.
+     *
+     * @param agent - incarnation of the agent
+     * @returns the frames, oldest first
+     */
+    public listFrames(agent: string): readonly EntryFrame[] {
         const connection = this.connections.get(agent);
         return this.outputs.flatMap(output => {
             return output.kind === "frame" && output.connection === connection ? [output.frame] : [];
