fix(direct): a row or request with an address without a port ends no process

Cause: sockets throw for ports above 65,535, and datagrams for port 0 too. Rows of entries were checked for digits only, messages for the highest port. One such row ended each agent that read it, at every start, and each entry that next asked others for capacity. Change: addresses of entries have a port from 1 to 65,535, those in rows an IPv4 address too; others are skipped or their message is refused.

--- a/packages/lovagepitch-direct/src/__tests__/entryDirectory.feature
+++ b/packages/lovagepitch-direct/src/__tests__/entryDirectory.feature
@@ -7,6 +7,24 @@
         Then the directory lists it within 300 ms
         And the directory made at most 12 calls in that time
 
+    # Guards against a row of which the address can't be connected to: each process that read it ended.
+    Scenario Outline: A row with <address> names no entry
+        Then the rows of "10.1.0.1:7720" and <address> name "10.1.0.1:7720" only
+
+        Examples:
+            | address             |
+            | "10.1.0.1:99999"    |
+            | "10.1.0.1:65536"    |
+            | "10.1.0.1:0"        |
+            | "10.1.0.999:7720"   |
+            | "10.1:7720"         |
+            | ".:7720"            |
+            | "10.1.0.1:7720:1"   |
+            | "10.1.0.1:077200"   |
+
+    Scenario: Agents and entries outlive every address that is taken for one
+        Then no address that is taken for one of an entry makes a connection or a datagram throw
+
     Scenario: Reads triggered by the writes of other entries cause no further writes
         Then 12 entries that start together make at most 400 calls within 1000 ms
 
--- a/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/entryDirectory.steps.ts
@@ -2,7 +2,10 @@
 import { MonotonicClock } from "@lovagepitch/utils/monotonicClock";
 import assert from "node:assert/strict";
 import { setTimeout as delay } from "node:timers/promises";
-import { EntryDirectory } from "../process/entryDirectory.js";
+import { CapacityDatagrams } from "../links/capacityDatagrams.js";
+import { EntryConnections } from "../links/entryConnections.js";
+import { isCapacityRequest } from "../links/frameGuards.js";
+import { EntryDirectory, listEntries } from "../process/entryDirectory.js";
 import { StoreReachability } from "../process/storeReachability.js";
 import { MemoryRows } from "./memoryRows.js";
 
@@ -68,3 +71,47 @@
         );
     },
 );
+
+function listAddresses(addresses: readonly string[]): readonly string[] {
+    const view = {
+        rows: addresses.map(address => ({ key: address, value: { address, writtenAt: 1000 }, isRemoved: false })),
+        version: 1,
+        storeMilliseconds: 1000,
+    };
+    return listEntries(view).map(entry => entry.address);
+}
+
+Then("the rows of {string} and {string} name {string} only", (first: string, second: string, named: string) => {
+    assert.deepEqual(listAddresses([first, second]), [named]);
+});
+
+Then("no address that is taken for one of an entry makes a connection or a datagram throw", async () => {
+    const ports = ["-1", "0", "00", "1", "65535", "65536", "99999", "1e3", "0x10", "", " 1", "1 "];
+    const candidates = ports.map(port => `127.0.0.1:${port}`);
+    const fromRows = listAddresses(candidates);
+    const fromFrames = candidates.filter(address => {
+        const needs = { milliCores: 1, memoryMegabytes: 1, accelerators: 0 };
+        return isCapacityRequest({ from: { address }, service: "drives", needs, agents: 1 });
+    });
+    assert.deepEqual(fromRows, ["127.0.0.1:1", "127.0.0.1:65535"]);
+    const datagrams = new CapacityDatagrams(() => undefined, () => undefined);
+    await datagrams.listen("127.0.0.1", 0);
+    const connections = new EntryConnections({
+        onConnected: () => undefined,
+        onFrame: () => undefined,
+        onDisconnected: () => undefined,
+    });
+    for (const address of [...fromRows, ...fromFrames]) {
+        connections.open(address);
+        datagrams.send(address, {
+            from: { address: ownAddress, availabilityZone: undefined },
+            service: "drives",
+            needs: { milliCores: 1, memoryMegabytes: 1, accelerators: 0 },
+            requiredLabel: undefined,
+            agents: 1,
+        });
+    }
+    await delay(20);
+    connections.close();
+    datagrams.close();
+});
--- a/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
@@ -20,6 +20,8 @@
             | entry frame      | {"starts":[null]}                                 |
             | entry frame      | {"entryAddresses":[5]}                            |
             | entry frame      | {"entryAddresses":["10.1.0.1:99999"]}             |
+            | entry frame      | {"entryAddresses":["10.1.0.1:0"]}                 |
+            | entry frame      | {"invitations":[{"address":"10.1.0.1:65536"}]}    |
             | entry frame      | {"configuration":{"version":9,"configuration":{}}} |
             | entry frame      | {"evacuations":{"revision":7,"zones":[5]}}        |
             | agent frame      | {"ended":[null]}                                  |
@@ -28,6 +30,7 @@
             | agent frame      | {"crashes":[{"id":"a"}]}                          |
             | entry frame      | {"crashes":[null]}                                |
             | capacity request | {"from":{"address":"nowhere"}}                    |
+            | capacity request | {"from":{"address":"10.1.0.1:0"}}                 |
 
     Scenario: Numbers that are not finite, which frames can carry, are refused
         Then no agent frame with a send time of NaN and no entry frame with a sequence number of Infinity is accepted
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -10,9 +10,7 @@
 import type { CrashedRun, WorkerCrash } from "../model/workerCrash.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
-import { splitAddress } from "./listenAt.js";
-
-const maximumPort = 65_535;
+import { isSocketAddress } from "./listenAt.js";
 
 const runEnds: ReadonlySet<unknown> = new Set<RunEnd>([
     "succeeded",
@@ -52,7 +50,7 @@
 export function isEntryFrame(value: unknown): value is EntryFrame {
     return isObject<EntryFrame>(value) && isString(value.entry) && isNumber(value.sequence)
         && isNumber(value.newestSentAt) && isArrayOf(value.starts, isStartOrder)
-        && isArrayOf(value.stops, isRunIdentity) && isArrayOf(value.entryAddresses, isSocketAddress)
+        && isArrayOf(value.stops, isRunIdentity) && isArrayOf(value.entryAddresses, isAddress)
         && isOptional(value.entryZones, zones => isArrayOf(zones, isString))
         && isOptional(value.invitations, invitations => isArrayOf(invitations, isEntryLocation))
         && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations)
@@ -132,12 +130,12 @@
 }
 
 function isEntryLocation(value: unknown): boolean {
-    return isObject<EntryLocation>(value) && isSocketAddress(value.address)
+    return isObject<EntryLocation>(value) && isAddress(value.address)
         && isOptional(value.availabilityZone, isString);
 }
 
-function isSocketAddress(value: unknown): boolean {
-    return isString(value) && /^[^\s:]+:\d{1,5}$/.test(value) && splitAddress(value).port <= maximumPort;
+function isAddress(value: unknown): boolean {
+    return isString(value) && isSocketAddress(value);
 }
 
 function isResources(value: unknown): value is Resources {
--- a/packages/lovagepitch-direct/src/links/listenAt.ts
+++ b/packages/lovagepitch-direct/src/links/listenAt.ts
@@ -3,6 +3,8 @@
  */
 import type { Server } from "node:net";
 
+const maximumPort = 65_535;
+
 /** Host and port of a TCP address. */
 export interface SocketAddress {
     readonly host: string;
@@ -20,6 +22,17 @@
     return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
 }
 
+/**
+ * Tells whether a text from another process is an address that can be connected to; for others, sockets throw errors.
+ *
+ * @param text - text to check
+ * @returns true when it is a host and a port from 1 to 65,535, joined by a colon
+ */
+export function isSocketAddress(text: string): boolean {
+    const { port } = splitAddress(text);
+    return /^[^\s:]+:\d{1,5}$/.test(text) && port > 0 && port <= maximumPort;
+}
+
 /**
  * Makes a server listen at an address.
  *
--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -3,7 +3,9 @@
  * process reads the rows periodically.
  */
 import type { Clock } from "@lovagepitch/utils/clock";
+import { isIPv4 } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
+import { isSocketAddress, splitAddress } from "../links/listenAt.js";
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { RowsView, SharedRows } from "./sharedRows.js";
 import type { StoreReachability } from "./storeReachability.js";
@@ -123,7 +125,7 @@
         const row = value as Readonly<Record<"address" | "availabilityZone" | "writtenAt", unknown>> | null | undefined;
         const isRecent = typeof row?.writtenAt === "number"
             && view.storeMilliseconds - row.writtenAt <= rowLifetimeMilliseconds;
-        if (isRecent && typeof row.address === "string" && /^[\d.]+:\d+$/.test(row.address)) {
+        if (isRecent && typeof row.address === "string" && isEntryAddress(row.address)) {
             const { address, availabilityZone } = row;
             entries.push({
                 address,
@@ -133,3 +135,7 @@
     }
     return entries;
 }
+
+function isEntryAddress(text: string): boolean {
+    return isSocketAddress(text) && isIPv4(splitAddress(text).host);
+}
