--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -10,9 +10,7 @@
 import type { CrashedRun, WorkerCrash } from "../model/workerCrash.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
-import { splitAddress } from "./listenAt.js";
-
-const maximumPort = 65_535;
+import { isSocketAddress } from "./listenAt.js";
 
 const runEnds: ReadonlySet<unknown> = new Set<RunEnd>([
     "succeeded",
@@ -52,7 +50,7 @@
 export function isEntryFrame(value: unknown): value is EntryFrame {
     return isObject<EntryFrame>(value) && isString(value.entry) && isNumber(value.sequence)
         && isNumber(value.newestSentAt) && isArrayOf(value.starts, isStartOrder)
-        && isArrayOf(value.stops, isRunIdentity) && isArrayOf(value.entryAddresses, isSocketAddress)
+        && isArrayOf(value.stops, isRunIdentity) && isArrayOf(value.entryAddresses, isAddress)
         && isOptional(value.entryZones, zones => isArrayOf(zones, isString))
         && isOptional(value.invitations, invitations => isArrayOf(invitations, isEntryLocation))
         && isConfigurationNotice(value.configuration) && isOptional(value.evacuations, isZoneEvacuations)
@@ -73,7 +71,7 @@
 
 function isStartOrder(value: unknown): boolean {
     return isObject<StartOrder>(value) && isRunIdentity(value) && isString(value.service)
-        && isString(value.specification) && isResources(value.needs) && isNumber(value.estimatedMilliseconds)
+        && isString(value.specification) && isNeeds(value.needs) && isNumber(value.estimatedMilliseconds)
         && isNumber(value.mayWaitMilliseconds) && isObject<StartOrder["urgency"]>(value.urgency)
         && isNumber(value.urgency.priority) && isNumber(value.urgency.spareMilliseconds)
         && isNumber(value.maximumPerWorker) && isOptional(value.requiredLabel, isString)
@@ -100,8 +98,8 @@
 }
 
 function isRunIdentity(value: unknown): value is RunIdentity & Readonly<Record<string, unknown>> {
-    return isObject<RunIdentity>(value) && isString(value.job) && isNumber(value.task) && isNumber(value.run)
-        && isOptional(value.submission, isNumber);
+    return isObject<RunIdentity>(value) && isString(value.job) && isIntegerFrom(0, value.task)
+        && isIntegerFrom(1, value.run) && isOptional(value.submission, number => isIntegerFrom(0, number));
 }
 
 function isWorkerStatus(value: unknown): boolean {
@@ -132,19 +130,24 @@
 }
 
 function isEntryLocation(value: unknown): boolean {
-    return isObject<EntryLocation>(value) && isSocketAddress(value.address)
+    return isObject<EntryLocation>(value) && isAddress(value.address)
         && isOptional(value.availabilityZone, isString);
 }
 
-function isSocketAddress(value: unknown): boolean {
-    return isString(value) && /^[^\s:]+:\d{1,5}$/.test(value) && splitAddress(value).port <= maximumPort;
+function isAddress(value: unknown): boolean {
+    return isString(value) && isSocketAddress(value);
 }
 
-function isResources(value: unknown): boolean {
+function isResources(value: unknown): value is Resources {
     return isObject<Resources>(value) && isNumber(value.milliCores) && isNumber(value.memoryMegabytes)
         && isNumber(value.accelerators);
 }
 
+/** Negative needs would count as free resources. */
+function isNeeds(value: unknown): boolean {
+    return isResources(value) && value.milliCores >= 0 && value.memoryMegabytes >= 0 && value.accelerators >= 0;
+}
+
 function isObject<Message>(value: unknown): value is Unchecked<Message> {
     return typeof value === "object" && value !== null;
 }
@@ -165,6 +168,10 @@
     return typeof value === "string";
 }
 
+function isIntegerFrom(minimum: number, value: unknown): value is number {
+    return Number.isSafeInteger(value) && Number(value) >= minimum;
+}
+
 function isNumber(value: unknown): value is number {
     return Number.isFinite(value);
 }
