fix(direct): the worker's lease is not extended while a run that has to end goes on

Cause: one view call extends the lease of everything at the worker. A run whose entry was not heard any more, whose entry had stopped it or which an earlier process of the agent had started lived on for as long as the worker refused its stop or executed it late, because views for other runs went on.

Change: a run row says since when the run has to end (`mustEndSince`; kept across resends). 60 ms after that, after the end of the entry's lease, or at once for a run of an earlier process, no call extends the lease until the run has ended: views leave it as it is, nothing starts, no start is repeated. A stop that arrives after the entry's lease has expired counts from that instant. Runs of other entries on that worker lapse only when the run goes on for some 700 ms more.

Without the gate on repeated starts its scenario fails.

--- a/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
+++ b/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
@@ -43,6 +43,16 @@
         }
     }
 
+    /** Current time of the agent's clock, in milliseconds. */
+    public get now(): number {
+        return this.clock.nowMilliseconds();
+    }
+
+    /** Advances the clock while the agent's process is paused; what it has to do next waits for the next input or tick. */
+    public pause(milliseconds: number): void {
+        this.clock.advanceTo(this.clock.nowMilliseconds() + milliseconds);
+    }
+
     public listViewCalls(): readonly ViewCall[] {
         return this.outputs.filter((output): output is ViewCall => output.kind === "view");
     }
--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/workerLeases.feature
@@ -0,0 +1,60 @@
+@direct-policies
+Feature: An agent does not extend the worker's lease while a run that has to end goes on
+
+    An entry counts on the end of its runs 1,274 ms after it has heard from the agent: 500 ms of its lease, 60 ms of
+    reaction, 714 ms of the worker's lease.
+
+    Background:
+        Given an agent whose worker runs the tasks "a1, a2" of an entry
+
+    Scenario Outline: The entry falls silent and the worker <answer> the stops
+        When the entry is silent for 3000 ms, and the worker, which lists both runs, <answer> stops
+        Then no lease lasts longer than 1260 ms after the entry was last heard
+
+        Examples:
+            | answer  |
+            | rejects |
+            | accepts |
+            | ignores |
+
+    Scenario Outline: The entry stops a run, is heard all the while, and the worker <answer> the stop
+        When the entry stops "a1" and is heard for 1500 ms, and the worker, which lists both runs, <answer> stops
+        Then no lease lasts longer than 760 ms after the stop was requested
+
+        Examples:
+            | answer  |
+            | rejects |
+            | accepts |
+            | ignores |
+
+    Scenario: The lease is extended again once the run that has to end has gone
+        When the entry stops "a1" and is heard for 300 ms, and the worker, which lists both runs, rejects stops
+        And the worker lists only "a2" and confirms the stop of "a1"
+        Then the next view call extends the lease
+
+    Scenario: A stop that the worker executes at once costs no extension
+        When the entry stops "a1" and is heard for 40 ms, and the worker, which lists both runs, accepts stops
+        And the worker lists only "a2" and confirms the stop of "a1"
+        Then every view call extended the lease
+
+    Scenario: A stop that arrives after the lease of the entry has expired counts from that instant
+        When the entry is silent for 540 ms, and then stops "a1" before the agent has noticed
+        And the worker, which lists both runs, rejects stops for 1500 ms while the entry is heard
+        Then no lease lasts longer than 1260 ms after the entry was last heard
+
+    Scenario: Nothing starts while the lease is not extended
+        When the entry stops "a1" and is heard for 200 ms, and the worker, which lists both runs, rejects stops
+        And the entry orders the start of "a3"
+        Then "a3" is reported as not started, and no start of it was ordered
+        And the entry is told that the worker accepts no tasks
+
+    Scenario: A start without an answer is not repeated while the lease is not extended
+        When the entry stops "a1" and is heard for 55 ms, and the worker, which lists both runs, rejects stops
+        And the entry orders the start of "a3"
+        And the entry is heard for 100 ms, and the worker, which lists both runs, rejects stops
+        Then exactly one start of "a3" was ordered
+
+    Scenario: The lease of a run of an earlier process of the agent is never extended
+        Given an agent that finds a run of an earlier process
+        When the entry is heard for 1500 ms, and the worker, which lists both runs, rejects stops
+        Then no view call extended the lease
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -50,6 +50,11 @@
     readonly runningSince: number;
     readonly percent: number;
     readonly percentChangedAt: number;
+    /**
+     * Since when the run has to end because its entry has asked for that or the entry's lease has expired; the entry does
+     * not wait for the end for ever. Undefined while the run may go on.
+     */
+    readonly mustEndSince: number | undefined;
     /** End that is reported to the entry when the worker reports the run as stopped. */
     readonly stopReason: "stopped" | "stalled" | "moved" | "not-started";
 }
--- a/packages/lovagepitch-direct/src/agent/entryLeases.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLeases.ts
@@ -1,10 +1,11 @@
 /**
  * Leases that entries hold on their runs: an entry that is not heard from loses its runs and queued orders.
  */
-import { entryLeaseMilliseconds } from "../model/timing.js";
-import type { AgentState } from "./agentState.js";
+import { formatRunKey } from "../model/frames.js";
+import type { AgentState, RunRow } from "./agentState.js";
 import { withdrawQueuedOrder } from "./orderQueue.js";
 import { stopRun } from "./runOrders.js";
+import { listEntryLeaseExpiries } from "./workerLease.js";
 
 /**
  * Stops the runs and returns the queued orders of entries whose lease has expired.
@@ -15,15 +16,8 @@
     if (state.runs.size === 0 && state.queuedOrders.size === 0) {
         return;
     }
-    const leaseRenewedAt = new Map<string, number>();
-    for (const row of state.entries.values()) {
-        if (row.incarnation !== undefined) {
-            leaseRenewedAt.set(row.incarnation, row.leaseRenewedAt);
-        }
-    }
-    const isLeaseExpired = (entry: string): boolean => {
-        return state.now - (leaseRenewedAt.get(entry) ?? Number.NEGATIVE_INFINITY) > entryLeaseMilliseconds;
-    };
+    const expiries = listEntryLeaseExpiries(state);
+    const isLeaseExpired = (entry: string): boolean => state.now > (expiries.get(entry) ?? Number.NEGATIVE_INFINITY);
     for (const { entry, order } of [...state.queuedOrders.values()]) {
         if (isLeaseExpired(entry)) {
             withdrawQueuedOrder(state, entry, order);
@@ -38,7 +32,22 @@
                 ...row.identity,
                 entry: row.entry,
             });
-            stopRun(state, row, "stopped");
+            requireEnd(state, row, expiries.get(row.entry) ?? state.now);
         }
     }
 }
+
+/**
+ * Stops a run whose entry no longer wants it or is not heard any more. From then on the entry counts on its end within a
+ * bound, whatever the worker does with the stop.
+ *
+ * @param state - state of the agent
+ * @param row - row of the run
+ * @param since - instant from which the run has to end, in monotonic milliseconds; a later one than before has no effect
+ */
+export function requireEnd(state: AgentState, row: RunRow, since: number): void {
+    const mustEndSince = Math.min(row.mustEndSince ?? state.now, since);
+    const updated = { ...row, mustEndSince };
+    state.runs.set(formatRunKey(row.workerRun), updated);
+    stopRun(state, updated, "stopped");
+}
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -5,9 +5,10 @@
 import { entryLeaseMilliseconds, idleSilenceLimitMilliseconds, silenceLimitMilliseconds } from "../model/timing.js";
 import { noEvacuations } from "../model/zoneEvacuations.js";
 import type { AgentState, EntryRow } from "./agentState.js";
+import { requireEnd } from "./entryLeases.js";
 import { inviteEntry, receiveEntryLocations, recordReachable, recordUnreachable } from "./knownEntries.js";
 import { receiveStart, withdrawQueuedOrder } from "./orderQueue.js";
-import { declineStart, stopRun } from "./runOrders.js";
+import { declineStart } from "./runOrders.js";
 import { limitRestoredCapacity } from "./workerCapacity.js";
 import { receiveEvacuations } from "./zoneEvacuation.js";
 
@@ -189,7 +190,8 @@
         withdrawQueuedOrder(state, frame.entry, stop);
         const run = state.findRun(frame.entry, stop);
         if (run !== undefined) {
-            stopRun(state, run, "stopped");
+            // The frame may have been under way, or the agent paused, beyond the lease that the entry had until now.
+            requireEnd(state, run, row.leaseRenewedAt + entryLeaseMilliseconds);
         }
     }
     if (state.now - leaseRenewedAt > entryLeaseMilliseconds) {
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -10,6 +10,7 @@
 import { mustBeKeptApart } from "./isolation.js";
 import { endRun, reportEnd } from "./runEnds.js";
 import { isCapacityKnown } from "./workerCapacity.js";
+import { isLeaseWithheld } from "./workerLease.js";
 import { isZoneEvacuated } from "./zoneEvacuation.js";
 
 /** The worker rejects a start that arrives later than this, in milliseconds; it usually answers within a few. */
@@ -55,6 +56,7 @@
         runningSince: now,
         percent: 0,
         percentChangedAt: now,
+        mustEndSince: undefined,
         stopReason: "not-started",
     });
     sendStart(state, worker, order, workerRun);
@@ -107,10 +109,13 @@
 
 function getRepeatAt(state: AgentState, row: RunRow): number | undefined {
     // A repeated order could be the one that starts the task, in a zone in which none may start any more, or beyond a
-    // capacity that has shrunk.
+    // capacity that has shrunk, and it extends the worker's lease.
+    if (row.state !== "starting" || row.startAttempts !== 1) {
+        return undefined;
+    }
     const mayRepeat = state.worker?.isResponsive === true && !isZoneEvacuated(state)
-        && fitsInto(noResources, state.free);
-    return mayRepeat && row.state === "starting" && row.startAttempts === 1
+        && fitsInto(noResources, state.free) && !isLeaseWithheld(state);
+    return mayRepeat
         ? row.lastOrderSentAt + state.answerTime.repeatDelayMilliseconds
         : undefined;
 }
@@ -307,23 +312,13 @@
  * Tells whether the worker accepts new tasks.
  *
  * @param state - state of the agent
- * @returns false while its zone is evacuated, while the worker is unknown, has not reported lately, is unresponsive, draining, paused or runs its trial task, while it has a run
- *   of an earlier agent process, and when the agent shuts down
+ * @returns false while its zone is evacuated, while the worker is unknown, has not reported lately, is unresponsive, draining, paused or runs its trial task, while a run
+ *   that has to end goes on or was started by an earlier agent process, and when the agent shuts down
  */
 export function acceptsTasks(state: AgentState): boolean {
     const { worker } = state;
     return worker !== undefined && worker.isConfirmed && worker.hasReported && worker.isResponsive
         && isCapacityKnown(state, worker) && !worker.report.isDraining && !state.isShuttingDown
         && !isZoneEvacuated(state)
-        && !hasUnknownRun(state) && state.runs.size < getMaximumRuns(state.health, state.now);
-}
-
-/** Tells whether a run of an earlier process is left. Its resources are unknown, so no task is started beside it. */
-function hasUnknownRun(state: AgentState): boolean {
-    for (const row of state.runs.values()) {
-        if (row.order === undefined) {
-            return true;
-        }
-    }
-    return false;
+        && !isLeaseWithheld(state) && state.runs.size < getMaximumRuns(state.health, state.now);
 }
--- /dev/null
+++ b/packages/lovagepitch-direct/src/agent/workerLease.ts
@@ -0,0 +1,48 @@
+/**
+ * Lease of the worker's runs. One call extends the lease of everything that runs there, so a run that has to end and goes
+ * on, because the worker refuses its stop or executes it late, keeps the agent from extending it for the others too.
+ */
+import { entryLeaseMilliseconds, reactionAllowanceMilliseconds } from "../model/timing.js";
+import type { AgentState, RunRow } from "./agentState.js";
+
+/**
+ * Tells whether a run that has to end has gone on for longer than stops take. Until it has ended, no call may extend the
+ * worker's lease, neither a view nor a start; the lease then ends it in time for its entry.
+ *
+ * @param state - state of the agent
+ * @returns true while the lease must not be extended
+ */
+export function isLeaseWithheld(state: AgentState): boolean {
+    if (state.runs.size === 0) {
+        return false;
+    }
+    const expiries = listEntryLeaseExpiries(state);
+    for (const row of state.runs.values()) {
+        if (state.now > findRequiredEnd(row, expiries) + reactionAllowanceMilliseconds) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Finds the instant from which a run has to end: at once if an earlier process of the agent has started it. */
+function findRequiredEnd(row: RunRow, expiries: ReadonlyMap<string, number>): number {
+    const expiry = row.entry === undefined ? undefined : expiries.get(row.entry);
+    return Math.min(expiry ?? Number.NEGATIVE_INFINITY, row.mustEndSince ?? Number.POSITIVE_INFINITY);
+}
+
+/**
+ * Lists when the leases of entries expire unless they are renewed.
+ *
+ * @param state - state of the agent
+ * @returns monotonic milliseconds by incarnation of the entry; the lease of one that is missing has expired
+ */
+export function listEntryLeaseExpiries(state: AgentState): ReadonlyMap<string, number> {
+    const expiries = new Map<string, number>();
+    for (const { incarnation, leaseRenewedAt } of state.entries.values()) {
+        if (incarnation !== undefined) {
+            expiries.set(incarnation, leaseRenewedAt + entryLeaseMilliseconds);
+        }
+    }
+    return expiries;
+}
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -16,6 +16,7 @@
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
 import { revokeStart, stopRun } from "./runOrders.js";
 import { describeRuns, receiveCrash } from "./workerCrash.js";
+import { isLeaseWithheld } from "./workerLease.js";
 import { beginLaterLife, compareLives } from "./workerLives.js";
 import { removeWorker, takeEpoch } from "./workerRegistration.js";
 import { getUsualSpeed, recordRunSpeed } from "./workerSpeed.js";
@@ -77,7 +78,8 @@
     }
     // After a call without an answer, the lease is not extended until the worker answers again. Otherwise the agent
     // could not determine when the lease of the worker's runs expires.
-    const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0;
+    const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
+        && !isLeaseWithheld(state);
     const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : 0;
     const call = state.nextCall;
     state.nextCall += 1;
@@ -287,6 +289,7 @@
         runningSince: now,
         percent: run.percent,
         percentChangedAt: now,
+        mustEndSince: now,
         stopReason: "stopped",
     };
     state.addRun(row);
