fix(direct): time limits of an agent's orders count from the instant at which it has checked their preconditions

Cause: each reading of the time within a tick gave another instant. An agent that was paused between the check of an entry's lease and the order that follows from it gave the start, or the extension of the lease, a time limit that began after the pause, although the entry's lease had run out meanwhile.

Change: the time is the same within one tick.

Seen: `pausedAgents.feature` pauses the agent for 900 ms at each reading of the clock in turn. On the code before, starts were permitted until 1,200 ms and leases until 1,600 ms after the tick had begun (four scenarios failed); they pass. The other scenarios passed before too: orders and runs of an entry whose lease has expired during a pause, an answer that has waited during a pause.

--- a/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
+++ b/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
@@ -12,13 +12,37 @@
 
 type ViewCall = AgentOutput & { readonly kind: "view" };
 
+/** Clock that can advance at one of the next readings, as if the process was paused there. */
+class InterruptedClock extends ManualClock {
+    private readingsUntilPause = Number.POSITIVE_INFINITY;
+    private pauseMilliseconds = 0;
+
+    public override nowMilliseconds(): number {
+        this.readingsUntilPause -= 1;
+        if (this.readingsUntilPause === 0) {
+            this.advanceTo(super.nowMilliseconds() + this.pauseMilliseconds);
+        }
+        return super.nowMilliseconds();
+    }
+
+    /** Reads the time for the test itself. */
+    public get actualMilliseconds(): number {
+        return super.nowMilliseconds();
+    }
+
+    public pauseAtReading(reading: number, milliseconds: number): void {
+        this.readingsUntilPause = reading;
+        this.pauseMilliseconds = milliseconds;
+    }
+}
+
 /** An agent's core on a clock that the test advances. */
 export class AgentDriver {
     public readonly outputs: AgentOutput[] = [];
     /** Number of ticks of the core. */
     public ticks = 0;
     private frameSequence = 0;
-    private readonly clock = new ManualClock(1_000_000);
+    private readonly clock = new InterruptedClock(1_000_000);
     private readonly core = new AgentCore(
         { incarnation: "agent-1", instance: "side-1", availabilityZone: "zone-1" },
         this.clock,
@@ -35,22 +59,27 @@
     }
 
     public advance(milliseconds: number): void {
-        const endsAt = this.clock.nowMilliseconds() + milliseconds;
-        while (this.clock.nowMilliseconds() < endsAt) {
+        const endsAt = this.clock.actualMilliseconds + milliseconds;
+        while (this.clock.actualMilliseconds < endsAt) {
             const wakeAt = this.core.nextWakeAtMilliseconds() ?? endsAt;
-            this.clock.advanceTo(Math.max(this.clock.nowMilliseconds() + 1, Math.min(wakeAt, endsAt)));
+            this.clock.advanceTo(Math.max(this.clock.actualMilliseconds + 1, Math.min(wakeAt, endsAt)));
             this.tick();
         }
     }
 
     /** Current time of the agent's clock, in milliseconds. */
     public get now(): number {
-        return this.clock.nowMilliseconds();
+        return this.clock.actualMilliseconds;
     }
 
     /** Advances the clock while the agent's process is paused; what it has to do next waits for the next input or tick. */
     public pause(milliseconds: number): void {
-        this.clock.advanceTo(this.clock.nowMilliseconds() + milliseconds);
+        this.clock.advanceTo(this.clock.actualMilliseconds + milliseconds);
+    }
+
+    /** Pauses the process when it reads the clock for the given time from now, counted from 1. */
+    public pauseAtReading(reading: number, milliseconds: number): void {
+        this.clock.pauseAtReading(reading, milliseconds);
     }
 
     public listViewCalls(): readonly ViewCall[] {
@@ -60,7 +89,7 @@
     /** Answers the latest view call; the worker's clock is that of the test unless the view has another. */
     public answerView(view: Omit<WorkerView, "workerClock"> & Partial<WorkerView>): void {
         const call = this.listViewCalls().at(-1)?.call ?? 0;
-        this.accept({ kind: "view", call, view: { workerClock: this.clock.nowMilliseconds(), ...view } });
+        this.accept({ kind: "view", call, view: { workerClock: this.clock.actualMilliseconds, ...view } });
     }
 
     /** Registers and confirms a worker, and connects an entry. */
@@ -87,7 +116,7 @@
         const frame = {
             entry: "entry-1",
             sequence: this.frameSequence,
-            newestSentAt: this.clock.nowMilliseconds() - ageMilliseconds,
+            newestSentAt: this.clock.actualMilliseconds - ageMilliseconds,
             starts,
             stops: [],
             entryAddresses: [],
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -69,6 +69,7 @@
         const { state } = this;
         const inputs = this.inputs;
         this.inputs = [];
+        state.beginTick();
         receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
         expireWorkerLease(state);
         stopOrphanedRuns(state);
@@ -82,6 +83,7 @@
         connectEntries(state);
         sendFrames(state, this.lastSentAt);
         this.finishShutdown();
+        state.endTick();
         return state.outputs.splice(0);
     }
 
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -210,6 +210,8 @@
     public percentsAtMeasurement: ReadonlyMap<string, number> = new Map();
     public readonly outputs: AgentOutput[] = [];
     private reserved: Resources = noResources;
+    /** Instant of the tick that runs; undefined between ticks. */
+    private tickInstant: number | undefined;
 
     /**
      * @param identity - incarnation, instance and availability zone of the process
@@ -222,9 +224,22 @@
         public readonly reportIntervalMilliseconds: number | undefined,
     ) {}
 
-    /** Current monotonic time, in milliseconds. */
+    /**
+     * Current monotonic time, in milliseconds. It is the same within one tick: if the process is paused between a check and
+     * the order that follows from it, the order still counts its time limit from the instant of the check.
+     */
     public get now(): number {
-        return this.clock.nowMilliseconds();
+        return this.tickInstant ?? this.clock.nowMilliseconds();
+    }
+
+    /** Begins a tick. */
+    public beginTick(): void {
+        this.tickInstant = this.clock.nowMilliseconds();
+    }
+
+    /** Ends the tick. */
+    public endTick(): void {
+        this.tickInstant = undefined;
     }
 
     /** Capacity of the worker that no run occupies. */
