fix(direct): a queued order whose time is over is returned also when there is room

Cause: the time limit was only looked at while there was no room, so after a pause an expired order started.

Change: an order that has expired is returned to its entry first.

Seen: the scenario of `pausedAgents.feature` with a pause of 200 ms failed with a start, and passes.

--- a/packages/lovagepitch-direct/src/__tests__/pausedAgents.feature
+++ b/packages/lovagepitch-direct/src/__tests__/pausedAgents.feature
@@ -17,6 +17,11 @@
             | repeats a start             |
             | receives a view with a run  |
 
+    Scenario: A queued order whose time is over is returned after a pause, although there is room
+        Given an order of the entry that may wait 30 ms and for which there is no room
+        When the agent is paused for 200 ms, and the room is free in the first tick
+        Then the queued order is reported as not started, and no start was ordered for it
+
     Scenario: A queued order of an entry whose lease has expired is returned after a pause
         Given an order of the entry that may wait 5000 ms and for which there is no room
         When the agent is paused for 600 ms, and the room is free in the first tick
--- a/packages/lovagepitch-direct/src/agent/orderQueue.ts
+++ b/packages/lovagepitch-direct/src/agent/orderQueue.ts
@@ -69,11 +69,14 @@
         const { order, entry, expiresAt } = queued;
         const { worker } = state;
         const obstacle = worker === undefined ? "no worker" : findStartObstacle(state, worker, order);
-        if (worker !== undefined && obstacle === undefined) {
+        if (state.now >= expiresAt) {
+            returnOrder(state, queued);
+        }
+        else if (worker !== undefined && obstacle === undefined) {
             state.queuedOrders.delete(formatOrderKey(entry, order));
             startRun(state, worker, entry, order);
         }
-        else if (obstacle !== "insufficient free resources" || state.now >= expiresAt) {
+        else if (obstacle !== "insufficient free resources") {
             returnOrder(state, queued);
         }
     }
