--- a/packages/lovagepitch-direct/src/__tests__/absurdNumbers.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/absurdNumbers.steps.ts
@@ -4,7 +4,7 @@
 import { isAgentFrame, isEntryFrame } from "../links/frameGuards.js";
 import type { EndedRun } from "../model/frames.js";
 import { AgentDriver, createOrder, createRegistration, entryAddress } from "./agentDriver.js";
-import { createJob, ConnectedEntry } from "./connectedEntry.js";
+import { ConnectedEntry, createJob } from "./connectedEntry.js";
 
 type Message = Readonly<Record<string, unknown>>;
 
@@ -23,7 +23,15 @@
     sentAt: 1_000_000,
     includedSequence: 1,
     includedForMilliseconds: 3,
-    worker: { service: "drives", labels: [], capacity, free: capacity, awaited: capacity, acceptsTasks: true, speed: 1 },
+    worker: {
+        service: "drives",
+        labels: [],
+        capacity,
+        free: capacity,
+        awaited: capacity,
+        acceptsTasks: true,
+        speed: 1,
+    },
     ended: [{ ...run, end: "failed", ranMilliseconds: 80 }],
     openRuns: [{ ...run, task: 1 }],
     configuration: { version: 0 },
--- a/packages/lovagepitch-direct/src/__tests__/formerVersions.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/formerVersions.steps.ts
@@ -3,7 +3,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { EndedRun, RunIdentity } from "../model/frames.js";
 import { AgentDriver, createOrder, entryAddress } from "./agentDriver.js";
-import { createJob, ConnectedEntry } from "./connectedEntry.js";
+import { ConnectedEntry, createJob } from "./connectedEntry.js";
 
 const formerAgent = "agent-1";
 const job = createJob("00000000000000a1", { taskCount: 2, estimatedMilliseconds: 2000 });
--- a/packages/lovagepitch-direct/src/__tests__/refusals.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/refusals.steps.ts
@@ -1,7 +1,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { OrderedJobs } from "../policies/orderedJobs.js";
-import { createJob, ConnectedEntry } from "./connectedEntry.js";
+import { ConnectedEntry, createJob } from "./connectedEntry.js";
 
 const job = createJob("00000000000000a1");
 
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -50,6 +50,11 @@
     readonly runningSince: number;
     readonly percent: number;
     readonly percentChangedAt: number;
+    /**
+     * Since when the run has to end because its entry has asked for that or the entry's lease has expired; the entry does
+     * not wait for the end for ever. Undefined while the run may go on.
+     */
+    readonly mustEndSince: number | undefined;
     /** End that is reported to the entry when the worker reports the run as stopped. */
     readonly stopReason: "stopped" | "stalled" | "moved" | "not-started";
 }
@@ -210,6 +215,8 @@
     public percentsAtMeasurement: ReadonlyMap<string, number> = new Map();
     public readonly outputs: AgentOutput[] = [];
     private reserved: Resources = noResources;
+    /** Instant of the tick that runs; undefined between ticks. */
+    private tickInstant: number | undefined;
 
     /**
      * @param identity - incarnation, instance and availability zone of the process
@@ -222,9 +229,22 @@
         public readonly reportIntervalMilliseconds: number | undefined,
     ) {}
 
-    /** Current monotonic time, in milliseconds. */
+    /**
+     * Current monotonic time, in milliseconds. It is the same within one tick: if the process is paused between a check and
+     * the order that follows from it, the order still counts its time limit from the instant of the check.
+     */
     public get now(): number {
-        return this.clock.nowMilliseconds();
+        return this.tickInstant ?? this.clock.nowMilliseconds();
+    }
+
+    /** Begins a tick. */
+    public beginTick(): void {
+        this.tickInstant = this.clock.nowMilliseconds();
+    }
+
+    /** Ends the tick. */
+    public endTick(): void {
+        this.tickInstant = undefined;
     }
 
     /** Capacity of the worker that no run occupies. */
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -21,7 +21,13 @@
 export function receiveJob(state: EntryState, request: number, job: DirectJob): void {
     const known = state.jobs.get(job.id);
     if (known !== undefined && !isSameJob(known.job, job)) {
-        state.outputs.push({ kind: "answer", request, job: job.id, answer: { kind: "id-in-use" }, afterMilliseconds: 0 });
+        state.outputs.push({
+            kind: "answer",
+            request,
+            job: job.id,
+            answer: { kind: "id-in-use" },
+            afterMilliseconds: 0,
+        });
         state.log("warn", "job rejected because another one of its id is open", {
             job: job.id,
             route: job.route,
