fix(direct): a queued order starts at the first check after its time is over, and not after a pause

Cause: returned every order whose time was over at a check. Orders are checked every 6 ms and queued for some 30 ms, so orders whose room became free just before the end of their time were returned too.

Change: an order is returned although there is room when a whole interval has passed since its end: the process was paused. No bound depends on the end of the queueing time; entries count on the lease and on their stops.

--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -18,7 +18,7 @@
     receiveEntryFrame,
 } from "./entryLinks.js";
 import { closeUnusedConnections, receiveEntryLocations, updatePartners } from "./knownEntries.js";
-import { startQueuedOrders } from "./orderQueue.js";
+import { queueCheckIntervalMilliseconds, startQueuedOrders } from "./orderQueue.js";
 import { findNextRepeatAt, receiveStartAnswer, receiveStopAnswer, repeatLateStarts, resendStops } from "./runOrders.js";
 import { stopStalledRuns } from "./stalledRuns.js";
 import { receiveReport, receiveWorkerLeft, restoreWorker } from "./workerRegistration.js";
@@ -30,9 +30,6 @@
 /** Longest time between ticks without runs, in milliseconds; heartbeats are rarer, and connections due have own timers. */
 const idleTickIntervalMilliseconds = idleHeartbeatIntervalMilliseconds / 2;
 
-/** Longest time between ticks while orders are queued, in milliseconds; a small part of the time that they may wait. */
-const queueCheckIntervalMilliseconds = 6;
-
 /** Core of an agent: turns inputs into worker calls, frames and log lines, without input or output of its own. */
 export class AgentCore extends Core<AgentInput, AgentOutput> {
     private readonly state: AgentState;
--- a/packages/lovagepitch-direct/src/agent/orderQueue.ts
+++ b/packages/lovagepitch-direct/src/agent/orderQueue.ts
@@ -11,6 +11,9 @@
 /** Largest number of queued orders; about as many as start within the time that an order may be queued. */
 const maximumQueuedOrders = 4;
 
+/** Longest time between ticks while orders are queued, in milliseconds; a small part of the time that they may wait. */
+export const queueCheckIntervalMilliseconds = 6;
+
 /**
  * Starts a task, queues its order, or returns the order at once when the task cannot start on this worker.
  *
@@ -69,14 +72,15 @@
         const { order, entry, expiresAt } = queued;
         const { worker } = state;
         const obstacle = worker === undefined ? "no worker" : findStartObstacle(state, worker, order);
-        if (state.now >= expiresAt) {
+        if (state.now >= expiresAt + queueCheckIntervalMilliseconds) {
+            // No check has been made since it expired, so this process was paused.
             returnOrder(state, queued);
         }
         else if (worker !== undefined && obstacle === undefined) {
             state.queuedOrders.delete(formatOrderKey(entry, order));
             startRun(state, worker, entry, order);
         }
-        else if (obstacle !== "insufficient free resources") {
+        else if (obstacle !== "insufficient free resources" || state.now >= expiresAt) {
             returnOrder(state, queued);
         }
     }
