fix(direct): a view call that is executed late does not extend the lease of runs whose agent has ended

Cause: a call without an answer may be executed seconds later. A lower epoch takes no effect at the worker, but the agent kept its epoch.

Change: after a call without an answer that extends the lease (a view or a start), the agent raises its epoch with the next view call, and extends the lease again only when the worker has answered a view call with that epoch. At most one such call can then be left when the agent ends. An order that was sent before the epoch was raised and is rejected for it shows no other process, so the agent goes on accepting tasks. Calls that extend nothing raise no epoch, so a worker that does not respond costs one.

Seen: six scenarios with every third call executed 2.5 s late and agents killed or frozen 100, 400 and 900 ms after a start failed with all tasks of these agents on two workers at the same time; they pass.

--- a/packages/lovagepitch-direct/src/__tests__/workerLeases.feature
+++ b/packages/lovagepitch-direct/src/__tests__/workerLeases.feature
@@ -58,3 +58,24 @@
         Given an agent that finds a run of an earlier process
         When the entry is heard for 1500 ms, and the worker, which lists both runs, rejects stops
         Then no view call extended the lease
+
+    # A call without an answer may be executed seconds later. The worker does nothing for an epoch below one that it has seen.
+    Scenario: A view call without an answer takes no effect once the worker answers again
+        When the worker does not answer a view call that extends the lease
+        Then the next view call has a higher epoch and does not extend the lease
+        And after its answer the lease is extended with that epoch
+
+    Scenario: A start without an answer takes no effect once the worker answers again
+        When the worker does not answer the start of "a3", and answers the view that was asked for before
+        Then the next view call has a higher epoch and does not extend the lease
+        And after its answer the lease is extended with that epoch
+
+    Scenario: The epoch is raised once while a worker does not respond
+        When the worker answers no view call for 2000 ms
+        Then the view calls had 2 epochs, and only the first one extended the lease
+
+    Scenario: An order that the agent's own higher epoch has overtaken does not make it refuse tasks
+        When the worker does not answer a view call that extends the lease, just after the start of "a3"
+        And the start of "a3" is rejected for its epoch, and the worker answers the next view call
+        Then "a3" is reported as not started
+        And the entry was told all the while that the worker accepts tasks
--- a/packages/lovagepitch-direct/src/__tests__/workerLeases.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/workerLeases.steps.ts
@@ -160,3 +160,76 @@
 });
 
 Then("exactly one start of {string} was ordered", (job: string) => assert.equal(countStarts(job), 1));
+
+function failOpenView(): void {
+    const call = agent.listViewCalls().at(-1)?.call ?? 0;
+    agent.accept({ kind: "view-failed", call, failure: { kind: "unknown" } });
+}
+
+When("the worker does not answer a view call that extends the lease", () => {
+    assert.notEqual(agent.listViewCalls().at(-1)?.leaseExpiresAt, undefined);
+    failOpenView();
+});
+
+When("the worker does not answer the start of {string}, and answers the view that was asked for before", (
+    job: string,
+) => {
+    agent.receiveStarts([createOrder(job)]);
+    agent.accept({ kind: "start-answered", life: 1, run: createRun(job), outcome: "unknown" });
+    answerOpenView(["a1", "a2"]);
+});
+
+Then("the next view call has a higher epoch and does not extend the lease", () => {
+    const [former, next] = agent.listViewCalls().slice(-2);
+    assert.ok(former !== undefined && next !== undefined && next.epoch > former.epoch);
+    assert.equal(next.leaseExpiresAt, undefined);
+});
+
+Then("after its answer the lease is extended with that epoch", () => {
+    answerOpenView(["a1", "a2"]);
+    const [former, next] = agent.listViewCalls().slice(-2);
+    assert.equal(next?.epoch, former?.epoch);
+    assert.notEqual(next?.leaseExpiresAt, undefined);
+});
+
+When("the worker answers no view call for {int} ms", (milliseconds: number) => {
+    for (let elapsed = 0; elapsed < milliseconds; elapsed += stepMilliseconds) {
+        failOpenView();
+        agent.advance(stepMilliseconds);
+        agent.receiveStarts([]);
+    }
+});
+
+Then("the view calls had {int} epochs, and only the first one extended the lease", (epochs: number) => {
+    const calls = listNew().filter(output => output.kind === "view");
+    const open = agent.listViewCalls().find(({ call }) => call === (calls[0]?.call ?? 0) - 1);
+    assert.ok(open !== undefined && calls.length > 10);
+    assert.equal(new Set([open, ...calls].map(({ epoch }) => epoch)).size, epochs);
+    assert.deepEqual(calls.filter(({ leaseExpiresAt }) => leaseExpiresAt !== undefined), []);
+});
+
+When("the worker does not answer a view call that extends the lease, just after the start of {string}", (
+    job: string,
+) => {
+    agent.receiveStarts([createOrder(job)]);
+    outputsBefore = agent.outputs.length;
+    agent.advance(1);
+    failOpenView();
+});
+
+When("the start of {string} is rejected for its epoch, and the worker answers the next view call", (job: string) => {
+    agent.accept({ kind: "start-answered", life: 1, run: createRun(job), outcome: "outdated-epoch" });
+    answerOpenView(["a1", "a2"]);
+    agent.advance(200);
+});
+
+Then("{string} is reported as not started", (job: string) => {
+    const ended = agent.outputs.flatMap(output => output.kind === "frame" ? output.frame.ended : []);
+    assert.deepEqual(ended.filter(end => end.job === job).map(({ end }) => end), ["not-started"]);
+});
+
+Then("the entry was told all the while that the worker accepts tasks", () => {
+    const frames = listNew().filter(output => output.kind === "frame");
+    assert.ok(frames.length > 1);
+    assert.ok(frames.every(({ frame }) => frame.worker?.acceptsTasks === true));
+});
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -137,15 +137,26 @@
      * Sent with each order; the worker rejects orders with a lower epoch, which an earlier process of this agent sent.
      */
     readonly epoch: number;
+    /**
+     * Highest epoch with which the worker has answered a view call. Calls with a lower one take no effect any more,
+     * whenever they are executed.
+     */
+    readonly confirmedEpoch: number;
+    /** When this process last raised the epoch itself. */
+    readonly epochRaisedAt: number;
+    /** True when a call with the current epoch that extends the lease got no answer; it may still be executed. */
+    readonly hasLateCall: boolean;
     /** True while the epoch is not derived from the worker's clock, because the worker has not reported yet. */
     readonly needsEpoch: boolean;
-    /** True once the worker has answered a view call with this epoch and its incarnation. */
+    /** True once the worker has answered a view call as this incarnation, until it has seen an epoch of another process. */
     readonly isConfirmed: boolean;
     /** Worker's clock minus the agent's clock, in milliseconds. */
     readonly clockOffset: number;
     readonly acknowledgedEndSequence: number;
     /** When the latest view call that extends the lease was sent. */
     readonly leaseExtensionSentAt: number;
+    /** Number of that call; 0 before the first one. */
+    readonly leaseExtensionCall: number;
     readonly lastAnsweredAt: number;
     /** Number of latest view calls without an answer. */
     readonly missedViews: number;
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -157,6 +157,9 @@
  * @param outcome - outcome of the order
  */
 export function receiveStartAnswer(state: AgentState, run: WorkerRun, outcome: OrderOutcome): void {
+    if (outcome === "unknown" && state.worker !== undefined) {
+        state.worker = { ...state.worker, hasLateCall: true };
+    }
     const row = state.runs.get(formatRunKey(run));
     if (row?.state !== "starting") {
         return;
@@ -178,7 +181,7 @@
             // The former incarnation has ended with all its runs, but the other attempt may have started this one.
             return isOnlyAttempt ? rejectStart(state, row, outcome) : endRun(state, row, "lost");
         case "outdated-epoch":
-            requestNewEpoch(state);
+            requestNewEpoch(state, row);
             return isOnlyAttempt ? endRun(state, row, "not-started") : recordUnanswered(state, row);
         case "unknown": {
             const unansweredAttempts = row.unansweredAttempts + 1;
@@ -239,7 +242,7 @@
         return;
     }
     if (outcome === "outdated-epoch") {
-        requestNewEpoch(state);
+        requestNewEpoch(state, row);
         return;
     }
     state.runs.set(formatRunKey(run), { ...row, state: "stopped", visibleFromCall: state.nextCall });
@@ -260,10 +263,10 @@
 
 /**
  * Marks the epoch as unconfirmed. The worker rejects the next view too and returns its clock, which gives the new
- * epoch.
+ * epoch. An order that was sent before this process raised its epoch shows nothing of another process.
  */
-function requestNewEpoch(state: AgentState): void {
-    if (state.worker !== undefined) {
+function requestNewEpoch(state: AgentState, row: RunRow): void {
+    if (state.worker !== undefined && row.lastOrderSentAt > state.worker.epochRaisedAt) {
         state.worker = { ...state.worker, isConfirmed: false };
         state.markUpdatePending();
     }
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -16,7 +16,7 @@
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
 import { revokeStart, stopRun } from "./runOrders.js";
 import { describeRuns, receiveCrash } from "./workerCrash.js";
-import { isLeaseWithheld } from "./workerLease.js";
+import { excludeLateCalls, isLeaseWithheld } from "./workerLease.js";
 import { beginLaterLife, compareLives } from "./workerLives.js";
 import { removeWorker, takeEpoch } from "./workerRegistration.js";
 import { getUsualSpeed, recordRunSpeed } from "./workerSpeed.js";
@@ -72,6 +72,7 @@
  * @param state - state of the agent
  */
 export function requestView(state: AgentState): void {
+    excludeLateCalls(state);
     const { worker } = state;
     if (worker === undefined || worker.callInFlight !== undefined || state.now < worker.nextCallAt) {
         return;
@@ -79,7 +80,7 @@
     // After a call without an answer, the lease is not extended until the worker answers again. Otherwise the agent
     // could not determine when the lease of the worker's runs expires.
     const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
-        && !isLeaseWithheld(state);
+        && worker.confirmedEpoch === worker.epoch && !worker.hasLateCall && !isLeaseWithheld(state);
     const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : 0;
     const call = state.nextCall;
     state.nextCall += 1;
@@ -97,6 +98,7 @@
         ...worker,
         callInFlight: call,
         leaseExtensionSentAt: extendsLease ? state.now : worker.leaseExtensionSentAt,
+        leaseExtensionCall: extendsLease ? call : worker.leaseExtensionCall,
     };
 }
 
@@ -147,6 +149,7 @@
         report: worker.report.startedAt === undefined && view.startedAt !== undefined
             ? { ...worker.report, startedAt: view.startedAt }
             : worker.report,
+        confirmedEpoch: worker.epoch,
         isConfirmed: true,
         clockOffset: view.workerClock - state.now,
         lastAnsweredAt: state.now,
@@ -160,6 +163,7 @@
             worker.acknowledgedEndSequence,
         ),
     };
+    excludeLateCalls(state);
     for (const ended of view.ended) {
         const row = state.runs.get(formatRunKey(ended));
         if (row !== undefined) {
@@ -322,10 +326,12 @@
         takeEpoch(state, worker, failure.workerClock);
         return;
     }
+    const hasLateCall = worker.hasLateCall || (failure.kind === "unknown" && call === worker.leaseExtensionCall);
     if (worker.isResponsive && worker.missedViews === 0) {
         // A single answer may be lost; a call that does not wait shows within milliseconds whether the worker responds.
         state.viewMissedAt = state.now;
-        state.worker = { ...worker, missedViews: 1, callInFlight: undefined, nextCallAt: state.now };
+        state.worker = { ...worker, hasLateCall, missedViews: 1, callInFlight: undefined, nextCallAt: state.now };
+        excludeLateCalls(state);
         return;
     }
     if (failure.kind === "refused") {
@@ -341,11 +347,13 @@
     }
     state.worker = {
         ...worker,
+        hasLateCall,
         missedViews: worker.missedViews + 1,
         isResponsive: false,
         callInFlight: undefined,
         nextCallAt: state.now + (state.runs.size > 0 ? viewRetryDelayMilliseconds : idleViewRetryDelayMilliseconds),
     };
+    excludeLateCalls(state);
     for (const row of [...state.runs.values()].filter(other => other.state === "unanswered")) {
         revokeStart(state, row);
     }
--- a/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.feature
@@ -48,3 +48,18 @@
             | fault                                     |
             | refuse stops                              |
             | execute stops 3000 ms late without answer |
+
+    # Some view calls get no answer and are executed 2.5 s later, and the lease that they ask for counts from then on.
+    Scenario Outline: View calls that are executed late do not extend leases after their agents have been <fault> <milliseconds> ms after a start
+        Given every third call to a worker is executed late, and its lease counts from then on
+        When a job starts at entry 0, and half of the agents are <fault> after <milliseconds> ms
+        Then no task has run twice at the same time within 8000 ms, and the job sent again is done
+
+        Examples:
+            | fault  | milliseconds |
+            | killed | 100          |
+            | killed | 400          |
+            | killed | 900          |
+            | frozen | 100          |
+            | frozen | 400          |
+            | frozen | 900          |
--- a/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.steps.ts
@@ -5,6 +5,9 @@
 import { setFault } from "./directFaults.js";
 
 const taskMilliseconds = 2500;
+
+/** Time after which calls that were executed late have begun to arrive, in milliseconds. */
+const lateCallsWarmUpMilliseconds = 3000;
 const warmUpMilliseconds = 300;
 
 const job = {
@@ -86,6 +89,30 @@
     agents.forEach(index => deployment.restartAgent(index));
 });
 
+Given("every third call to a worker is executed late, and its lease counts from then on", () => {
+    deployment = createDeployment(2, 4);
+    deployment.workers.forEach((_, index) => {
+        setFault(deployment, index, { unansweredCallInterval: 3, lateViewsCountFromArrival: true });
+    });
+    deployment.advance(lateCallsWarmUpMilliseconds);
+});
+
+When(
+    "a job starts at entry {int}, and half of the agents are {word} after {int} ms",
+    (entry: number, fault: string, milliseconds: number) => {
+        deployment.submit(entry, job);
+        deployment.advance(milliseconds);
+        for (const index of [0, 2]) {
+            if (fault === "killed") {
+                deployment.killAgent(index);
+            }
+            else {
+                deployment.setFrozen("agent", index, true);
+            }
+        }
+    },
+);
+
 Then(
     "no task has run twice at the same time within {int} ms, and the job sent again is done",
     (milliseconds: number) => {
--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -29,6 +29,8 @@
     orderDelayMilliseconds: number | undefined;
     /** Each so many-th call is executed 2.5 s late and gets no response; undefined for no fault. */
     unansweredCallInterval: number | undefined;
+    /** The lease that a view call asks for counts from its execution when it is executed late. */
+    lateViewsCountFromArrival: boolean;
     /** Stops are executed after this delay, in milliseconds, and get no response; undefined for no fault. */
     stopDelayMilliseconds: number | undefined;
     /** Stops are rejected, as by an unhealthy worker that answers all other calls. */
@@ -62,6 +64,7 @@
     public readonly faults: WorkerFaults = {
         orderDelayMilliseconds: undefined,
         unansweredCallInterval: undefined,
+        lateViewsCountFromArrival: false,
         stopDelayMilliseconds: undefined,
         rejectsStops: false,
         ignoresLatestStart: false,
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -165,7 +165,11 @@
         if (worker.isNextCallLate()) {
             this.schedule(lateCallDelayMilliseconds, () => {
                 const current = getAt(this.workers, agent);
-                (current.id === worker.id ? current : worker).view(request);
+                const addedMilliseconds = worker.faults.lateViewsCountFromArrival ? lateCallDelayMilliseconds : 0;
+                const leaseExpiresAt = request.leaseExpiresAt === undefined
+                    ? undefined
+                    : request.leaseExpiresAt + addedMilliseconds;
+                (current.id === worker.id ? current : worker).view({ ...request, leaseExpiresAt });
             });
         }
         else if (worker.isUp && !worker.faults.isPartitioned) {
