--- a/packages/lovagepitch-direct/src/entry/endJob.ts
+++ b/packages/lovagepitch-direct/src/entry/endJob.ts
@@ -38,6 +38,7 @@
     const isExpected = answer.kind === "done" || answer.kind === "cancelled";
     state.log(isExpected ? "info" : "warn", "job answered", {
         job: job.id,
+        submission: row.submission,
         route: job.route,
         answer: answer.kind,
         ...("reason" in answer ? { reason: answer.reason } : {}),
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -140,6 +140,7 @@
     state.jobs.set(row.job.id, { ...row, waitingTasks, openRuns: row.openRuns + placements.length });
     state.log("info", "tasks placed", {
         job: row.job.id,
+        submission: row.submission,
         tasks: placements.map(({ task, run, instance }) => [task, run, instance]),
         waitingTasks: waitingTasks.length,
         ...readShareState(state, row) === "short" ? { isShort: true } : {},
