fix(entry): an entry that was paused places no task before it has learned which callers have gone

Cause: agents stop the runs of a paused entry and report it when the entry resumes. The tick that receives these reports placed the tasks again at once, although the callers' connections had broken meanwhile and their jobs ran at another entry: the process runs that tick before it learns of the closed connections.

Change: after more than the lease of an entry (500 ms) without a tick, nothing is placed for 60 ms.

Seen: three scenarios (entry frozen for 1,400, 2,000 and 3,500 ms, closed connections noticed 20 ms after it resumes) failed with all tasks on two workers at the same time; they pass.

--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -26,6 +26,7 @@
 import { receiveEvacuations } from "./evacuationRelay.js";
 import { reportLink } from "./linkReport.js";
 import { expireJobs, findNextExpiry, placeTasks } from "./placement.js";
+import { detectPause } from "./processPause.js";
 import { interruptJobs, receiveCallerDisconnected, receiveCancellation, receiveJob } from "./submissions.js";
 
 /**
@@ -157,6 +158,7 @@
         const { state } = this;
         const inputs = this.inputs;
         this.inputs = [];
+        detectPause(state);
         state.linkBacklog.recordTick(state.now);
         receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
         if (state.now >= this.nextLostAgentCheckAt) {
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -168,6 +168,10 @@
     /** True when something has changed that may let a waiting task be placed. */
     public isPlacementDue = false;
     public lastPlacementAt = 0;
+    /** Start of the latest tick, in monotonic milliseconds; undefined before the first one. */
+    public lastTickAt: number | undefined;
+    /** No task is placed before this instant, because the process was paused. */
+    public placesFrom = Number.NEGATIVE_INFINITY;
     public readonly outputs: EntryOutput[] = [];
     private submissionCount = 0;
 
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -34,6 +34,9 @@
  * @param state - state of the entry
  */
 export function placeTasks(state: EntryState): void {
+    if (state.now < state.placesFrom) {
+        return;
+    }
     // The end of a worker's pause triggers no event, so placement also runs at intervals.
     if (!state.isPlacementDue && state.now - state.lastPlacementAt < placementIntervalMilliseconds) {
         return;
--- a/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.feature
@@ -63,3 +63,15 @@
             | frozen | 100          |
             | frozen | 400          |
             | frozen | 900          |
+
+    # A process that resumes may run a tick before it learns that connections of callers broke meanwhile.
+    Scenario Outline: An entry that resumes after <milliseconds> ms and learns only then that its caller has gone starts nothing for it
+        When entry 0 is frozen while its caller's connection breaks, and the caller sends its job to entry 1 after 1300 ms
+        And entry 0 resumes <milliseconds> ms after it was frozen, and learns 20 ms later that the connection is broken
+        Then no task has run twice at the same time within 8000 ms, and the job sent again is done
+
+        Examples:
+            | milliseconds |
+            | 1400         |
+            | 2000         |
+            | 3500         |
--- a/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/workerLeases.steps.ts
@@ -89,6 +89,26 @@
     agents.forEach(index => deployment.restartAgent(index));
 });
 
+When(
+    "entry {int} is frozen while its caller's connection breaks, and the caller sends its job to entry 1 after {int} ms",
+    (entry: number, milliseconds: number) => {
+        deployment.setFrozen("entry", entry, true);
+        sendAgainAfter(milliseconds);
+    },
+);
+
+When(
+    "entry {int} resumes {int} ms after it was frozen, and learns {int} ms later that the connection is broken",
+    (entry: number, frozenMilliseconds: number, laterMilliseconds: number) => {
+        deployment.advance(frozenMilliseconds);
+        deployment.setFrozen("entry", entry, false);
+        deployment.advance(laterMilliseconds);
+        deployment.closeCallerConnection(entry, request, job.id);
+        // The caller has sent its job to the other entry before, so its tasks may start.
+        deployment.record.clearCancellation(job.id);
+    },
+);
+
 Given("every third call to a worker is executed late, and its lease counts from then on", () => {
     deployment = createDeployment(2, 4);
     deployment.workers.forEach((_, index) => {
