fix(direct): time limits on the worker's clock allow for its rate error since it was read

Cause: the agent took the worker's clock for as fast as its own since the latest answer. After a pause of 560 ms between an answer and the next call, a clock that is 2 % slow was 11 ms behind the estimate, so a lease lasted 1,285 ms after the entry was last heard.

Change: the estimate is the lowest value that the clock may show.

Seen: two scenarios of `pausedAgents.feature` with a pause of 500 ms failed with limits of 700 and 300 ms on the worker's clock instead of 690 and 290, and pass. The figure of 1,285 ms is computed.

--- a/packages/lovagepitch-direct/src/__tests__/pausedAgents.feature
+++ b/packages/lovagepitch-direct/src/__tests__/pausedAgents.feature
@@ -41,3 +41,14 @@
         Given a run of the entry that the worker has listed
         When the agent is paused for 300 ms, and the worker answers the view that was asked for before
         Then the next view call extends the lease by at most 700 ms on the worker's clock
+
+    # A worker's clock may be 2 % slow: after 500 ms it shows up to 10 ms less than the agent expects.
+    Scenario: A lease that is asked for some time after the worker's clock was read allows for the rate error of that clock
+        Given a view with the end of another run, after which the agent does not call the worker at once
+        When the agent is paused for 500 ms, and then hears of the entry
+        Then the next view call extends the lease by at most 690 ms on the worker's clock
+
+    Scenario: A start that is ordered some time after the worker's clock was read allows for the rate error of that clock
+        Given a view with the end of another run, after which the agent does not call the worker at once
+        When the agent is paused for 500 ms, and then receives a start order
+        Then the start is permitted for at most 290 ms on the worker's clock
--- a/packages/lovagepitch-direct/src/__tests__/pausedAgents.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/pausedAgents.steps.ts
@@ -171,3 +171,26 @@
     assert.ok(call?.kind === "view" && call.leaseExpiresAt !== undefined);
     assert.ok(call.leaseExpiresAt <= agent.now + milliseconds);
 });
+
+Given("a view with the end of another run, after which the agent does not call the worker at once", () => {
+    agent.receiveStarts([createLargeOrder()]);
+    agent.accept({ kind: "start-answered", life: 1, run: largeRun, outcome: "accepted" });
+    freeRoom();
+    outputsBefore = agent.outputs.length;
+});
+
+When("the agent is paused for {int} ms, and then hears of the entry", (milliseconds: number) => {
+    agent.pause(milliseconds);
+    agent.receiveStarts([]);
+});
+
+When("the agent is paused for {int} ms, and then receives a start order", (milliseconds: number) => {
+    agent.pause(milliseconds);
+    agent.receiveStarts([createOrder(job)]);
+});
+
+Then("the start is permitted for at most {int} ms on the worker's clock", (milliseconds: number) => {
+    const [start] = listNew("start");
+    assert.ok(start?.kind === "start");
+    assert.ok(start.latestStart <= agent.now + milliseconds, `${start.latestStart - agent.now} ms`);
+});
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -10,7 +10,7 @@
 import { mustBeKeptApart } from "./isolation.js";
 import { endRun, reportEnd } from "./runEnds.js";
 import { isCapacityKnown } from "./workerCapacity.js";
-import { isLeaseWithheld } from "./workerLease.js";
+import { estimateWorkerClock, isLeaseWithheld } from "./workerLease.js";
 import { isZoneEvacuated } from "./zoneEvacuation.js";
 
 /** The worker rejects a start that arrives later than this, in milliseconds; it usually answers within a few. */
@@ -70,7 +70,7 @@
         order,
         run,
         epoch: worker.epoch,
-        latestStart: Math.floor(state.now + worker.clockOffset + startWindowMilliseconds),
+        latestStart: Math.floor(estimateWorkerClock(worker, state.now) + startWindowMilliseconds),
         timeoutMilliseconds: orderTimeoutMilliseconds,
     });
 }
--- a/packages/lovagepitch-direct/src/agent/workerLease.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLease.ts
@@ -2,8 +2,8 @@
  * Lease of the worker's runs. One call extends the lease of everything that runs there, so a run that has to end and goes
  * on, because the worker refuses its stop or executes it late, keeps the agent from extending it for the others too.
  */
-import { entryLeaseMilliseconds, reactionAllowanceMilliseconds } from "../model/timing.js";
-import type { AgentState, RunRow } from "./agentState.js";
+import { entryLeaseMilliseconds, reactionAllowanceMilliseconds, workerClockRateError } from "../model/timing.js";
+import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 
 /**
  * Tells whether a run that has to end has gone on for longer than stops take. Until it has ended, no call may extend the
@@ -61,3 +61,15 @@
         state.worker = { ...worker, epoch: worker.epoch + 1, epochRaisedAt: state.now, hasLateCall: false };
     }
 }
+
+/**
+ * Estimates the worker's clock. The estimate is never ahead of the clock, which may have run slowly since the worker's
+ * latest answer; a time limit that is computed from it does not end too late.
+ *
+ * @param worker - row of the worker
+ * @param now - current monotonic time, in milliseconds
+ * @returns lowest value that the worker's clock may show, in milliseconds
+ */
+export function estimateWorkerClock(worker: WorkerRow, now: number): number {
+    return now + worker.clockOffset - (now - worker.lastAnsweredAt) * workerClockRateError;
+}
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -16,7 +16,7 @@
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
 import { revokeStart, stopRun } from "./runOrders.js";
 import { describeRuns, receiveCrash } from "./workerCrash.js";
-import { excludeLateCalls, isLeaseWithheld } from "./workerLease.js";
+import { estimateWorkerClock, excludeLateCalls, isLeaseWithheld } from "./workerLease.js";
 import { beginLaterLife, compareLives } from "./workerLives.js";
 import { removeWorker, takeEpoch } from "./workerRegistration.js";
 import { getUsualSpeed, recordRunSpeed } from "./workerSpeed.js";
@@ -89,7 +89,9 @@
         call,
         worker: worker.report.id,
         epoch: worker.epoch,
-        leaseExpiresAt: extendsLease ? Math.floor(state.now + worker.clockOffset + workerLeaseMilliseconds) : undefined,
+        leaseExpiresAt: extendsLease
+            ? Math.floor(estimateWorkerClock(worker, state.now) + workerLeaseMilliseconds)
+            : undefined,
         acknowledgedEndSequence: worker.acknowledgedEndSequence,
         waitMilliseconds,
         timeoutMilliseconds: waitMilliseconds + orderTimeoutMilliseconds,
