fix(direct): views wait for an end also while the lease is withheld

Cause: a view that did not extend the lease asked for an answer at once, so that the agent called its worker without a break for as long as a run that had to end went on.

Change: only views after a call without an answer do not wait.

Seen: the last step of "Nothing starts while the lease is not extended" failed without the change, and passes.

--- a/packages/lovagepitch-direct/src/__tests__/workerLeases.feature
+++ b/packages/lovagepitch-direct/src/__tests__/workerLeases.feature
@@ -47,6 +47,7 @@
         And the entry orders the start of "a3"
         Then "a3" is reported as not started, and no start of it was ordered
         And the entry is told that the worker accepts no tasks
+        And the next view call may wait for an end
 
     Scenario: A start without an answer is not repeated while the lease is not extended
         When the entry stops "a1" and is heard for 55 ms, and the worker, which lists both runs, rejects stops
--- a/packages/lovagepitch-direct/src/__tests__/workerLeases.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/workerLeases.steps.ts
@@ -159,6 +159,11 @@
     assert.equal(frames.at(-1)?.frame.worker?.acceptsTasks, false);
 });
 
+Then("the next view call may wait for an end", () => {
+    const call = agent.listViewCalls().at(-1);
+    assert.ok(call !== undefined && call.leaseExpiresAt === undefined && call.waitMilliseconds > 0);
+});
+
 Then("exactly one start of {string} was ordered", (job: string) => assert.equal(countStarts(job), 1));
 
 function failOpenView(): void {
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -79,9 +79,10 @@
     }
     // After a call without an answer, the lease is not extended until the worker answers again. Otherwise the agent
     // could not determine when the lease of the worker's runs expires.
-    const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
-        && worker.confirmedEpoch === worker.epoch && !worker.hasLateCall && !isLeaseWithheld(state);
-    const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : 0;
+    const isAnswering = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
+        && worker.confirmedEpoch === worker.epoch && !worker.hasLateCall;
+    const extendsLease = isAnswering && !isLeaseWithheld(state);
+    const waitMilliseconds = isAnswering ? getViewWaitMilliseconds(state) : 0;
     const call = state.nextCall;
     state.nextCall += 1;
     state.outputs.push({
