--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -16,7 +16,7 @@
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
 import { revokeStart, stopRun } from "./runOrders.js";
 import { describeRuns, receiveCrash } from "./workerCrash.js";
-import { excludeLateCalls, isLeaseWithheld } from "./workerLease.js";
+import { estimateWorkerClock, excludeLateCalls, isLeaseWithheld } from "./workerLease.js";
 import { beginLaterLife, compareLives } from "./workerLives.js";
 import { removeWorker, takeEpoch } from "./workerRegistration.js";
 import { getUsualSpeed, recordRunSpeed } from "./workerSpeed.js";
@@ -79,9 +79,10 @@
     }
     // After a call without an answer, the lease is not extended until the worker answers again. Otherwise the agent
     // could not determine when the lease of the worker's runs expires.
-    const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
-        && worker.confirmedEpoch === worker.epoch && !worker.hasLateCall && !isLeaseWithheld(state);
-    const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : 0;
+    const isAnswering = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
+        && worker.confirmedEpoch === worker.epoch && !worker.hasLateCall;
+    const extendsLease = isAnswering && !isLeaseWithheld(state);
+    const waitMilliseconds = isAnswering ? getViewWaitMilliseconds(state) : 0;
     const call = state.nextCall;
     state.nextCall += 1;
     state.outputs.push({
@@ -89,7 +90,9 @@
         call,
         worker: worker.report.id,
         epoch: worker.epoch,
-        leaseExpiresAt: extendsLease ? Math.floor(state.now + worker.clockOffset + workerLeaseMilliseconds) : undefined,
+        leaseExpiresAt: extendsLease
+            ? Math.floor(estimateWorkerClock(worker, state.now) + workerLeaseMilliseconds)
+            : undefined,
         acknowledgedEndSequence: worker.acknowledgedEndSequence,
         waitMilliseconds,
         timeoutMilliseconds: waitMilliseconds + orderTimeoutMilliseconds,
