test(testing): callers whose connections break at any step send their jobs again among random faults

The record keeps submissions by request. It now finds, beside what it found: an answer to a request of another job or entry, or a second answer; a run that starts or goes on more than 1,300 ms after the end of its last submission (before: starts more than 3,000 ms after a cancellation); two runs of a task on one worker; a violation names runs, their starts and all submissions, and is followed by the faults and the history of its job. Two checks were wrong for jobs that are sent again and are replaced: a refusal is false if the job's latest start has no submission that was not refused and is open or ended at most 1,300 ms before (before: after any start without an interruption); a start is false under the same condition (before: after any refusal).

--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
@@ -0,0 +1,22 @@
+@direct
+Feature: Callers and connections
+
+    Connections of callers break at any step of a job, and the callers send it again after 1,300 ms, while connections between
+    entries and agents are replaced and processes and workers fail.
+
+    # By hand with other seeds: SEED_OFFSET is added to each seed, and a failure prints the sum.
+    Scenario Outline: Callers send jobs again among faults in random order, seed <seed>
+        When 20 connections, processes and workers fail at random while callers send jobs again, seed <seed>
+        Then each caller has the true answer to its own request, and nothing ran twice or on
+        And at least 60 jobs of these callers were done
+
+        Examples:
+            | seed |
+            | 1    |
+            | 2    |
+            | 3    |
+            | 4    |
+            | 5    |
+            | 6    |
+            | 7    |
+            | 8    |
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -103,24 +103,33 @@
         this.nextRequestId += 1;
         this.jobs.set(job.id, complete);
         this.submissionTimes.set(job.id, [...this.listSubmissions(job.id), this.clock.nowMilliseconds()]);
-        this.record.clearCancellation(job.id);
-        this.record.recordSubmission(entry, job.id, complete.specification, alwaysFails);
+        this.record.recordSubmission(entry, job.id, complete.specification, alwaysFails, request);
         this.deliverInput(this.getEntryHost(entry), { kind: "submitted", request, job: complete });
         return request;
     }
 
     /**
-     * Closes the connection of a waiting caller and records the job as cancelled.
+     * Closes the connection of a waiting caller, which cancels the job unless other callers wait for it.
      *
      * @param entry - index of the entry
      * @param request - id of the caller's request
      * @param job - id of the job
      */
     public closeCallerConnection(entry: number, request: number, job: string): void {
-        this.record.recordCancellation(entry, job);
+        this.record.recordDisconnection(entry, job, request);
         this.deliverInput(this.getEntryHost(entry), { kind: "caller-disconnected", request, job });
     }
 
+    /**
+     * Cancels a job at its caller's request; the waiting callers are told.
+     *
+     * @param entry - index of the entry
+     * @param job - id of the job
+     */
+    public cancel(entry: number, job: string): void {
+        this.deliverInput(this.getEntryHost(entry), { kind: "cancelled", job });
+    }
+
     /**
      * Kills the process of an entry and closes its connections.
      *
@@ -326,8 +335,10 @@
     }
 
     private performEntryOutput(entry: number, output: EntryOutput): void {
+        this.record.history?.addEntryOutput(entry, output);
         if (output.kind === "answer") {
-            this.record.recordAnswer(entry, output.job, output.answer, this.jobs.get(output.job)?.taskCount ?? 0);
+            const { request, job, answer } = output;
+            this.record.recordAnswer(entry, request, job, answer, this.jobs.get(job)?.taskCount ?? 0);
             this.linkNetwork.sendAnswer(entry);
         }
         else if (output.kind === "frame") {
@@ -340,6 +351,7 @@
     }
 
     private performAgentOutput(agent: number, output: AgentOutput): void {
+        this.record.history?.addAgentOutput(agent, output);
         switch (output.kind) {
             case "connect":
                 this.linkNetwork.connect(agent, Number(output.address));
--- a/packages/lovagepitch-testing/src/direct/directRecord.ts
+++ b/packages/lovagepitch-testing/src/direct/directRecord.ts
@@ -5,11 +5,14 @@
 import type { JobAnswer } from "@lovagepitch/direct/model/directJob";
 import type { RunIdentity } from "@lovagepitch/direct/model/frames";
 import type { Clock } from "@lovagepitch/utils/clock";
+import type { JobHistory } from "./jobHistory.js";
+import { SubmissionRecord } from "./submissionRecord.js";
 
 /** An answer that a caller received. */
 export interface RecordedAnswer {
     readonly job: string;
     readonly entry: number;
+    readonly request: number;
     readonly answer: JobAnswer;
     readonly atMilliseconds: number;
 }
@@ -23,6 +26,13 @@
     readonly atMilliseconds: number;
 }
 
+/** A run that has not ended. */
+interface RunningRun {
+    readonly worker: string;
+    readonly run: RunIdentity;
+    readonly startedAt: number;
+}
+
 /** Number of crashed workers after which a task may be started only so many times more. */
 const crashBudget = 3;
 
@@ -32,23 +42,25 @@
     public readonly answers: RecordedAnswer[] = [];
     public readonly crashes: RecordedCrash[] = [];
     public startCount = 0;
+    /** Where it is set, lines about each job are kept. */
+    public history: JobHistory | undefined;
     private readonly startsByWorker = new Map<string, RunIdentity[]>();
     private readonly starts: { readonly worker: string; readonly run: RunIdentity; readonly atMilliseconds: number }[] =
         [];
     private readonly endCounts = new Map<string, number>();
     private readonly submittedSpecifications = new Map<string, string>();
     private readonly failingJobs = new Set<string>();
-    private readonly startedJobs = new Set<string>();
-    private readonly runningTasks = new Map<string, string>();
+    private readonly latestStarts = new Map<string, number>();
+    /** Runs that have not ended, by job and position of the task. */
+    private readonly runningTasks = new Map<string, readonly RunningRun[]>();
     /** Instant of the latest success of each task, by job and position of the task. */
     private readonly succeededTasks = new Map<string, Map<number, number>>();
-    /** Instant since which an entry has an open submission of a job, by entry and job. */
-    private readonly openSubmissions = new Map<string, number>();
+    private readonly submissions = new SubmissionRecord();
+    private firstViolatingJob: string | undefined;
     /** Jobs with a task that has crashed a worker. */
     private readonly crashingJobs = new Set<string>();
     /** Number of workers that crashed while a task ran, and of its starts after the bound was reached, by task. */
     private readonly crashedUnder = new Map<string, { readonly crashes: number; readonly startsBeyond: number }>();
-    private readonly cancellationTimes = new Map<string, number>();
 
     /**
      * @param clock - clock of the deployment
@@ -62,25 +74,36 @@
      * @param job - id of the job
      * @param specification - specification that each start of its tasks must carry
      * @param alwaysFails - true if every run of the job fails
+     * @param request - id of the caller's request
      */
-    public recordSubmission(entry: number, job: string, specification: string, alwaysFails: boolean): void {
+    public recordSubmission(
+        entry: number,
+        job: string,
+        specification: string,
+        alwaysFails: boolean,
+        request = 0,
+    ): void {
         this.submittedSpecifications.set(job, specification);
-        const submission = formatSubmission(entry, job);
-        this.openSubmissions.set(submission, this.openSubmissions.get(submission) ?? this.clock.nowMilliseconds());
+        this.submissions.add(entry, job, request, this.clock.nowMilliseconds());
+        this.history?.add(job, `request ${request} submits it to entry ${entry}`);
         if (alwaysFails) {
             this.failingJobs.add(job);
         }
     }
 
     /**
-     * Records that the last caller of a job has disconnected, which cancels the job.
+     * Records that a caller has disconnected.
      *
      * @param entry - index of the entry
      * @param job - id of the job
+     * @param request - id of the caller's request
      */
-    public recordCancellation(entry: number, job: string): void {
-        this.cancellationTimes.set(job, this.clock.nowMilliseconds());
-        this.openSubmissions.delete(formatSubmission(entry, job));
+    public recordDisconnection(entry: number, job: string, request: number): void {
+        this.history?.add(job, `request ${request} at entry ${entry} is disconnected`);
+        const submission = this.submissions.find(entry, job, request);
+        if (submission !== undefined && submission.end === undefined) {
+            this.submissions.end(submission, "disconnected", this.clock.nowMilliseconds());
+        }
     }
 
     /**
@@ -89,20 +112,7 @@
      * @param entry - index of the entry
      */
     public recordEntryEnd(entry: number): void {
-        for (const submission of [...this.openSubmissions.keys()]) {
-            if (submission.startsWith(formatSubmission(entry, ""))) {
-                this.openSubmissions.delete(submission);
-            }
-        }
-    }
-
-    /**
-     * Removes the record of a cancellation because the job is submitted again, so its tasks may start again.
-     *
-     * @param job - id of the job
-     */
-    public clearCancellation(job: string): void {
-        this.cancellationTimes.delete(job);
+        this.submissions.endAll(entry, this.clock.nowMilliseconds());
     }
 
     /**
@@ -127,29 +137,63 @@
         this.startCount += 1;
         this.startsByWorker.set(worker, [...this.listStarts(worker), run]);
         this.starts.push({ worker, run, atMilliseconds: this.clock.nowMilliseconds() });
-        this.startedJobs.add(run.job);
+        this.latestStarts.set(run.job, this.clock.nowMilliseconds());
+        this.history?.add(run.job, `${worker} has started ${run.task}/${run.run}`);
         const task = `${run.job}/${run.task}`;
         this.checkCrashBudget(task);
-        const otherWorker = this.runningTasks.get(task);
-        if (otherWorker !== undefined) {
-            this.violations.push(`task ${task} runs on ${otherWorker} and ${worker} at the same time`);
-        }
-        this.runningTasks.set(task, worker);
+        this.addRunning(task, { worker, run, startedAt: this.clock.nowMilliseconds() });
         if (!isWithinCapacity) {
-            this.violations.push(`the running tasks of worker ${worker} exceed its capacity`);
+            this.addViolation(run.job, `the running tasks of worker ${worker} exceed its capacity`);
         }
         if (this.submittedSpecifications.get(run.job) !== specification) {
-            this.violations.push(`task ${task} was started with a specification that no caller submitted`);
+            this.addViolation(run.job, `task ${task} was started with a specification that no caller submitted`);
         }
-        if (this.answers.some(({ job, answer }) => job === run.job && answer.kind === "refused")) {
-            this.violations.push(`task ${task} started after its job was refused`);
+    }
+
+    /** Adds a run, and checks that it is the only one of its task, and that its submission has not ended. */
+    private addRunning(task: string, started: RunningRun): void {
+        const { worker, run, startedAt } = started;
+        const others = this.runningTasks.get(task) ?? [];
+        this.runningTasks.set(task, [...others, started]);
+        for (const other of others) {
+            this.addViolation(
+                run.job,
+                `task ${task} runs on ${other.worker} (run ${other.run.run}, since ${other.startedAt}) and ${worker} (run ${run.run}, `
+                    + `since ${startedAt}) at the same time; submitted ${this.submissions.describe(run.job)}`,
+            );
         }
-        const cancelledAt = this.cancellationTimes.get(run.job);
-        if (cancelledAt !== undefined && this.clock.nowMilliseconds() - cancelledAt > 3000) {
-            this.violations.push(`task ${task} started more than 3000 ms after its job was cancelled`);
+        if (startedAt > this.submissions.findRunBound(run.job, startedAt)) {
+            this.addViolation(
+                run.job,
+                `task ${task} started on ${worker} at ${startedAt}, after its job was answered or its caller had gone; `
+                    + `submitted ${this.submissions.describe(run.job)}`,
+            );
         }
     }
 
+    /** Checks that a run does not go on after its submission has ended. */
+    private checkDuration(task: string, { worker, run, startedAt }: RunningRun): void {
+        const now = this.clock.nowMilliseconds();
+        const bound = this.submissions.findRunBound(run.job, startedAt);
+        if (startedAt <= bound && now > bound) {
+            this.addViolation(
+                run.job,
+                `task ${task} ran on ${worker} from ${startedAt} to ${now}, later than ${bound}, for a submission that had ended; `
+                    + `submitted ${this.submissions.describe(run.job)}`,
+            );
+        }
+    }
+
+    private addViolation(job: string, text: string): void {
+        this.violations.push(text);
+        this.firstViolatingJob ??= job;
+    }
+
+    /** Lists the history of the job of the first violation, where it is kept. */
+    public listFirstViolationHistory(): readonly string[] {
+        return this.firstViolatingJob === undefined ? [] : this.history?.list(this.firstViolatingJob) ?? [];
+    }
+
     private checkCrashBudget(task: string): void {
         const { crashes, startsBeyond } = this.crashedUnder.get(task) ?? { crashes: 0, startsBeyond: 0 };
         if (crashes < crashBudget) {
@@ -157,7 +201,8 @@
         }
         this.crashedUnder.set(task, { crashes, startsBeyond: startsBeyond + 1 });
         if (startsBeyond + 1 === crashBudget) {
-            this.violations.push(
+            this.addViolation(
+                task.split("/")[0] ?? "",
                 `task ${task} was started ${crashBudget} times after it had crashed ${crashes} workers`,
             );
         }
@@ -201,9 +246,19 @@
     public recordEnd(worker: string, run: RunIdentity, end: ReportedRunEnd["end"]): void {
         const task = `${run.job}/${run.task}`;
         this.endCounts.set(end, this.countRunEnds(end) + 1);
-        if (this.runningTasks.get(task) === worker) {
+        this.history?.add(run.job, `${worker} has ended ${run.task}/${run.run}: ${end}`);
+        const running = this.runningTasks.get(task) ?? [];
+        const ended = running.find(other => other.worker === worker && other.run.run === run.run);
+        if (ended !== undefined) {
+            this.checkDuration(task, ended);
+        }
+        const rest = running.filter(other => other !== ended);
+        if (rest.length === 0) {
             this.runningTasks.delete(task);
         }
+        else {
+            this.runningTasks.set(task, rest);
+        }
         if (end === "succeeded") {
             const tasks = this.succeededTasks.get(run.job) ?? new Map<number, number>();
             this.succeededTasks.set(run.job, tasks.set(run.task, this.clock.nowMilliseconds()));
@@ -214,30 +269,41 @@
      * Records an answer to a caller.
      *
      * @param entry - index of the entry that answered
+     * @param request - id of the caller's request
      * @param job - id of the job
      * @param answer - the answer
      * @param taskCount - number of tasks of the job
      */
-    public recordAnswer(entry: number, job: string, answer: JobAnswer, taskCount: number): void {
-        this.answers.push({ job, entry, answer, atMilliseconds: this.clock.nowMilliseconds() });
-        const submission = formatSubmission(entry, job);
-        if (answer.kind === "done" && this.countSuccesses(job, this.openSubmissions.get(submission)) !== taskCount) {
-            this.violations.push(`job ${job} was answered as done, but not all tasks of this submission succeeded`);
+    public recordAnswer(entry: number, request: number, job: string, answer: JobAnswer, taskCount: number): void {
+        const now = this.clock.nowMilliseconds();
+        this.answers.push({ job, entry, request, answer, atMilliseconds: now });
+        this.history?.add(job, `entry ${entry} answers request ${request}: ${answer.kind}`);
+        const submission = this.submissions.find(entry, job, request);
+        if (submission?.end === "disconnected") {
+            // The entry may have answered before it noticed; nobody receives the answer.
+            return;
         }
-        this.openSubmissions.delete(submission);
-        // An earlier sending of the job that was answered as interrupted has told the caller that tasks had started.
-        const wasInterrupted = this.answers.some(other => other.job === job && other.answer.kind === "interrupted");
-        if (answer.kind === "refused" && this.startedJobs.has(job) && !wasInterrupted) {
-            this.violations.push(`job ${job} was refused after a task had started`);
+        if (submission === undefined || submission.end !== undefined) {
+            this.addViolation(job, `entry ${entry} answered request ${request}, which is no open request for ${job}`);
+            return;
+        }
+        this.submissions.end(submission, answer.kind, now);
+        if (answer.kind === "done" && this.countSuccesses(job, submission.acceptedAt) !== taskCount) {
+            this.addViolation(job, `job ${job} was answered as done, but not all tasks of this submission succeeded`);
+        }
+        // Only another submission that was not refused explains a start.
+        const startedAt = this.latestStarts.get(job) ?? Number.NEGATIVE_INFINITY;
+        if (answer.kind === "refused" && startedAt > this.submissions.findRunBound(job, startedAt)) {
+            this.addViolation(job, `job ${job} was refused after a task had started`);
         }
         const hasCause = this.failingJobs.has(job) || this.crashingJobs.has(job) || this.hasCrashedTwice(job);
         if (answer.kind === "failed" && !hasCause) {
-            this.violations.push(`job ${job} was answered as failed, but its tasks can succeed`);
+            this.addViolation(job, `job ${job} was answered as failed, but its tasks can succeed`);
         }
     }
 
     /** Counts the tasks of a job that have succeeded since an instant. */
-    private countSuccesses(job: string, since = Number.POSITIVE_INFINITY): number {
+    private countSuccesses(job: string, since: number): number {
         return [...this.succeededTasks.get(job)?.values() ?? []].filter(at => at >= since).length;
     }
 
@@ -299,12 +365,15 @@
         return [...this.runningTasks.keys()];
     }
 
+    /** Checks the runs that have not ended against the ends of their submissions. */
+    public checkRunningTasks(): void {
+        for (const [task, running] of this.runningTasks) {
+            running.forEach(run => this.checkDuration(task, run));
+        }
+    }
+
     /** Counts the answers of one kind. */
     public countAnswers(kind: JobAnswer["kind"]): number {
         return this.answers.filter(({ answer }) => answer.kind === kind).length;
     }
 }
-
-function formatSubmission(entry: number, job: string): string {
-    return `${entry} ${job}`;
-}
--- a/packages/lovagepitch-testing/src/direct/linkNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/linkNetwork.ts
@@ -18,10 +18,20 @@
     readonly number: number;
     readonly entry: number;
     readonly agent: number;
+    /** Incarnation of the entry's process. */
+    readonly incarnation: number;
     isOpen: boolean;
-    isSilent: boolean;
+    /** Frames to the agent are lost. */
+    isSilentToAgent: boolean;
+    /** Frames to the entry are lost. */
+    isSilentToEntry: boolean;
+    /** Further latency of what the agent sends and of its end, in milliseconds; what was sent arrives after the end too. */
+    delayToEntry: number;
 }
 
+/** Directions of a connection in which frames are lost. */
+export type SilentDirection = "to-agent" | "to-entry" | "both";
+
 /** Delivers an input to a process. */
 export type DeliverInput = <Input, Output>(host: CoreHost<Input, Output>, input: Input) => void;
 
@@ -70,7 +80,7 @@
         }
         const link = this.entryLinks.get(connection.entry);
         const queueMilliseconds = link?.send(connection.number, frame) ?? 0;
-        this.scheduleDelivery(connection, () => {
+        this.scheduleDelivery(connection, () => !connection.isOpen || connection.isSilentToAgent, () => {
             link?.recordArrival(frame);
             this.deliverToAgent(connection, frame);
         }, queueMilliseconds);
@@ -86,7 +96,16 @@
     public sendToEntry(agent: number, entry: number, frame: AgentFrame): void {
         this.countFrame(frame);
         const connection = this.connectionsByEnds.get(formatEnds(entry, agent));
-        this.scheduleDelivery(connection, () => this.deliverToEntry(connection, frame), this.delayToEntries);
+        if (connection === undefined) {
+            return;
+        }
+        const { delayToEntry } = connection;
+        const isLost = (): boolean => {
+            const isClosed = delayToEntry === 0 ? !connection.isOpen : this.hasEntryEnded(connection);
+            return isClosed || connection.isSilentToEntry;
+        };
+        const onArrival = (): void => this.deliverToEntry(connection, frame);
+        this.scheduleDelivery(connection, isLost, onArrival, this.delayToEntries + delayToEntry);
     }
 
     /**
@@ -115,10 +134,28 @@
      * Makes open connections drop their data permanently without being closed. New connections work.
      *
      * @param matches - selects connections by index of entry and agent
+     * @param direction - where frames are lost
+     */
+    public silence(matches: (entry: number, agent: number) => boolean, direction: SilentDirection = "both"): void {
+        for (const connection of this.connections.values()) {
+            const isSilenced = matches(connection.entry, connection.agent);
+            connection.isSilentToAgent ||= isSilenced && direction !== "to-entry";
+            connection.isSilentToEntry ||= isSilenced && direction !== "to-agent";
+        }
+    }
+
+    /**
+     * Delays what agents send on open connections. When such a connection is replaced, the entry receives the rest of
+     * its frames, and then its end, after the first frames of the next one.
+     *
+     * @param matches - selects connections by index of entry and agent
+     * @param milliseconds - further latency, in milliseconds
      */
-    public silence(matches: (entry: number, agent: number) => boolean): void {
+    public delayToEntry(matches: (entry: number, agent: number) => boolean, milliseconds: number): void {
         for (const connection of this.connections.values()) {
-            connection.isSilent ||= matches(connection.entry, connection.agent);
+            if (matches(connection.entry, connection.agent)) {
+                connection.delayToEntry = Math.max(connection.delayToEntry, milliseconds);
+            }
         }
     }
 
@@ -154,7 +191,16 @@
             );
             return;
         }
-        const connection = { number: this.nextConnection, entry, agent, isOpen: true, isSilent: false };
+        const connection = {
+            number: this.nextConnection,
+            entry,
+            agent,
+            incarnation: host.incarnation,
+            isOpen: true,
+            isSilentToAgent: false,
+            isSilentToEntry: false,
+            delayToEntry: 0,
+        };
         this.connections.set(connection.number, connection);
         this.connectionsByEnds.set(formatEnds(entry, agent), connection);
         this.nextConnection += 1;
@@ -197,10 +243,14 @@
         this.connections.delete(connection.number);
         this.connectionsByEnds.delete(formatEnds(connection.entry, connection.agent));
         this.scheduleAfterLatency(() => {
-            this.deliverInput(getAt(this.entries, connection.entry), {
-                kind: "disconnected",
-                connection: connection.number,
-            });
+            if (!this.hasEntryEnded(connection)) {
+                this.deliverInput(getAt(this.entries, connection.entry), {
+                    kind: "disconnected",
+                    connection: connection.number,
+                });
+            }
+        }, connection.delayToEntry);
+        this.scheduleAfterLatency(() => {
             if (!byAgent) {
                 const address = String(connection.entry);
                 this.deliverInput(getAt(this.agents, connection.agent), {
@@ -217,14 +267,21 @@
         this.configurationCount += configuration.configuration === undefined ? 0 : 1;
     }
 
+    /** Tells whether the entry's process at the end of a connection has ended. */
+    private hasEntryEnded({ entry, incarnation }: Connection): boolean {
+        const host = getAt(this.entries, entry);
+        return !host.isRunning || host.incarnation !== incarnation;
+    }
+
     private scheduleDelivery(
-        connection: Connection | undefined,
+        connection: Connection,
+        isLost: () => boolean,
         onArrival: () => void,
-        queueMilliseconds = 0,
+        queueMilliseconds: number,
     ): void {
-        if (connection !== undefined && connection.isOpen && !connection.isSilent) {
+        if (connection.isOpen && !isLost()) {
             this.scheduleAfterLatency(() => {
-                if (connection.isOpen && !connection.isSilent) {
+                if (!isLost()) {
                     onArrival();
                 }
             }, queueMilliseconds);
