fix(agent): the bound of a worker's lease counts start orders and orders for a former life

Cause: an agent counted the lease from its latest view call alone. A start order extends the lease to its latest start, 300 ms after it was sent; an agent that was paused with a view call under way sends starts when it wakes, up to 340 ms and more after that call. And the first view call of a later life replaced the longer bound that an order for the former life may have set. Runs were reported as lost, and started elsewhere, while they might go on.

Change: both extend the bound, and none shortens it.

Tests: "The lease of a worker whose agent was paused lasts as long as the latest start order may" was seen to fail without the change (lost 214 ms after the start, which may last 306 ms).

--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -164,7 +164,10 @@
     /** Worker's clock minus the agent's clock, in milliseconds. */
     readonly clockOffset: number;
     readonly acknowledgedEndSequence: number;
-    /** When the latest view call that extends the lease was sent. */
+    /**
+     * When the latest view call that extends the lease was sent; later when a start order has extended the lease beyond
+     * that of the call.
+     */
     readonly leaseExtensionSentAt: number;
     /** Number of that call; 0 before the first one. */
     readonly leaseExtensionCall: number;
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -3,7 +3,7 @@
  */
 import { type EndedRun, formatRunKey, pickRunIdentity, type StartOrder } from "../model/frames.js";
 import { fitsInto, noResources } from "../model/resources.js";
-import { orderTimeoutMilliseconds } from "../model/timing.js";
+import { orderTimeoutMilliseconds, workerLeaseMilliseconds } from "../model/timing.js";
 import { getMaximumRuns } from "../policies/workerHealth.js";
 import type { OrderOutcome, WorkerRun } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
@@ -63,6 +63,12 @@
 }
 
 function sendStart(state: AgentState, worker: WorkerRow, order: StartOrder, run: WorkerRun): void {
+    if (state.worker !== undefined) {
+        // The worker extends its lease to the latest start.
+        const extensionAt = state.now + startWindowMilliseconds - workerLeaseMilliseconds;
+        const leaseExtensionSentAt = Math.max(state.worker.leaseExtensionSentAt, extensionAt);
+        state.worker = { ...state.worker, leaseExtensionSentAt };
+    }
     state.outputs.push({
         kind: "start",
         worker: worker.report.id,
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -97,7 +97,9 @@
     state.worker = {
         ...worker,
         callInFlight: call,
-        leaseExtensionSentAt: extendsLease ? state.now : worker.leaseExtensionSentAt,
+        leaseExtensionSentAt: extendsLease
+            ? Math.max(state.now, worker.leaseExtensionSentAt)
+            : worker.leaseExtensionSentAt,
         leaseExtensionCall: extendsLease ? call : worker.leaseExtensionCall,
     };
 }
