fix(agent): the runs of a worker that announces its end are lost only when that is certain

Cause: the announcement ended all runs as lost at once. A worker announces its end and then ends; until it has, its tasks run, and they were started elsewhere beside themselves.

Change: the worker gets no more tasks; its runs end as it lists them, when another incarnation answers, or with their lease. Without runs it is removed at once, as before.

Tests: two scenarios replace the last step of "The announcement of the former life's end is ignored when it arrives late", which asked for the loss at once, and which failed with the change.

--- a/packages/lovagepitch-direct/src/__tests__/workerLives.feature
+++ b/packages/lovagepitch-direct/src/__tests__/workerLives.feature
@@ -62,7 +62,24 @@
         And the worker announces its end without its start
         And the worker that has started at 1000 announces its end
         Then the ends "a lost" have been reported
-        When the worker that has started at 2000 announces its end
+
+    # Guards against runs that are given up while the process of a worker that has announced its end still runs.
+    Scenario: A worker that announces its end keeps its runs until their lease has expired, and gets no tasks
+        When the worker that has started at 2000 reports as number 1
+        And the worker that has started at 2000 answers the view with runs "b"
+        And the worker that has started at 2000 announces its end
+        Then the ends "a lost" have been reported
+        And the worker accepts no tasks
+        When the worker that has started at 2000 lists run "b" as succeeded with number 1
+        Then the ends "a lost, b succeeded" have been reported
+
+    Scenario: The runs of a worker that does not answer after its announced end are lost with their lease
+        When the worker that has started at 2000 reports as number 1
+        And the worker that has started at 2000 answers the view with runs "b"
+        And the worker that has started at 2000 announces its end
+        And all its calls are refused for 1005 ms
+        Then the ends "a lost" have been reported
+        When all its calls are refused for 15 ms
         Then the ends "a lost, b lost" have been reported
 
     Scenario: Queued orders and the worker's health begin anew
--- a/packages/lovagepitch-direct/src/__tests__/workerLives.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/workerLives.steps.ts
@@ -53,7 +53,10 @@
 }
 
 function doesAcceptTasks(): boolean | undefined {
-    agent.advance(300);
+    for (let passed = 0; passed < 300; passed += 100) {
+        agent.advance(100);
+        agent.receiveStarts([]);
+    }
     return agent.outputs.filter(output => output.kind === "frame").at(-1)?.frame.worker?.acceptsTasks;
 }
 
@@ -162,6 +165,15 @@
     agent.accept({ kind: "worker-left", worker, startedAt });
 });
 
+When("all its calls are refused for {int} ms", (milliseconds: number) => {
+    for (let passed = 0; passed < milliseconds; passed += viewDelayMilliseconds) {
+        const call = agent.listViewCalls().at(-1)?.call ?? 0;
+        agent.accept({ kind: "view-failed", call, failure: { kind: "refused" } });
+        agent.receiveStarts([]);
+        agent.advance(viewDelayMilliseconds);
+    }
+});
+
 When("{int} ms pass for the worker's agent", (milliseconds: number) => agent.advance(milliseconds));
 
 When("the worker confirms the stop of {string} and lists no run", (job: string) => {
--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -21,7 +21,7 @@
 import { queueCheckIntervalMilliseconds, startQueuedOrders } from "./orderQueue.js";
 import { findNextRepeatAt, receiveStartAnswer, receiveStopAnswer, repeatLateStarts, resendStops } from "./runOrders.js";
 import { stopStalledRuns } from "./stalledRuns.js";
-import { receiveReport, receiveWorkerLeft, restoreWorker } from "./workerRegistration.js";
+import { receiveReport, receiveWorkerLeft, removeLeftWorker, restoreWorker } from "./workerRegistration.js";
 import { expireWorkerLease, findNextViewAt, receiveView, receiveViewFailure, requestView } from "./workerViews.js";
 
 /** Longest time between ticks, in milliseconds; bounds the delay until silence, stalls and due resends are detected. */
@@ -69,6 +69,7 @@
         state.beginTick();
         receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
         expireWorkerLease(state);
+        removeLeftWorker(state);
         stopOrphanedRuns(state);
         stopStalledRuns(state);
         startQueuedOrders(state);
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -178,6 +178,8 @@
     readonly isResponsive: boolean;
     /** Refused view calls since the worker last answered; undefined when there was none, or another failure since. */
     readonly refusal: WorkerRefusal | undefined;
+    /** True once the worker has announced its end; what runs there ends with it. */
+    readonly hasLeft: boolean;
     readonly callInFlight: number | undefined;
     readonly nextCallAt: number;
 }
--- a/packages/lovagepitch-direct/src/agent/workerLives.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLives.ts
@@ -109,6 +109,7 @@
         missedViews: 0,
         isResponsive: true,
         refusal: undefined,
+        hasLeft: false,
         callInFlight: undefined,
         nextCallAt: now,
     };
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -135,6 +135,7 @@
         missedViews: 0,
         isResponsive: true,
         refusal: undefined,
+        hasLeft: false,
         callInFlight: undefined,
         nextCallAt: state.now,
     };
@@ -166,7 +167,7 @@
 }
 
 /**
- * Removes the worker, because it has announced its end. An announcement of a former life under the same id is ignored;
+ * Handles the worker's announcement that it ends: it gets no more tasks, and is removed once it has no runs. An announcement of a former life under the same id is ignored;
  * when it does not say which life ends, it is that of the current one only if that one drains.
  *
  * @param state - state of the agent
@@ -185,7 +186,21 @@
         state.log("info", "announcement of a former life of the worker ignored", { worker: id, startedAt });
     }
     else {
-        state.log("info", "worker left", { worker: id });
+        state.log("info", "worker left", { worker: id, runs: state.runs.size });
+        // Its process may run on for a moment, so its runs are lost only when that is certain.
+        state.worker = { ...worker, hasLeft: true, report: { ...worker.report, isDraining: true } };
+        state.markUpdatePending();
+        removeLeftWorker(state);
+    }
+}
+
+/**
+ * Removes a worker that has announced its end once it has no runs.
+ *
+ * @param state - state of the agent
+ */
+export function removeLeftWorker(state: AgentState): void {
+    if (state.worker?.hasLeft === true && state.runs.size === 0) {
         removeWorker(state);
     }
 }
