fix(platform): a worker's connections are not used for its successor

Cause: an agent's connections to its worker were kept when another incarnation took its place. A process that has stopped listening may serve what it has accepted for a moment; it answers calls for its successor with 421, and the agent took that for the end of the successor, whose runs it gave up and placed elsewhere. With an id that is kept, it would even execute orders for the successor.

Change: each life of the worker that the agent knows gets connections of its own; requests name the life. So "another incarnation" always comes over a connection that was opened since the agent knows the life, from a process that listened after it had answered its first view.

--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -18,7 +18,10 @@
     | "outdated-epoch"
     /** No usable response: the order may have been executed, or may still be. */
     | "unknown"
-    /** A different incarnation of the worker answered. */
+    /**
+     * A different incarnation of the worker answered, over a connection that was opened since the agent has known this one. So
+     * it is at the worker's address now, and this one has ended.
+     */
     | "other-incarnation";
 
 /**
@@ -127,6 +130,8 @@
         readonly kind: "view";
         readonly call: number;
         readonly worker: string;
+        /** Life of the worker that the agent knows. */
+        readonly life: number;
         readonly epoch: number;
         /** End of the lease on the worker's clock; undefined leaves the lease unchanged. */
         readonly leaseExpiresAt: number | undefined;
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -88,6 +88,7 @@
         kind: "view",
         call,
         worker: worker.report.id,
+        life: worker.life,
         epoch: worker.epoch,
         leaseExpiresAt: extendsLease ? Math.floor(state.now + worker.clockOffset + workerLeaseMilliseconds) : undefined,
         acknowledgedEndSequence: worker.acknowledgedEndSequence,
--- a/packages/lovagepitch-direct/src/process/workerOrders.ts
+++ b/packages/lovagepitch-direct/src/process/workerOrders.ts
@@ -7,10 +7,10 @@
 export type ViewOutcome = { readonly kind: "view"; readonly view: WorkerView } | ViewFailure;
 
 /** Order to start a run. */
-export type StartRequest = Omit<AgentOutput & { readonly kind: "start" }, "kind" | "life">;
+export type StartRequest = Omit<AgentOutput & { readonly kind: "start" }, "kind">;
 
 /** Order to stop a run. */
-export type StopRequest = Omit<AgentOutput & { readonly kind: "stop" }, "kind" | "life">;
+export type StopRequest = Omit<AgentOutput & { readonly kind: "stop" }, "kind">;
 
 /** Parameters of a view call. */
 export type ViewRequest = Omit<AgentOutput & { readonly kind: "view" }, "kind" | "call">;
--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -254,7 +254,7 @@
      * @param request - epoch, lease extension and acknowledged ends
      * @returns the view, or a failure if the epoch is outdated
      */
-    public view(request: Omit<ViewRequest, "timeoutMilliseconds">): ViewOutcome {
+    public view(request: Omit<ViewRequest, "timeoutMilliseconds" | "life">): ViewOutcome {
         this.advance();
         if (request.epoch < this.highestEpoch) {
             return { kind: "outdated-epoch", workerClock: this.workerClock, startedAt: this.startedAt };
