--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -7,6 +7,7 @@
 import type { AgentState, WorkerRow } from "./agentState.js";
 import { endAllRunsAsLost } from "./runEnds.js";
 import { isCapacityToBeRecorded, logCapacityChange } from "./workerCapacity.js";
+import { confirmCrash } from "./workerCrash.js";
 import { beginLaterLife, compareLives, deriveEpoch } from "./workerLives.js";
 
 /**
@@ -47,13 +48,16 @@
         state.markUpdatePending();
         return;
     }
+    if (worker !== undefined && compareLives(worker.report.startedAt, report.startedAt) === "earlier") {
+        // A report of a former worker that was delayed.
+        return;
+    }
     const isRestoredUnconfirmed = worker?.needsEpoch === true;
     if (worker !== undefined && !isRestoredUnconfirmed) {
-        // The report may be outdated. Only one incarnation answers at the worker's address, so the next view call
-        // shows which one it is.
+        // Only one incarnation answers at the worker's address, so the next view call shows which one it is.
         state.pendingReport = report;
-        if (worker.hasCrashed) {
-            removeWorker(state);
+        if (worker.refusal !== undefined && worker.callInFlight === undefined) {
+            state.worker = { ...worker, nextCallAt: state.now };
         }
         return;
     }
@@ -130,7 +134,8 @@
         lastAnsweredAt: state.now,
         missedViews: 0,
         isResponsive: true,
-        hasCrashed: false,
+        refusal: undefined,
+        hasLeft: false,
         callInFlight: undefined,
         nextCallAt: state.now,
     };
@@ -149,6 +154,9 @@
  * @param state - state of the agent
  */
 export function removeWorker(state: AgentState): void {
+    if (state.worker !== undefined) {
+        confirmCrash(state, state.worker);
+    }
     endAllRunsAsLost(state);
     state.worker = undefined;
     state.markUpdatePending();
@@ -159,7 +167,7 @@
 }
 
 /**
- * Removes the worker, because it has announced its end. An announcement of a former life under the same id is ignored;
+ * Handles the worker's announcement that it ends: it gets no more tasks, and is removed once it has no runs. An announcement of a former life under the same id is ignored;
  * when it does not say which life ends, it is that of the current one only if that one drains.
  *
  * @param state - state of the agent
@@ -178,7 +186,21 @@
         state.log("info", "announcement of a former life of the worker ignored", { worker: id, startedAt });
     }
     else {
-        state.log("info", "worker left", { worker: id });
+        state.log("info", "worker left", { worker: id, runs: state.runs.size });
+        // Its process may run on for a moment, so its runs are lost only when that is certain.
+        state.worker = { ...worker, hasLeft: true, report: { ...worker.report, isDraining: true } };
+        state.markUpdatePending();
+        removeLeftWorker(state);
+    }
+}
+
+/**
+ * Removes a worker that has announced its end once it has no runs.
+ *
+ * @param state - state of the agent
+ */
+export function removeLeftWorker(state: AgentState): void {
+    if (state.worker?.hasLeft === true && state.runs.size === 0) {
         removeWorker(state);
     }
 }
--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -41,6 +41,8 @@
     dropsResponses: boolean;
     /** No messages pass between the worker and its agent; running tasks continue. */
     isPartitioned: boolean;
+    /** Calls are refused as if no process listened, and calls under way break off; running tasks continue. */
+    refusesConnections: boolean;
     /** Tasks make no progress. */
     isStalled: boolean;
     /** Every task fails shortly after its start. */
@@ -70,6 +72,7 @@
         ignoresLatestStart: false,
         dropsResponses: false,
         isPartitioned: false,
+        refusesConnections: false,
         isStalled: false,
         failsEverything: false,
         slowdownFactor: 1,
@@ -253,7 +256,7 @@
      * @param request - epoch, lease extension and acknowledged ends
      * @returns the view, or a failure if the epoch is outdated
      */
-    public view(request: Omit<ViewRequest, "timeoutMilliseconds">): ViewOutcome {
+    public view(request: Omit<ViewRequest, "timeoutMilliseconds" | "life">): ViewOutcome {
         this.advance();
         if (request.epoch < this.highestEpoch) {
             return { kind: "outdated-epoch", workerClock: this.workerClock, startedAt: this.startedAt };
