fix(agent): the worker's lease does not expire while it answers views and its answers to starts are late

Cause: each start without an answer raised the epoch, and no view call extends the lease until a view has confirmed the epoch. With a start without an answer during each view call, no view extended the lease any more. The runs lapsed at a worker that answered, and the agent counted on the end of the lease by the latest view call although a later start had extended it. Change: the epoch is raised again only after a view call has extended the lease with the present one. A late view call is always such a call, so it raises the epoch at once as before.

--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/unextendedLeases.feature
@@ -0,0 +1,14 @@
+@direct-policies
+Feature: Calls of an agent while views do not extend the worker's lease
+
+    Background:
+        Given an agent whose worker may be called without extending its lease
+
+    # Starts extend the lease of all runs too, so it may last longer than the latest view call has extended it.
+    Scenario: No run is reported as lost while a start order may still extend its lease
+        When starts get no answer for 700 ms, so that views extend the lease rarely, and then no call gets any
+        Then runs are reported as lost, but not before the last lease that any call has permitted
+
+    Scenario: A worker that answers views keeps its lease while starts get no answer
+        When starts get no answer for 700 ms, so that views extend the lease rarely, and then no call gets any
+        Then the lease was extended by a view at least every 350 ms while views were answered
--- a/packages/lovagepitch-direct/src/agent/workerLease.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLease.ts
@@ -50,14 +50,17 @@
 /**
  * Raises the epoch after a call without an answer that extends the lease, unless a view call is in flight. Such a call may be
  * executed seconds later, also when this process has ended or is paused, and extend the lease then. The worker does nothing
- * for it once it has answered a view call with the higher epoch; until then the lease is not extended by other calls, so
- * that no second one of this kind is left.
+ * for it once it has answered a view call with the higher epoch; until then no view call extends the lease. The epoch is not
+ * raised again before one has, or the lease would expire at a worker that answers views while its answers to starts are late.
  *
  * @param state - state of the agent
  */
 export function excludeLateCalls(state: AgentState): void {
     const { worker } = state;
-    if (worker?.hasLateCall === true && worker.callInFlight === undefined && !worker.needsEpoch) {
+    if (worker?.hasLateCall !== true || worker.callInFlight !== undefined || worker.needsEpoch) {
+        return;
+    }
+    if (worker.leaseExtensionSentAt >= worker.epochRaisedAt) {
         state.worker = { ...worker, epoch: worker.epoch + 1, epochRaisedAt: state.now, hasLateCall: false };
     }
 }
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -80,7 +80,7 @@
     // After a call without an answer, the lease is not extended until the worker answers again. Otherwise the agent
     // could not determine when the lease of the worker's runs expires.
     const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
-        && worker.confirmedEpoch === worker.epoch && !worker.hasLateCall && !isLeaseWithheld(state);
+        && worker.confirmedEpoch === worker.epoch && !isLeaseWithheld(state);
     const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : 0;
     const call = state.nextCall;
     state.nextCall += 1;
