fix(entry): crashes are held against a job of the same route only

Cause: evidence of crashes named a job by its id alone. Callers choose ids; a job of another route under the id of one that crashes workers was another job, and was kept apart or answered as failed for what it had not done.

Change: the route is part of the name, in the evidence and where the open job is failed. Orders of entries of an earlier version have no route; they match every route, as before.

Tests: "Nothing is held against a job of another route under the same id" was seen to fail without the change (`isolated`).

--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
@@ -69,6 +69,14 @@
         When 500 ms later a worker crashes while it runs "a/1 aged 12"
         Then no task crashes workers
 
+    # Guards against a job that fails, or is kept apart, for what another one under its id has done.
+    Scenario: Nothing is held against a job of another route under the same id
+        When a worker crashes while it runs "a/1 aged 12"
+        Then the job "a" of another route is clear
+        When 500 ms later a worker crashes while it runs "a/1 aged 12"
+        Then the jobs are "a crashing, b clear, c clear"
+        And the job "a" of another route is clear
+
     # Guards against a late message that takes back what has become known of a crash, and against crashes that are not passed on.
     Scenario Outline: Of a crash that is <first> and then <second>, a peer learns that it is <known>
         When a crash that is <first> turns out to be <second>
--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
@@ -103,6 +103,10 @@
     assert.equal(actual.join(", "), jobs);
 });
 
+Then("the job {string} of another route is clear", (job: string) => {
+    assert.equal(evidence.judge(job, "route-b", now, () => false), "clear");
+});
+
 Then("task {int} of job {string} crashes workers", (task: number, job: string) => {
     assert.deepEqual(found.map(item => [item.job, item.task]), [[job, task]]);
 });
--- a/packages/lovagepitch-direct/src/entry/crashReports.ts
+++ b/packages/lovagepitch-direct/src/entry/crashReports.ts
@@ -56,7 +56,8 @@
         crashedInstances: first?.instances,
     });
     const row = state.jobs.get(job);
-    if (row !== undefined) {
+    // A job of another route under the same id is another job.
+    if (row !== undefined && tasks.some(({ route }) => route === row.job.route || route === "")) {
         endJob(state, row, { kind: "failed" });
     }
 }
--- a/packages/lovagepitch-direct/src/policies/crashEvidence.ts
+++ b/packages/lovagepitch-direct/src/policies/crashEvidence.ts
@@ -82,8 +82,8 @@
     private readonly crashes = new Map<string, ConsideredCrash>();
     /** Crashes by the id of each job that was on the worker. */
     private readonly crashesByJob = new Map<string, ConsideredCrash[]>();
-    /** When each crashing job was last asked for. */
-    private readonly crashingJobs = new Map<string, number>();
+    /** Route of each crashing job, and when it was last asked for. */
+    private readonly crashingJobs = new Map<string, { readonly route: string; readonly askedAt: number }>();
 
     /** Number of jobs that are known to crash workers. */
     public get crashingJobCount(): number {
@@ -139,18 +139,21 @@
      * Tells what the crashes say of a job.
      *
      * @param job - id of the job
-     * @param route - route of the job
+     * @param route - route of the job; a job of another route under the same id is another job
      * @param now - current monotonic time, in milliseconds
      * @param isCrashingKind - tells whether jobs of a route crash workers again and again; a crash beside such jobs says
      *   nothing of the others
      * @returns the verdict
      */
     public judge(job: string, route: string, now: number, isCrashingKind: (route: string) => boolean): JobVerdict {
-        if (this.crashingJobs.has(job)) {
-            this.crashingJobs.set(job, now);
+        const crashing = this.crashingJobs.get(job);
+        if (crashing !== undefined && isSameRoute(crashing.route, route)) {
+            this.crashingJobs.set(job, { ...crashing, askedAt: now });
             return "crashing";
         }
-        const crashes = this.crashesByJob.get(job)?.filter(({ isExplained }) => !isExplained) ?? [];
+        const crashes = this.crashesByJob.get(job)?.filter(({ crash, isExplained }) => {
+            return !isExplained && crash.runs.some(run => run.job === job && isSameRoute(run.route, route));
+        }) ?? [];
         if (crashes.some(({ wasIsolated }) => wasIsolated)) {
             return "isolated";
         }
@@ -244,7 +247,7 @@
         for (const run of latest.crash.runs) {
             const crashes = this.crashesByJob.get(run.job)?.filter(({ crash, isCertain, isExplained }) => {
                 return isCertain && !isExplained
-                    && crash.runs.some(other => other.job === run.job && other.task === run.task);
+                    && crash.runs.some(other => isSameTask(other, run));
             }) ?? [];
             if (crashes.some(({ wasIsolated }) => wasIsolated) && areEnough(crashes, run)) {
                 found.push({
@@ -256,8 +259,8 @@
                 });
             }
         }
-        for (const { job } of found) {
-            this.crashingJobs.set(job, now);
+        for (const { job, route } of found) {
+            this.crashingJobs.set(job, { route, askedAt: now });
             this.crashesByJob.get(job)?.forEach(considered => {
                 considered.isExplained = true;
             });
@@ -285,7 +288,7 @@
             }
             this.forget(crash);
         }
-        for (const [job, askedAt] of this.crashingJobs) {
+        for (const [job, { askedAt }] of this.crashingJobs) {
             if (now - askedAt > crashingMemoryMilliseconds || this.crashingJobs.size > maximumCrashingJobs) {
                 this.crashingJobs.delete(job);
             }
@@ -293,10 +296,19 @@
     }
 }
 
+function isSameTask(left: CrashedRun, right: CrashedRun): boolean {
+    return left.job === right.job && left.task === right.task && isSameRoute(left.route, right.route);
+}
+
+/** Tells whether two routes are the same; orders of entries of an earlier version have none. */
+function isSameRoute(left: string, right: string): boolean {
+    return left === right || left === "" || right === "";
+}
+
 /** Tells whether the crashes of the workers on which a task was are enough to give it up. */
-function areEnough(crashes: readonly ConsideredCrash[], { job, task }: CrashedRun): boolean {
+function areEnough(crashes: readonly ConsideredCrash[], latest: CrashedRun): boolean {
     const ages = crashes.flatMap(({ crash }) => crash.runs)
-        .filter(run => run.job === job && run.task === task)
+        .filter(run => isSameTask(run, latest))
         .map(run => run.ageMilliseconds)
         .sort((left, right) => left - right);
     const areSimilar = ages.some((age, index) => {
