--- a/packages/lovagepitch-cli/src/report/jobReport.ts
+++ b/packages/lovagepitch-cli/src/report/jobReport.ts
@@ -20,6 +20,7 @@
     "worker left",
     "worker has restarted",
     "worker does not respond",
+    "worker refuses calls",
     "worker has crashed",
     "worker capacity changed",
     "job crashes the workers that run it",
--- a/packages/lovagepitch-direct/src/agent/workerCrash.ts
+++ b/packages/lovagepitch-direct/src/agent/workerCrash.ts
@@ -35,8 +35,14 @@
  * @param worker - row of the worker
  */
 export function confirmCrash(state: AgentState, worker: WorkerRow): void {
-    if (recordCrash(state, worker, undefined)) {
-        state.log("warn", "worker has crashed", { worker: worker.report.id, runs: worker.refusal?.runs });
+    const { refusal, report } = worker;
+    if (refusal !== undefined && recordCrash(state, worker, undefined)) {
+        const refusedForMilliseconds = Math.round(state.now - refusal.since);
+        state.log("warn", "worker has crashed", {
+            worker: report.id,
+            refusedForMilliseconds,
+            runs: describeRuns(state),
+        });
     }
 }
 
