--- a/packages/lovagepitch-testing/src/__tests__/direct/connectionFaults.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/connectionFaults.ts
@@ -120,6 +120,7 @@
     }),
     createWorkerFault(() => ({ dropsResponses: true }), { dropsResponses: false }),
     createWorkerFault(() => ({ isPartitioned: true }), { isPartitioned: false }),
+    createWorkerFault(() => ({ refusesConnections: true }), { refusesConnections: false }),
     createWorkerFault(() => ({ isStalled: true }), { isStalled: false }),
 ];
 
