--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -28,8 +28,8 @@
 const viewWaitMilliseconds = 75;
 
 /**
- * Longest time that the worker may wait while some view calls get no answer, or while its lease is not extended, in
- * milliseconds. The ends of runs are unknown until such a call has timed out, so it must not wait for long.
+ * Longest time that the worker may wait while some view calls get no answer, in milliseconds. The ends of runs are
+ * unknown until such a call has timed out, so it must not wait for long.
  */
 const cautiousViewWaitMilliseconds = 25;
 
@@ -79,12 +79,9 @@
     }
     // After a call without an answer, the lease is not extended until the worker answers again. Otherwise the agent
     // could not determine when the lease of the worker's runs expires.
-    const mayExtendLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
-        && worker.confirmedEpoch === worker.epoch;
-    const extendsLease = mayExtendLease && !isLeaseWithheld(state);
-    // A lease is withheld for hundreds of milliseconds, in which calls without a wait would follow each other at once.
-    const withheldWaitMilliseconds = mayExtendLease ? cautiousViewWaitMilliseconds : 0;
-    const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : withheldWaitMilliseconds;
+    const extendsLease = worker.isResponsive && worker.isConfirmed && worker.missedViews === 0
+        && worker.confirmedEpoch === worker.epoch && !isLeaseWithheld(state);
+    const waitMilliseconds = extendsLease ? getViewWaitMilliseconds(state) : 0;
     const call = state.nextCall;
     state.nextCall += 1;
     state.outputs.push({
