--- a/packages/lovagepitch-direct/src/agent/workerLease.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLease.ts
@@ -73,7 +73,7 @@
         return;
     }
     const needsExtension = worker.isResponsive && worker.missedViews === 0
-        && worker.leaseExtensionSentAt < worker.epochRaisedAt && !isLeaseWithheld(state);
+        && worker.leaseExtensionSentAt < worker.epochRaisedAt && !isLeaseWithheld(state, workerLeaseMilliseconds);
     if (!needsExtension) {
         state.worker = { ...worker, epoch: worker.epoch + 1, epochRaisedAt: state.now, hasLateCall: false };
     }
