fix(agent): an entry that has not confirmed all ends of its runs is not forgotten

Cause: an agent forgets an entry that has invited it once it has no run there: at once when a connection attempt fails, else after 500 ms. The entry's name went with it, so the next first frame to it named no process, listed no run and repeated no end. The entry took a run that had succeeded for lost and ordered its task again. Seen: temporaryEntries.feature failed before: the first frame named no entry and no end; the connection was closed while the end was not confirmed.

--- a/packages/lovagepitch-direct/src/agent/knownEntries.ts
+++ b/packages/lovagepitch-direct/src/agent/knownEntries.ts
@@ -5,6 +5,7 @@
 import { noEvacuations } from "../model/zoneEvacuations.js";
 import { choosePartners, type PartnerLimits, rankPartner } from "../policies/partnerChoice.js";
 import type { AgentState, EntryRow } from "./agentState.js";
+import { hasUnconfirmedEnds } from "./runEnds.js";
 
 /** Numbers of entries that an agent connects to. */
 const partnerLimits: PartnerLimits = { ownZone: 3, total: 5 };
@@ -145,7 +146,10 @@
             continue;
         }
         using ??= state.listUsingEntries();
-        if (using.has(row.incarnation ?? "")) {
+        // A forgotten entry would not be sent the ends that it has not confirmed, and order these tasks again.
+        const isNeeded = row.incarnation !== undefined
+            && (using.has(row.incarnation) || hasUnconfirmedEnds(state, row.incarnation));
+        if (isNeeded) {
             continue;
         }
         if (row.connection === "closed" && row.retryAt > state.now) {
--- a/packages/lovagepitch-direct/src/agent/runEnds.ts
+++ b/packages/lovagepitch-direct/src/agent/runEnds.ts
@@ -77,6 +77,17 @@
     });
 }
 
+/**
+ * Tells whether there are ends that an entry may not have received.
+ *
+ * @param state - state of the agent
+ * @param entry - incarnation of the entry
+ * @returns false when all are confirmed, or too old to be repeated
+ */
+export function hasUnconfirmedEnds(state: AgentState, entry: string): boolean {
+    return (state.recentEnds.get(entry) ?? []).some(end => state.now - end.endedAt < endRetentionMilliseconds);
+}
+
 function keepEnds(state: AgentState, entry: string, isKept: (end: RecentEnd) => boolean): void {
     const ends = state.recentEnds.get(entry);
     if (ends === undefined || ends.every(isKept)) {
