fix(agent): a late start is excluded at once when the worker stops answering or a run has to end

Cause: postponed the higher epoch until a view call has extended the lease, also where none does: while the worker does not answer, or while its lease is withheld. A start that is executed late would have taken effect after its run had been given up. Change: the higher epoch is postponed only while view calls are answered and the lease is to be extended. Seen: two scenarios of unextendedLeases.feature failed on: the next view call had epoch 7001, as the second late start.

--- a/packages/lovagepitch-direct/src/__tests__/unextendedLeases.feature
+++ b/packages/lovagepitch-direct/src/__tests__/unextendedLeases.feature
@@ -16,3 +16,14 @@
     Scenario: Views wait for ends while the lease is not extended because a run has to end
         When a run has to end and goes on for 200 ms, while the worker answers each view at once
         Then views did not extend the lease, and each waited for an end
+
+    # The start may be executed seconds later, when its run has been given up.
+    Scenario Outline: A late start is excluded at once when <event>
+        Given two starts without an answer, the second of which was sent after the first had raised the epoch
+        When <event>
+        Then the next view call has an epoch above that of both starts
+
+        Examples:
+            | event                                          |
+            | the worker does not answer the next view call  |
+            | a run has to end and goes on                   |
--- a/packages/lovagepitch-direct/src/__tests__/unextendedLeases.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/unextendedLeases.steps.ts
@@ -158,3 +158,47 @@
     assert.deepEqual(views.filter(({ leaseExpiresAt }) => leaseExpiresAt !== undefined), []);
     assert.deepEqual(views.filter(({ waitMilliseconds }) => waitMilliseconds === 0).length, 0);
 });
+
+function listStarts(): readonly (AgentOutput & { readonly kind: "start" })[] {
+    return timed.flatMap(({ output }) => output.kind === "start" ? [output] : []);
+}
+
+function leaveUnanswered(number: number): void {
+    order(number);
+    const start = listStarts().at(-1);
+    assert.ok(start !== undefined);
+    agent.accept({ kind: "start-answered", life: start.life, run: start.run, outcome: "unknown" });
+    notice();
+}
+
+Given(
+    "two starts without an answer, the second of which was sent after the first had raised the epoch",
+    () => {
+        step();
+        leaveUnanswered(0);
+        // The view call that was in flight extends the lease; the next one has the higher epoch.
+        finishView(new Set(), 0, true);
+        leaveUnanswered(1);
+        const [first, second] = listStarts();
+        assert.ok(first !== undefined && second !== undefined && second.epoch > first.epoch);
+    },
+);
+
+When("the worker does not answer the next view call", () => finishView(new Set(), 0, false));
+
+When("a run has to end and goes on", () => {
+    const [run] = listStarts().map(start => start.run);
+    assert.ok(run !== undefined);
+    // The worker does not answer the view call that is in flight until stops are late.
+    agent.receiveStarts([], 0, { stops: [run] });
+    agent.advance(70);
+    notice();
+    finishView(new Set(), 0, true);
+});
+
+Then("the next view call has an epoch above that of both starts", () => {
+    const view = agent.listViewCalls().at(-1);
+    assert.ok(view !== undefined);
+    const epochs = listStarts().map(({ epoch }) => epoch);
+    assert.ok(view.epoch > Math.max(...epochs), `${view.epoch} after ${epochs.join(", ")}`);
+});
--- a/packages/lovagepitch-direct/src/agent/workerLease.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLease.ts
@@ -50,8 +50,9 @@
 /**
  * Raises the epoch after a call without an answer that extends the lease, unless a view call is in flight. Such a call may be
  * executed seconds later, also when this process has ended or is paused, and extend the lease then. The worker does nothing
- * for it once it has answered a view call with the higher epoch; until then no view call extends the lease. The epoch is not
- * raised again before one has, or the lease would expire at a worker that answers views while its answers to starts are late.
+ * for it once it has answered a view call with the higher epoch; until then no view call extends the lease. While the worker
+ * answers views and its answers to starts are late, the epoch is not raised again before a view call has extended the lease;
+ * otherwise the lease would expire.
  *
  * @param state - state of the agent
  */
@@ -60,7 +61,9 @@
     if (worker?.hasLateCall !== true || worker.callInFlight !== undefined || worker.needsEpoch) {
         return;
     }
-    if (worker.leaseExtensionSentAt >= worker.epochRaisedAt) {
+    const needsExtension = worker.isResponsive && worker.missedViews === 0
+        && worker.leaseExtensionSentAt < worker.epochRaisedAt && !isLeaseWithheld(state);
+    if (!needsExtension) {
         state.worker = { ...worker, epoch: worker.epoch + 1, epochRaisedAt: state.now, hasLateCall: false };
     }
 }
