test(utils): the process is busy before the late timer can fire

Change: the wake and the busy time are set in one phase of the event loop, in which no timer runs; bounds as before (60 ms busy, 40 ms reported, then less).

--- a/packages/lovagepitch-utils/src/__tests__/tickLoop.feature
+++ b/packages/lovagepitch-utils/src/__tests__/tickLoop.feature
@@ -12,6 +12,6 @@
         Then after 800 ms the core has run 3 ticks
 
     Scenario: The delay of a late timer is reported once
-        Given a tick loop whose core wants to wake in 5 ms
-        When the process is busy for 60 ms
+        Given a tick loop whose core wants to wake in 5000 ms
+        When an input moves the wake to 5 ms later and the process is busy for 60 ms from then on
         Then the loop reports a delay of at least 40 ms, and less than 40 ms afterwards
--- a/packages/lovagepitch-utils/src/__tests__/tickLoop.steps.ts
+++ b/packages/lovagepitch-utils/src/__tests__/tickLoop.steps.ts
@@ -37,6 +37,13 @@
     return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
 }
 
+function keepBusy(milliseconds: number): void {
+    const endsAt = clock.nowMilliseconds() + milliseconds;
+    while (clock.nowMilliseconds() < endsAt) {
+        // Nothing else runs meanwhile.
+    }
+}
+
 Given("a tick loop whose core wants to wake in {int} ms", async (milliseconds: number) => {
     core = new OneWakeCore();
     loop = new TickLoop<number, never>(core, clock, () => undefined);
@@ -45,13 +52,20 @@
 
 When("an input moves the wake to {int} ms later", (milliseconds: number) => accept(milliseconds));
 
-When("the process is busy for {int} ms", async (milliseconds: number) => {
-    const endsAt = clock.nowMilliseconds() + milliseconds;
-    while (clock.nowMilliseconds() < endsAt) {
-        // Nothing else runs meanwhile.
-    }
-    await delay(5);
-});
+When(
+    "an input moves the wake to {int} ms later and the process is busy for {int} ms from then on",
+    async (wakeMilliseconds: number, busyMilliseconds: number) => {
+        loop?.accept(wakeMilliseconds);
+        // Both callbacks run before any timer: the first one sets the loop's timer.
+        await new Promise<void>(resolve => {
+            setImmediate(() => {
+                keepBusy(busyMilliseconds);
+                resolve();
+            });
+        });
+        await delay(5);
+    },
+);
 
 Then("after {int} ms the core has run {int} ticks", async (milliseconds: number, ticks: number) => {
     await delay(milliseconds);
