fix(agent): an agent is not ready before it has read which entries there are

Cause: an entry that finds the agent's row first contacts it, and its reply made the agent ready although its own reading of the registry, after its registration, was still under way. An entry that it had not read of did not know the agent yet and issued ids that exclude it. Jobs with such ids may run on the workers that are older than the id alone; when these leave, a job fails with 'the workers that may run the remaining tasks have left'.

Change: the agent's readiness asks for the reading too (isKnownToEntries).

--- a/packages/lovagepitch-agent/src/core/agentStatus.ts
+++ b/packages/lovagepitch-agent/src/core/agentStatus.ts
@@ -25,6 +25,8 @@
     readonly entries: number;
     /** Reachable entries that have not confirmed the agent's announcement; they place no tasks on it yet. */
     readonly unconfirmedEntries: number;
+    /** True when the entries have been read since the registration and all that are reachable have confirmed the announcement. */
+    readonly isKnownToEntries: boolean;
 }
 
 /**
@@ -36,6 +38,7 @@
  * @returns the status
  */
 export function createAgentStatus(tables: AgentTables, slots: number, isSuspect: boolean): AgentStatus {
+    const unconfirmedEntries = [...tables.entries.values()].filter(isUnconfirmed).length;
     return {
         state: tables.agentState,
         backendServer: tables.backendServer?.state ?? "absent",
@@ -50,7 +53,8 @@
         undeliveredSubmissions: tables.deliveries.size,
         bids: tables.bids.size,
         entries: tables.entries.size,
-        unconfirmedEntries: [...tables.entries.values()].filter(isUnconfirmed).length,
+        unconfirmedEntries,
+        isKnownToEntries: tables.hasReadEntries && tables.entries.size > 0 && unconfirmedEntries === 0,
     };
 }
 
--- a/packages/lovagepitch-agent/src/core/entities/agentTables.ts
+++ b/packages/lovagepitch-agent/src/core/entities/agentTables.ts
@@ -76,6 +76,8 @@
      */
     public readonly lowWaterMarks = new Table<Incarnation, number>();
     public readonly entries = new Table<PeerAddress, EntryRow>();
+    /** True once the registry's entries have been read; it is read after the registration. */
+    public hasReadEntries = false;
     public readonly bids = new Table<PeerScopedKey, BidRow>();
     public readonly offers = new Table<PeerAddress, OfferRow>();
     public readonly deliveries = new Table<PeerScopedKey, DeliveryRow>();
--- a/packages/lovagepitch-agent/src/core/systems/entries.ts
+++ b/packages/lovagepitch-agent/src/core/systems/entries.ts
@@ -116,6 +116,7 @@
  * @param entries - all rows of entries in the registry
  */
 export function synchronizeEntries(context: TickContext, entries: readonly EntryRegistration[]): void {
+    context.tables.hasReadEntries = true;
     const serving = new Map(entries.filter(entry => entry.state === "serving").map(entry => [entry.address, entry]));
     for (const known of [...context.tables.entries.values()]) {
         const isUnconfirmed = known.unreachableSinceMilliseconds !== undefined
--- a/packages/lovagepitch-agent/src/process/agentProcess.ts
+++ b/packages/lovagepitch-agent/src/process/agentProcess.ts
@@ -126,7 +126,7 @@
             ["configuration", status.configurationVersion === 0],
             ["backend server", status.backendServer !== "present"],
             ["registration", status.registrationNumber === 0],
-            ["entries", status.entries === 0 || status.unconfirmedEntries > 0],
+            ["entries", !status.isKnownToEntries],
             ["stopping", this.stopPromise !== undefined],
         ];
         return conditions.filter(([, isMissing]) => isMissing).map(([condition]) => condition);
