fix(agent): a run that is being stopped ends in time when its entry's lease expires

Cause: when an entry's lease expired, the agent marked as "has to end" only the runs that it was not stopping already. A start without an answer is revoked when a paused agent resumes, in the tick in which it notices the expired lease. The entry's next frame renewed the lease, so view calls extended the worker's lease again, although the entry had placed the task elsewhere 1,274 ms after the agent's last frame.

Seen by callers: with a worker that refuses stops or executes them late, a task ran twice until the stop took effect.

Change: each run of an entry whose lease expires is marked, also one that is being stopped.

--- a/packages/lovagepitch-direct/src/agent/entryLeases.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLeases.ts
@@ -24,10 +24,14 @@
         }
     }
     for (const row of state.runs.values()) {
-        if (row.entry === undefined || row.state === "stopping" || row.state === "stopped") {
+        if (row.entry === undefined || !isLeaseExpired(row.entry)) {
             continue;
         }
-        if (isLeaseExpired(row.entry)) {
+        if (row.state === "stopping" || row.state === "stopped") {
+            // The agent stops it already; a lease that is renewed later must not extend it.
+            markRequiredEnd(state, row, expiries.get(row.entry) ?? state.now);
+        }
+        else {
             state.log("warn", "run stopped because the lease of its entry expired", {
                 ...row.identity,
                 entry: row.entry,
@@ -46,8 +50,16 @@
  * @param since - instant from which the run has to end, in monotonic milliseconds; a later one than before has no effect
  */
 export function requireEnd(state: AgentState, row: RunRow, since: number): void {
+    stopRun(state, markRequiredEnd(state, row, since), "stopped");
+}
+
+/** Notes since when a run has to end. A later instant than the known one has no effect. */
+function markRequiredEnd(state: AgentState, row: RunRow, since: number): RunRow {
     const mustEndSince = Math.min(row.mustEndSince ?? state.now, since);
+    if (mustEndSince === row.mustEndSince) {
+        return row;
+    }
     const updated = { ...row, mustEndSince };
     state.runs.set(formatRunKey(row.workerRun), updated);
-    stopRun(state, updated, "stopped");
+    return updated;
 }
--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -31,6 +31,8 @@
     unansweredCallInterval: number | undefined;
     /** The lease that a view call asks for counts from its execution when it is executed late. */
     lateViewsCountFromArrival: boolean;
+    /** The latest start that an order names counts from its execution when it is executed late. */
+    lateStartsCountFromArrival: boolean;
     /** Stops are executed after this delay, in milliseconds, and get no response; undefined for no fault. */
     stopDelayMilliseconds: number | undefined;
     /** Stops are rejected, as by an unhealthy worker that answers all other calls. */
@@ -67,6 +69,7 @@
         orderDelayMilliseconds: undefined,
         unansweredCallInterval: undefined,
         lateViewsCountFromArrival: false,
+        lateStartsCountFromArrival: false,
         stopDelayMilliseconds: undefined,
         rejectsStops: false,
         ignoresLatestStart: false,
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -44,8 +44,10 @@
             this.sendOrder(
                 agent,
                 output,
-                (target, isOfFormerLife) => {
-                    return target.start({ ...order, ...run }, output.epoch, output.latestStart, isOfFormerLife);
+                (target, isOfFormerLife, lateMilliseconds) => {
+                    const addedMilliseconds = target.faults.lateStartsCountFromArrival ? lateMilliseconds : 0;
+                    const latestStart = output.latestStart + addedMilliseconds;
+                    return target.start({ ...order, ...run }, output.epoch, latestStart, isOfFormerLife);
                 },
                 outcome => ({ kind: "start-answered", life, run, outcome }),
             );
@@ -75,6 +77,7 @@
         execute: (
             worker: FakeWorker,
             isOfFormerLife: boolean,
+            lateMilliseconds: number,
         ) => "accepted" | "rejected" | "superseded" | "outdated-epoch" | "unknown" | "other-incarnation",
         createInput: (outcome: OrderOutcome) => AgentInput,
     ): void {
@@ -110,7 +113,9 @@
             this.workers.forEach(other => other.advance());
             // A worker that has restarted under its id meanwhile executes the order too.
             const current = getAt(this.workers, agent);
-            const outcome = current.isUp && current.id === worker.id ? execute(current, current !== worker) : "unknown";
+            const outcome = current.isUp && current.id === worker.id
+                ? execute(current, current !== worker, lateMilliseconds ?? 0)
+                : "unknown";
             if (!faults.dropsResponses && lateMilliseconds === undefined) {
                 respond(outcome, linkLatencyMilliseconds);
             }
