fix(entry): a kind is confined by the crashes that rule the other kinds out

Cause: a kind was confined when one of two crashes had no other kind among its likely causes.

Callers saw: jobs of other kinds refused (no-room-in-time) or late while 9 of 11 workers were gone.

Change: each suspected crash rules out the kinds without a likely cause in it; a kind is confined when no other one is left that may have caused all crashes charged to it. A crash that a confined kind may have caused is put down to that kind, so one crashing kind does not confine the others after it. When runs are lost, and which tasks are named, stays as it was.

--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
@@ -104,6 +104,21 @@
             | two crashes 500 ms apart, both beside another likely kind | not confined |
             | two crashes 500 ms apart without another kind             | not confined |
 
+    # Guards against a kind that crashes one worker after the other, because jobs of others have started beside each of its own.
+    Scenario Outline: Of crashes under <crashes>, the only kind that may have caused all is confined: <confined>
+        When workers crash one after the other under <crashes>
+        Then the confined kinds are <confined>
+
+        Examples:
+            | crashes                                           | confined |
+            | x and y, x and z                                  | x        |
+            | x and y, x and y, x and z                         | x        |
+            | x and y and z, x and y and z, x and y, x and z    | x        |
+            | x and y, x and y, x and y                         | none     |
+            | x and y, x and z, y and z                         | x        |
+            | x and y, z                                        | none     |
+            | x and y, x                                        | x        |
+
     # Guards against releasing a kind that had no crash only because it did not run.
     Scenario: A confined kind is released after 3 s with runs and without a crash, and one crash soon after confines it again
         When a kind of jobs is confined
--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
@@ -145,6 +145,20 @@
     assert.equal(kinds.isConfined(service, "crashing"), result === "confined");
 });
 
+/** Records crashes 200 ms apart, each under a job of its own of each kind that may have caused it; parses `x and y, x and z`. */
+When(/^workers crash one after the other under (.+)$/, (crashes: string) => {
+    crashes.split(", ").forEach((routes, index) => {
+        now += 200;
+        kinds.recordArrival(service, "other", now);
+        chargeKinds(Object.fromEntries(routes.split(" and ").map(route => [route, `${route}-${index}`])));
+    });
+});
+
+Then(/^the confined kinds are (.+)$/, (expected: string) => {
+    const confined = ["x", "y", "z"].filter(route => kinds.isConfined(service, route));
+    assert.equal(confined.join(" and ") || "none", expected);
+});
+
 When("a kind of jobs is confined", () => {
     confineKind();
     assert.ok(kinds.isConfined(service, "crashing"));
--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -31,9 +31,10 @@
 /** A crash that a kind may have caused. */
 interface Charge {
     readonly at: number;
+    /** Its jobs that may have caused it. */
     readonly jobs: ReadonlySet<string>;
-    /** True when no other kind may have caused it. */
-    readonly isOnlyKind: boolean;
+    /** Routes of all kinds that may have caused it. */
+    readonly routes: ReadonlySet<string>;
 }
 
 /** A kind that is confined. */
@@ -69,7 +70,7 @@
     }
 
     /**
-     * Takes the possible causes of a crash into account.
+     * Takes the possible causes of a crash into account. A crash that a confined kind may have caused is put down to it.
      *
      * @param causes - kinds that may have caused it
      * @param crashedAt - monotonic time of the crash, in milliseconds
@@ -77,9 +78,14 @@
      */
     public recordCrash({ service, jobsByRoute }: CrashCauses, crashedAt: number): readonly JobKindName[] {
         const begun: JobKindName[] = [];
+        const routes = new Set(jobsByRoute.keys());
+        const known = [...routes].filter(route => this.isConfined(service, route));
         for (const [route, jobs] of jobsByRoute) {
+            if (known.length > 0 && !known.includes(route)) {
+                continue;
+            }
             const key = formatKey(service, route);
-            const charge = { at: crashedAt, jobs, isOnlyKind: jobsByRoute.size === 1 };
+            const charge = { at: crashedAt, jobs, routes };
             const recent = (this.charges.get(key) ?? []).filter(({ at }) => {
                 return crashedAt - at <= confinementWindowMilliseconds;
             });
@@ -91,7 +97,8 @@
                 kind.parallelJobs = Math.max(1, kind.parallelJobs / 2);
             }
             else if (
-                (this.isOnProbation(key, crashedAt) || recent.some(earlier => areIndependent(earlier, charge)))
+                (this.isOnProbation(key, crashedAt)
+                    || isOnlyCommonKind(route, charge, this.listUnexplained(service, recent)))
                 && this.hasOtherKind(service, key, crashedAt)
             ) {
                 const row = { service, route, lastCrashAt: crashedAt, successes: 0, parallelJobs: 1 };
@@ -120,6 +127,11 @@
         }
     }
 
+    /** Lists the crashes that no confined kind may have caused. */
+    private listUnexplained(service: string, charges: readonly Charge[]): readonly Charge[] {
+        return charges.filter(({ routes }) => ![...routes].some(route => this.isConfined(service, route)));
+    }
+
     /** Tells whether jobs of another kind arrive, for which workers would be kept. */
     private hasOtherKind(service: string, key: string, now: number): boolean {
         for (const [other, arrival] of this.arrivals) {
@@ -218,11 +230,21 @@
     }
 }
 
-/** Tells whether two crashes point to the kind rather than to one job of it, or to another kind. */
+/**
+ * Tells whether a crash and earlier ones point to a kind rather than to one job of it, or to another kind: each of the other
+ * kinds is ruled out by one of them.
+ */
+function isOnlyCommonKind(route: string, latest: Charge, recent: readonly Charge[]): boolean {
+    const independent = recent.filter(earlier => areIndependent(earlier, latest));
+    const others = [...latest.routes].filter(other => other !== route);
+    return independent.length > 0
+        && !others.some(other => independent.every(({ routes }) => routes.has(other)));
+}
+
+/** Tells whether two crashes have neither a job that may have caused both nor their instant in common. */
 function areIndependent(left: Charge, right: Charge): boolean {
     const haveCommonJob = [...left.jobs].some(job => right.jobs.has(job));
-    const areCoincident = Math.abs(left.at - right.at) <= coincidenceMilliseconds;
-    return !haveCommonJob && !areCoincident && (left.isOnlyKind || right.isOnlyKind);
+    return !haveCommonJob && Math.abs(left.at - right.at) > coincidenceMilliseconds;
 }
 
 function formatKey(service: string, route: string): string {
