--- a/packages/lovagepitch-testing/src/direct/deploymentParts.ts
+++ b/packages/lovagepitch-testing/src/direct/deploymentParts.ts
@@ -84,6 +84,7 @@
             setBackMilliseconds,
         );
         worker.faults.slowdownFactor = 1 / (kind?.speed ?? 1);
+        worker.faults.clockRate = this.options.workerClockRate ?? 1;
         return worker;
     }
 
--- a/packages/lovagepitch-testing/src/direct/directDeploymentOptions.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeploymentOptions.ts
@@ -22,6 +22,8 @@
     readonly getTaskDurationMilliseconds: (run: RunIdentity) => number;
     /** Gives the progress at which a run crashes its worker, in milliseconds; no run does so by default. */
     readonly getCrashMilliseconds?: (run: RunIdentity) => number | undefined;
+    /** Rate of the workers' clocks; 1 by default. */
+    readonly workerClockRate?: number;
     readonly seed: number;
 }
 
--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -49,6 +49,8 @@
     failsEverything: boolean;
     /** Factor by which tasks take longer; 1 for normal speed. */
     slowdownFactor: number;
+    /** Rate of the worker's clock; 1 for an exact one. It is set before the worker gets its first call. */
+    clockRate: number;
 }
 
 interface RunningTask {
@@ -76,6 +78,7 @@
         isStalled: false,
         failsEverything: false,
         slowdownFactor: 1,
+        clockRate: 1,
     };
     /** True until the worker crashes. */
     public isUp = true;
@@ -130,7 +133,7 @@
 
     /** Worker's own clock, in milliseconds; it begins anew with each incarnation, at any value. */
     public get workerClock(): number {
-        return this.clock.nowMilliseconds() - this.clockOrigin;
+        return (this.clock.nowMilliseconds() - this.clockOrigin) * this.faults.clockRate;
     }
 
     /** Resources of the worker at present. */
@@ -302,8 +305,8 @@
     /** Extends the lease, on the deployment's clock, by at most the longest lease. */
     private extendLease(expiresAtOnWorkerClock: number): void {
         const expiresAt = Math.min(
-            expiresAtOnWorkerClock + this.clockOrigin,
-            this.clock.nowMilliseconds() + longestLeaseMilliseconds,
+            expiresAtOnWorkerClock / this.faults.clockRate + this.clockOrigin,
+            this.clock.nowMilliseconds() + longestLeaseMilliseconds / this.faults.clockRate,
         );
         this.leaseExpiresAt = Math.max(this.leaseExpiresAt, expiresAt);
     }
