--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -16,6 +16,7 @@
 import { createEntryPolicies, type EntryPolicySettings } from "../policies/entryPolicies.js";
 import { DirectMetrics, evacuatedZonesHelp } from "./directMetrics.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
+import { StopDelays } from "./stopDelays.js";
 import { UnreadableFrames } from "./unreadableFrames.js";
 
 /** Options of an entry. */
@@ -45,6 +46,7 @@
     private readonly datagrams: CapacityDatagrams;
     private readonly log: RateLimitedLog;
     private readonly metrics = new DirectMetrics();
+    private readonly stopDelays: StopDelays;
     private readonly unreadableFrames: UnreadableFrames;
     private readonly answerCallbacks = new Map<number, (answer: JobAnswer) => void>();
     private nextRequest = 1;
@@ -58,6 +60,16 @@
         const { identity, clock, random } = options;
         this.log = new RateLimitedLog(identity.instance, clock, this.metrics);
         this.unreadableFrames = new UnreadableFrames(this.log, this.metrics);
+        this.stopDelays = new StopDelays(
+            clock,
+            milliseconds => this.metrics.observeStopDelay(milliseconds),
+            (milliseconds, callers) => {
+                this.log.write("warn", "callers that had gone were noticed late", {
+                    milliseconds: Math.round(milliseconds),
+                    callers,
+                });
+            },
+        );
         this.core = new EntryCore(identity, clock, random, createEntryPolicies(options.policies));
         this.loop = new TickLoop(this.core, clock, outputs => this.performAll(outputs));
         this.metrics.addGauge("open_jobs", "Jobs without an answer", () => this.core.openJobs);
@@ -177,6 +189,7 @@
         return {
             abandon: () => {
                 if (this.answerCallbacks.delete(request)) {
+                    this.stopDelays.recordGoneCaller();
                     this.loop.accept({ kind: "caller-disconnected", request, job: job.id });
                 }
             },
@@ -296,6 +309,7 @@
 
     private performAll(outputs: readonly EntryOutput[]): void {
         outputs.forEach(output => this.perform(output));
+        this.stopDelays.recordTick();
         const unsentBytes = this.listener.countUnsentBytes();
         if (unsentBytes !== this.unsentBytes) {
             this.unsentBytes = unsentBytes;
--- a/packages/lovagepitch-direct/src/process/directMetrics.ts
+++ b/packages/lovagepitch-direct/src/process/directMetrics.ts
@@ -9,6 +9,9 @@
 /** Upper bounds of the histogram buckets, in seconds: from the shortest tasks to the longest waits of callers. */
 const durationBucketSeconds = [0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 5, 8];
 
+/** Upper bounds of the histogram buckets of stop delays, in seconds: around the interval of ticks and the callers' margin. */
+const stopDelayBucketSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1];
+
 /**
  * Values of the label `event` that differ from the message of their log line, by message. Label values stay the same
  * when a message is reworded, because operators' queries and alerts select them.
@@ -43,6 +46,13 @@
         buckets: durationBucketSeconds,
         registers: [this.registry],
     });
+    private readonly stopDelays = new Histogram({
+        name: "lovagepitch_stop_delay_seconds",
+        help:
+            "Longest time that the end of a caller's connection can have waited in the process until the stops were sent",
+        buckets: stopDelayBucketSeconds,
+        registers: [this.registry],
+    });
     /** Counters by event; looking one up by its labels takes several times as long as counting. */
     private readonly eventCounters = new Map<string, Counter.Internal>();
     private readonly omittedLines = new Counter({
@@ -81,6 +91,15 @@
         this.answers.observe({ answer, reason }, milliseconds / 1000);
     }
 
+    /**
+     * Records the delay of stops for callers that have gone.
+     *
+     * @param milliseconds - time from the previous tick until the stops were sent
+     */
+    public observeStopDelay(milliseconds: number): void {
+        this.stopDelays.observe(milliseconds / 1000);
+    }
+
     /**
      * Adds a gauge that is read when the metrics are scraped.
      *
