fix(agent): two processes of one agent hold different epochs, and the earlier one gives way

Cause: an epoch came from the worker's start and its clock in units of 100 ms (in milliseconds where the worker doesn't report its start). Two processes that were rejected at the same time took the same one, so the worker accepted the orders of both; and each process that was rejected took a higher one, for as long as both lived.

Could be seen: a worker with more tasks than it has room for, while a process that had been frozen or hung went on beside its successor. No task ran twice.

A process that the worker has answered and that is rejected then gives way for 3 s, the second time until the worker starts again (agent/otherProcesses.ts). The one that started earlier gets there first.

recovery.feature asked for an epoch equal to the worker's clock; it asks for the exact new value now. handovers.feature ignored overfilled workers; it doesn't any more.

--- a/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
+++ b/packages/lovagepitch-direct/src/__tests__/agentDriver.ts
@@ -43,15 +43,15 @@
     public ticks = 0;
     private frameSequence = 0;
     private readonly clock = new InterruptedClock(1_000_000);
-    private readonly core = new AgentCore(
-        { incarnation: "agent-1", instance: "side-1", availabilityZone: "zone-1" },
-        this.clock,
-    );
+    private readonly core: AgentCore;
 
     /**
      * @param refusesConnections - true when attempts to connect are refused at once, false when they get no answer
+     * @param incarnation - incarnation of the process
      */
-    public constructor(private readonly refusesConnections: boolean) {}
+    public constructor(private readonly refusesConnections: boolean, incarnation = "agent-1") {
+        this.core = new AgentCore({ incarnation, instance: "side-1", availabilityZone: "zone-1" }, this.clock);
+    }
 
     public accept(input: AgentInput): void {
         this.core.accept(input);
--- a/packages/lovagepitch-direct/src/__tests__/recovery.feature
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.feature
@@ -20,7 +20,7 @@
     Scenario: Orders to a restored worker carry an epoch from the worker's own clock
         Given an agent that has restored a worker
         When the worker answers the first view call, and its clock shows 5000000 ms
-        Then the next view call has epoch 5000000 and the first one extended no lease
+        Then the next view call has the epoch of clock unit 4883 and the first one extended no lease
 
     Scenario: A report that arrives first takes precedence over the restored worker
         Given an agent whose worker "life-2" has reported
--- a/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/recovery.steps.ts
@@ -2,6 +2,9 @@
 import assert from "node:assert/strict";
 import { AgentDriver, createRegistration, createReport, entryAddress } from "./agentDriver.js";
 
+/** Part of the epoch that the incarnation of the driven process determines. */
+const processPart = 244;
+
 let agent = new AgentDriver(false);
 
 function countConnects(): number {
@@ -57,10 +60,11 @@
     },
 );
 
-Then("the next view call has epoch {int} and the first one extended no lease", (epoch: number) => {
+Then("the next view call has the epoch of clock unit {int} and the first one extended no lease", (unit: number) => {
     const [first, second] = agent.listViewCalls();
     assert.equal(first?.leaseExpiresAt, undefined);
-    assert.equal(second?.epoch, epoch);
+    // The rest of the epoch is the process's own part.
+    assert.equal(second?.epoch, unit * 1024 + processPart);
 });
 
 Then("it calls only worker {string}", (id: string) => {
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -155,6 +155,8 @@
     readonly confirmedEpoch: number;
     /** When this process last raised the epoch itself. */
     readonly epochRaisedAt: number;
+    /** Number of times that another process has excluded this one after the worker had answered its view calls. */
+    readonly timesReplaced: number;
     /** True when a call with the current epoch that extends the lease got no answer; it may still be executed. */
     readonly hasLateCall: boolean;
     /** True while the epoch is not derived from the worker's clock, because the worker has not reported yet. */
--- a/packages/lovagepitch-direct/src/agent/workerLives.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLives.ts
@@ -7,6 +7,7 @@
 import { RunSpeed } from "../policies/runSpeed.js";
 import { initialWorkerHealth } from "../policies/workerHealth.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
+import { deriveEpoch } from "./epochs.js";
 import { confirmCrash } from "./workerCrash.js";
 
 /** A life of a worker id, compared with the one that the agent knows. */
@@ -26,36 +27,6 @@
     return seen > known ? "later" : "earlier";
 }
 
-/** Unit of the worker's clock in an epoch, in milliseconds; an agent that restarts takes longer. */
-const epochClockUnitMilliseconds = 100;
-
-/** Number of epochs of one start; the clock's part begins again with 0 after that many units. */
-const epochsPerStart = 2 ** 15;
-
-/** Number of starts that epochs distinguish, so that every epoch is a safe integer; that of 8.7 years in milliseconds. */
-const distinguishedStarts = 2 ** 38;
-
-/**
- * Derives the epoch of an agent process from its worker's start, and within one life from the worker's clock, which only
- * increases. It is above those of earlier processes, also of those that knew an earlier life of the worker, whose clock
- * had another origin. A worker rejects orders with a lower epoch than it has seen, so a delayed order of an earlier
- * process or for an earlier life takes no effect any more.
- *
- * @param startedAt - start of the worker, in Unix milliseconds; undefined when the worker does not report it
- * @param workerClock - worker's monotonic clock, in milliseconds
- * @param formerEpoch - epoch that this process has used before; 0 without one
- * @returns the epoch
- */
-export function deriveEpoch(startedAt: number | undefined, workerClock: number, formerEpoch: number): number {
-    if (startedAt === undefined) {
-        return Math.max(formerEpoch + 1, Math.floor(workerClock));
-    }
-    const clockPart = Math.floor(workerClock / epochClockUnitMilliseconds) % epochsPerStart;
-    const epoch = (startedAt % distinguishedStarts) * epochsPerStart + clockPart;
-    // The clock's part of an earlier process may be higher; doubling exceeds it after a few rejections.
-    return epoch > formerEpoch ? epoch : formerEpoch + Math.max(1, formerEpoch % epochsPerStart);
-}
-
 /** The first sign of a later life. */
 export interface LifeSign {
     readonly startedAt: number;
@@ -95,9 +66,10 @@
         isRestored: false,
         endsAt: undefined,
         needsEpoch: false,
-        epoch: deriveEpoch(sign.startedAt, sign.workerClock, worker.epoch),
+        epoch: deriveEpoch(state.identity, sign, worker.epoch),
         confirmedEpoch: Number.NEGATIVE_INFINITY,
         epochRaisedAt: now,
+        timesReplaced: 0,
         hasLateCall: false,
         isConfirmed: false,
         clockOffset: sign.workerClock - now,
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -5,10 +5,11 @@
 import { RunSpeed } from "../policies/runSpeed.js";
 import { initialWorkerHealth } from "../policies/workerHealth.js";
 import type { AgentState, WorkerRow } from "./agentState.js";
+import { deriveEpoch } from "./epochs.js";
 import { endAllRunsAsLost } from "./runEnds.js";
 import { isCapacityToBeRecorded, logCapacityChange } from "./workerCapacity.js";
 import { confirmCrash } from "./workerCrash.js";
-import { beginLaterLife, compareLives, deriveEpoch } from "./workerLives.js";
+import { beginLaterLife, compareLives } from "./workerLives.js";
 
 /**
  * Processes a report of the worker. A new incarnation receives tasks once it has answered a view call that names it.
@@ -56,7 +57,8 @@
     if (worker !== undefined && !isRestoredUnconfirmed) {
         // Only one incarnation answers at the worker's address, so the next view call shows which one it is.
         state.pendingReport = report;
-        if (worker.refusal !== undefined && worker.callInFlight === undefined) {
+        const isWaiting = worker.refusal !== undefined || worker.timesReplaced > 0;
+        if (isWaiting && worker.callInFlight === undefined) {
             state.worker = { ...worker, nextCallAt: state.now };
         }
         return;
@@ -122,9 +124,10 @@
         isRestored: needsEpoch,
         endsAt: computeWorkerEnd(state, report),
         needsEpoch,
-        epoch: deriveEpoch(report.startedAt, report.workerClock, 0),
+        epoch: deriveEpoch(state.identity, report, 0),
         confirmedEpoch: Number.NEGATIVE_INFINITY,
         epochRaisedAt: Number.NEGATIVE_INFINITY,
+        timesReplaced: 0,
         hasLateCall: false,
         isConfirmed: false,
         clockOffset: report.workerClock - state.now,
@@ -213,7 +216,11 @@
  * @param workerClock - worker's monotonic clock, in milliseconds
  */
 export function takeEpoch(state: AgentState, worker: WorkerRow, workerClock: number): void {
-    const epoch = deriveEpoch(worker.report.startedAt, workerClock, worker.epoch);
+    const epoch = deriveEpoch(
+        state.identity,
+        { startedAt: worker.report.startedAt, workerClock },
+        worker.epoch,
+    );
     if (!worker.needsEpoch) {
         state.log("info", "worker has seen a higher epoch; taking a new one", { worker: worker.report.id, epoch });
     }
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -13,6 +13,7 @@
 import { recordFailure, recordSuccess } from "../policies/workerHealth.js";
 import type { ReportedRun, ReportedRunEnd, ViewFailure, WorkerView } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
+import { receiveHigherEpoch } from "./otherProcesses.js";
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
 import { revokeStart, stopRun } from "./runOrders.js";
 import { confirmCrash, describeRuns, receiveRefusal, refuteCrash } from "./workerCrash.js";
@@ -333,7 +334,7 @@
         if (isOfOtherLife(state, worker, call, failure)) {
             return;
         }
-        takeEpoch(state, worker, failure.workerClock);
+        receiveHigherEpoch(state, worker, failure.workerClock);
         return;
     }
     const hasLateCall = worker.hasLateCall || (failure.kind === "unknown" && call === worker.leaseExtensionCall);
--- a/packages/lovagepitch-testing/src/__tests__/direct/handovers.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/handovers.feature
@@ -3,13 +3,14 @@
 
     A process starts before the one that it replaces has ended, and orders of both go out.
 
-    # Two agents of one worker may overfill it, so the programs exclude this; see the platform's feature.
+    # Guards against two processes of an agent that hold one epoch, so that the worker accepts the orders of both and is overfilled.
     Scenario Outline: Two agents of one worker, the second of which starts <when>
         Given 2 entries, 2 workers and a second agent of worker 0
         When the second agent starts <when>
         And callers send jobs for 6 s, and again after each broken connection
         And 4000 ms pass for the replaced processes
-        Then no task of theirs ran twice at the same time, and at least 50 jobs were done
+        Then the replaced processes broke no rule, and at least 50 jobs were done
+        And the agents have excluded each other at most 3 times
 
         Examples:
             | when                             |
--- a/packages/lovagepitch-testing/src/__tests__/direct/handovers.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/handovers.steps.ts
@@ -146,8 +146,7 @@
     assertDone(jobs);
 });
 
-Then("no task of theirs ran twice at the same time, and at least {int} jobs were done", (jobs: number) => {
-    const { violations } = deployment.record;
-    assert.deepEqual(violations.filter(violation => !violation.endsWith("exceed its capacity")), []);
-    assertDone(jobs);
+Then("the agents have excluded each other at most {int} times", (times: number) => {
+    const exclusions = deployment.agentEvents.get("another process of this agent calls the worker") ?? 0;
+    assert.ok(exclusions >= 1 && exclusions <= times, `${exclusions} times`);
 });
