--- a/packages/lovagepitch-testing/src/__tests__/direct/lateGrants.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateGrants.feature
@@ -49,6 +49,21 @@
             | 1300 | 290  |
             | 2500 | 150  |
 
+    # Guards against runs in a later life of a worker that outlive the longest lease that it grants. Its clock begins anew, so that the
+    # latest start of the order may be far ahead.
+    Scenario Outline: The later lives of workers execute starts after <late> ms, and the agents are <back>
+        When agents 0 and 1 order starts, and end with their workers, whose later lives execute them after <late> ms; the agents are <back>
+        Then tasks have started late, and none went on for more than 1020 ms after the last late start on its worker
+
+        Examples:
+            | late | back                 |
+            | 300  | gone for good        |
+            | 1300 | gone for good        |
+            | 2500 | gone for good        |
+            | 1300 | back 5 ms after that |
+            | 1300 | back 500 ms after that |
+            | 2500 | back 900 ms after that |
+
     # Guards against the belief that 306 ms bound the life of such a run, and against more than one late view call. The one was
     # sent until the answers to the starts were missed, 40 ms after these.
     Scenario: A view call is executed late too
--- a/packages/lovagepitch-testing/src/__tests__/direct/lateGrants.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateGrants.steps.ts
@@ -134,6 +134,27 @@
     },
 );
 
+When(
+    /^agents 0 and 1 order starts, and end with their workers, whose later lives execute them after (\d+) ms; the agents are (.+)$/,
+    (lateMilliseconds: string, back: string) => {
+        orderLateStarts(Number(lateMilliseconds));
+        for (const index of affected) {
+            deployment.killAgent(index);
+            const formerClock = getAt(deployment.workers, index).workerClock;
+            deployment.fleet.restartWithSameId(index, false);
+            setFault(deployment, index, { rejectsStops: true });
+            // The clock of the later life shows less, so that it does not reject the orders as late.
+            assert.ok(getAt(deployment.workers, index).workerClock < formerClock);
+        }
+        const backMilliseconds = /^back (\d+) ms/.exec(back)?.[1];
+        if (backMilliseconds !== undefined) {
+            observeUntil(orderingMilliseconds + Number(lateMilliseconds) + Number(backMilliseconds));
+            affected.forEach(index => deployment.restartAgent(index, "record"));
+        }
+        observeUntil(Number(lateMilliseconds) + observedMilliseconds);
+    },
+);
+
 /** Lets agents order starts some time after a view call, and end; starts and view calls are executed late. */
 function lateViewAndStarts(phaseMilliseconds: number): void {
     createLateWorkers();
