test(testing): a worker's lease is extended by a start that it rejects as old or has executed already

Cause: the platform takes the end of a lease also from a start that is answered `old`, and from one of a run that is there; the fake worker extended nothing then, so tests of leases were weaker than the platform.

--- a/packages/lovagepitch-testing/src/direct/fakeWorker.ts
+++ b/packages/lovagepitch-testing/src/direct/fakeWorker.ts
@@ -205,9 +205,12 @@
         this.highestEpoch = epoch;
         const identity = { job: order.job, task: order.task, run: order.run };
         if (this.running.has(formatRunKey(identity))) {
+            this.extendLease(latestStart);
             return "accepted";
         }
         if (order.run <= (this.lastClosedRuns.get(`${order.job}/${order.task}`) ?? 0)) {
+            // A start that is rejected as old extends the lease of everything on the worker.
+            this.extendLease(latestStart);
             return "superseded";
         }
         if (latestStart <= this.workerClock && !this.faults.ignoresLatestStart) {
