fix(entry): a refuted crash no longer confines the kind of its jobs

Cause: the first sign of a crash, a refused call, counts against the kinds of the likely causes. When the worker answered again, only the evidence against single jobs was taken back. Two workers that refused calls within 5 s and ran on left a kind confined for 3 to 30 s, and its jobs could be refused as of a confined kind although no worker had crashed. Change: a refutation takes back the crash for the kinds too, and releases those that the other crashes do not confine.

--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.feature
@@ -104,6 +104,39 @@
             | two crashes 500 ms apart, both beside another likely kind | not confined |
             | two crashes 500 ms apart without another kind             | not confined |
 
+    # Guards against jobs that are refused because workers refused calls and ran on.
+    Scenario Outline: Two workers of a kind refuse calls, and <refuted> of them answer again: <result>
+        When two workers with jobs of one kind refuse calls
+        And <refuted> of these workers answer again
+        Then the kind of these jobs is <result>
+
+        Examples:
+            | refuted | result       |
+            | 0       | confined     |
+            | 1       | not confined |
+            | 2       | not confined |
+
+    # Guards against an entry that refuses jobs as those of a confined kind although no worker has crashed.
+    Scenario: An entry releases a kind whose workers refused calls and answer again
+        Given an entry with 4 workers that serves jobs of two kinds
+        When two of its workers refuse calls, 500 ms apart, soon after the start of jobs of one kind
+        Then the entry has confined that kind
+        When both workers answer again
+        Then the entry has released that kind
+
+    # Guards against a refutation that takes back what other crashes of the kind have shown.
+    Scenario: A kind under which three workers crashed stays confined when one of them answers again
+        When a kind of jobs is confined
+        And one of its jobs crashes a worker
+        And the worker that crashed first answers again
+        Then it is still confined 2900 ms after its latest crash
+
+    # Guards against a refutation that releases a kind whose earlier crashes are too old to confine it again.
+    Scenario: A confined kind stays so when a worker refuses calls 8 s later and answers again
+        When a kind of jobs is confined
+        And a worker with one of its jobs refuses calls 8000 ms later and answers again
+        Then the kind of these jobs is confined
+
     # Guards against releasing a kind that had no crash only because it did not run.
     Scenario: A confined kind is released after 3 s with runs and without a crash, and one crash soon after confines it again
         When a kind of jobs is confined
--- a/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/crashPolicies.steps.ts
@@ -1,10 +1,11 @@
-import { Before, Then, When } from "@cucumber/cucumber";
+import { Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { CrashedRun, WorkerCrash } from "../model/workerCrash.js";
 import { CrashEvidence, type CrashingTask } from "../policies/crashEvidence.js";
 import { CrashingKinds } from "../policies/crashingKinds.js";
 import { CrashRecords } from "../policies/crashRecords.js";
 import { chooseQuarantine } from "../policies/quarantine.js";
+import { ConnectedEntry, createJob, service as entryService } from "./connectedEntry.js";
 
 const service = "service-a";
 
@@ -118,9 +119,76 @@
 /** Records a crash under one job of each of the given kinds. */
 function chargeKinds(jobs: Readonly<Record<string, string>>): number {
     const jobsByRoute = new Map(Object.entries(jobs).map(([route, job]) => [route, new Set([job])]));
-    return kinds.recordCrash({ service, jobsByRoute }, now).length;
+    crashCount += 1;
+    return kinds.recordCrash({ crash: `crash-${crashCount}`, service, jobsByRoute }, now).length;
+}
+
+When("two workers with jobs of one kind refuse calls", () => {
+    confineKind();
+});
+
+When(/^(\d) of these workers answer again$/, (count: string) => {
+    for (let index = 1; index <= Number(count); index += 1) {
+        kinds.refuteCrash(`crash-${index}`);
+    }
+});
+
+When("the worker that crashed first answers again", () => kinds.refuteCrash("crash-1"));
+
+When("a worker with one of its jobs refuses calls {int} ms later and answers again", (milliseconds: number) => {
+    now += milliseconds;
+    chargeKinds({ crashing: "e" });
+    kinds.refuteCrash(`crash-${crashCount}`);
+});
+
+let entry = new ConnectedEntry();
+
+/** Lets an agent report what it knows of a crash of its worker, 10 ms after the start of a job. */
+function reportCrash(agent: string, certainty: WorkerCrash["certainty"]): void {
+    const runs = [{ job: `job-${agent}`, task: 0, route: "route-a", ageMilliseconds: 10 }];
+    const crash = { id: agent, instance: `side-${agent}`, service: entryService, ageMilliseconds: 0, runs };
+    entry.report(agent, { crashes: [{ ...crash, certainty }] });
+}
+
+function countLogLines(event: string): number {
+    return entry.outputs.filter(output => output.kind === "log" && output.event === event).length;
 }
 
+Given("an entry with {int} workers that serves jobs of two kinds", (count: number) => {
+    entry = new ConnectedEntry();
+    for (let index = 1; index <= count; index += 1) {
+        entry.connect(`agent-${index}`);
+    }
+    entry.submit(createJob("b000000000000001", { route: "route-a" }));
+    entry.submit(createJob("b000000000000002", { route: "route-b" }));
+});
+
+When(
+    "two of its workers refuse calls, {int} ms apart, soon after the start of jobs of one kind",
+    (milliseconds: number) => {
+        reportCrash("agent-1", "suspected");
+        entry.advance(milliseconds);
+        reportCrash("agent-2", "suspected");
+    },
+);
+
+When("both workers answer again", () => {
+    reportCrash("agent-1", "refuted");
+    reportCrash("agent-2", "refuted");
+});
+
+Then("the entry has confined that kind", () => {
+    assert.equal(countLogLines("jobs of a route are confined to few workers"), 1);
+});
+
+Then("the entry has released that kind", () => {
+    assert.equal(countLogLines("jobs of a route are no longer confined"), 1);
+});
+
+Then(/^the kind of these jobs is (confined|not confined)$/, (result: string) => {
+    assert.equal(kinds.isConfined(service, "crashing"), result === "confined");
+});
+
 function confineKind(): void {
     kinds.recordArrival(service, "other", now);
     chargeKinds({ crashing: "a" });
--- a/packages/lovagepitch-direct/src/entry/crashReports.ts
+++ b/packages/lovagepitch-direct/src/entry/crashReports.ts
@@ -4,6 +4,7 @@
  */
 import type { WorkerCrash } from "../model/workerCrash.js";
 import type { CrashingTask } from "../policies/crashEvidence.js";
+import type { JobKindName } from "../policies/crashingKinds.js";
 import { endJob } from "./endJob.js";
 import type { EntryState } from "./entryState.js";
 
@@ -36,7 +37,11 @@
     for (const job of new Set(found.map(task => task.job))) {
         failCrashingJob(state, job, found.filter(task => task.job === job));
     }
-    if (!isFirstSign || crash.certainty === "refuted") {
+    if (crash.certainty === "refuted") {
+        logReleasedKinds(state, crashingKinds.refuteCrash(crash.id));
+        return;
+    }
+    if (!isFirstSign) {
         return;
     }
     const crashedAt = now - crash.ageMilliseconds;
@@ -68,7 +73,11 @@
  * @param state - state of the entry
  */
 export function releaseKinds(state: EntryState): void {
-    for (const kind of state.crashingKinds.release(state.now)) {
+    logReleasedKinds(state, state.crashingKinds.release(state.now));
+}
+
+function logReleasedKinds(state: EntryState, kinds: readonly JobKindName[]): void {
+    for (const kind of kinds) {
         state.log("info", "jobs of a route are no longer confined", { ...kind });
         state.isPlacementDue = true;
     }
--- a/packages/lovagepitch-direct/src/policies/crashEvidence.ts
+++ b/packages/lovagepitch-direct/src/policies/crashEvidence.ts
@@ -72,6 +72,8 @@
 
 /** Kinds of jobs that a crash may be put down to, and their jobs that may have caused it. */
 export interface CrashCauses {
+    /** Id of the crash. */
+    readonly crash: string;
     readonly service: string;
     /** Ids of the jobs by route. */
     readonly jobsByRoute: ReadonlyMap<string, ReadonlySet<string>>;
@@ -191,7 +193,7 @@
         for (const { job, route } of causes) {
             jobsByRoute.set(route, (jobsByRoute.get(route) ?? new Set()).add(job));
         }
-        return { service: crash.service, jobsByRoute };
+        return { crash: crash.id, service: crash.service, jobsByRoute };
     }
 
     /**
--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -25,11 +25,16 @@
  */
 const parallelJobsPerDoneJob = 0.5;
 
+/** Largest number of crashes that are kept of a confined kind. */
+const maximumKeptCharges = 16;
+
 /** Largest number of jobs of a confined kind that may share a worker. */
 const maximumParallelJobs = 64;
 
 /** A crash that a kind may have caused. */
 interface Charge {
+    /** Id of the crash. */
+    readonly crash: string;
     readonly at: number;
     readonly jobs: ReadonlySet<string>;
     /** True when no other kind may have caused it. */
@@ -46,6 +51,8 @@
     successes: number;
     /** Number of its jobs that may share a worker. */
     parallelJobs: number;
+    /** Crashes for which it is confined, oldest first. */
+    charges: readonly Charge[];
 }
 
 /** A kind of jobs: those of one route at one service. */
@@ -75,11 +82,11 @@
      * @param crashedAt - monotonic time of the crash, in milliseconds
      * @returns kinds that are confined from now on
      */
-    public recordCrash({ service, jobsByRoute }: CrashCauses, crashedAt: number): readonly JobKindName[] {
+    public recordCrash({ crash, service, jobsByRoute }: CrashCauses, crashedAt: number): readonly JobKindName[] {
         const begun: JobKindName[] = [];
         for (const [route, jobs] of jobsByRoute) {
             const key = formatKey(service, route);
-            const charge = { at: crashedAt, jobs, isOnlyKind: jobsByRoute.size === 1 };
+            const charge = { crash, at: crashedAt, jobs, isOnlyKind: jobsByRoute.size === 1 };
             const recent = (this.charges.get(key) ?? []).filter(({ at }) => {
                 return crashedAt - at <= confinementWindowMilliseconds;
             });
@@ -89,19 +96,52 @@
                 kind.lastCrashAt = Math.max(kind.lastCrashAt, crashedAt);
                 kind.successes = 0;
                 kind.parallelJobs = Math.max(1, kind.parallelJobs / 2);
+                kind.charges = [...kind.charges, charge].slice(-maximumKeptCharges);
             }
             else if (
                 (this.isOnProbation(key, crashedAt) || recent.some(earlier => areIndependent(earlier, charge)))
                 && this.hasOtherKind(service, key, crashedAt)
             ) {
-                const row = { service, route, lastCrashAt: crashedAt, successes: 0, parallelJobs: 1 };
-                this.confined.set(key, row);
+                const charges = [...recent, charge].slice(-maximumKeptCharges);
+                this.confined.set(key, {
+                    service,
+                    route,
+                    lastCrashAt: crashedAt,
+                    successes: 0,
+                    parallelJobs: 1,
+                    charges,
+                });
                 begun.push({ service, route });
             }
         }
         return begun;
     }
 
+    /**
+     * Takes back a crash that was none. Kinds that the others do not confine are released.
+     *
+     * @param crash - id of the crash
+     * @returns the released kinds
+     */
+    public refuteCrash(crash: string): readonly JobKindName[] {
+        for (const [key, charges] of this.charges) {
+            this.charges.set(key, charges.filter(charge => charge.crash !== crash));
+        }
+        const released: JobKindName[] = [];
+        for (const [key, kind] of this.confined) {
+            kind.charges = kind.charges.filter(charge => charge.crash !== crash);
+            const isJustified = kind.charges.some((charge, index) => {
+                return this.isOnProbation(key, charge.at)
+                    || kind.charges.slice(0, index).some(earlier => areIndependent(earlier, charge));
+            });
+            if (!isJustified) {
+                this.confined.delete(key);
+                released.push({ service: kind.service, route: kind.route });
+            }
+        }
+        return released;
+    }
+
     /**
      * Takes the arrival of a job into account.
      *
