--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -25,11 +25,16 @@
  */
 const parallelJobsPerDoneJob = 0.5;
 
+/** Largest number of crashes that are kept of a confined kind. */
+const maximumKeptCharges = 16;
+
 /** Largest number of jobs of a confined kind that may share a worker. */
 const maximumParallelJobs = 64;
 
 /** A crash that a kind may have caused. */
 interface Charge {
+    /** Id of the crash. */
+    readonly crash: string;
     readonly at: number;
     /** Its jobs that may have caused it. */
     readonly jobs: ReadonlySet<string>;
@@ -47,6 +52,8 @@
     successes: number;
     /** Number of its jobs that may share a worker. */
     parallelJobs: number;
+    /** Crashes for which it is confined, oldest first. */
+    charges: readonly Charge[];
 }
 
 /** A kind of jobs: those of one route at one service. */
@@ -76,7 +83,7 @@
      * @param crashedAt - monotonic time of the crash, in milliseconds
      * @returns kinds that are confined from now on
      */
-    public recordCrash({ service, jobsByRoute }: CrashCauses, crashedAt: number): readonly JobKindName[] {
+    public recordCrash({ crash, service, jobsByRoute }: CrashCauses, crashedAt: number): readonly JobKindName[] {
         const begun: JobKindName[] = [];
         const routes = new Set(jobsByRoute.keys());
         const known = [...routes].filter(route => this.isConfined(service, route));
@@ -85,30 +92,63 @@
                 continue;
             }
             const key = formatKey(service, route);
-            const charge = { at: crashedAt, jobs, routes };
+            const charge = { crash, at: crashedAt, jobs, routes };
             const recent = (this.charges.get(key) ?? []).filter(({ at }) => {
                 return crashedAt - at <= confinementWindowMilliseconds;
             });
             this.charges.set(key, [...recent, charge]);
             const kind = this.confined.get(key);
+            const unexplained = this.listUnexplained(service, recent);
             if (kind !== undefined) {
                 kind.lastCrashAt = Math.max(kind.lastCrashAt, crashedAt);
                 kind.successes = 0;
                 kind.parallelJobs = Math.max(1, kind.parallelJobs / 2);
+                kind.charges = [...kind.charges, charge].slice(-maximumKeptCharges);
             }
             else if (
-                (this.isOnProbation(key, crashedAt)
-                    || isOnlyCommonKind(route, charge, this.listUnexplained(service, recent)))
+                (this.isOnProbation(key, crashedAt) || isOnlyCommonKind(route, charge, unexplained))
                 && this.hasOtherKind(service, key, crashedAt)
             ) {
-                const row = { service, route, lastCrashAt: crashedAt, successes: 0, parallelJobs: 1 };
-                this.confined.set(key, row);
+                const charges = [...unexplained, charge].slice(-maximumKeptCharges);
+                this.confined.set(key, {
+                    service,
+                    route,
+                    lastCrashAt: crashedAt,
+                    successes: 0,
+                    parallelJobs: 1,
+                    charges,
+                });
                 begun.push({ service, route });
             }
         }
         return begun;
     }
 
+    /**
+     * Takes back a crash that was none. Kinds that the others do not confine are released.
+     *
+     * @param crash - id of the crash
+     * @returns the released kinds
+     */
+    public refuteCrash(crash: string): readonly JobKindName[] {
+        for (const [key, charges] of this.charges) {
+            this.charges.set(key, charges.filter(charge => charge.crash !== crash));
+        }
+        const released: JobKindName[] = [];
+        for (const [key, kind] of this.confined) {
+            kind.charges = kind.charges.filter(charge => charge.crash !== crash);
+            const isJustified = kind.charges.some((charge, index) => {
+                return this.isOnProbation(key, charge.at)
+                    || isOnlyCommonKind(kind.route, charge, kind.charges.slice(0, index));
+            });
+            if (!isJustified) {
+                this.confined.delete(key);
+                released.push({ service: kind.service, route: kind.route });
+            }
+        }
+        return released;
+    }
+
     /**
      * Takes the arrival of a job into account.
      *
