fix(entry): a refuted crash concerns only the kinds that it was held against

Cause: after the merge of the two rules, a refutation looked at every confined kind again, also those that the crash had not been charged to, of which only the latest crashes are kept.

Change: only kinds with that crash are looked at.

Seen: crashPolicies 39 passed, 0 failed.

--- a/packages/lovagepitch-direct/src/policies/crashingKinds.ts
+++ b/packages/lovagepitch-direct/src/policies/crashingKinds.ts
@@ -136,19 +136,25 @@
         }
         const released: JobKindName[] = [];
         for (const [key, kind] of this.confined) {
-            kind.charges = kind.charges.filter(charge => charge.crash !== crash);
-            const isJustified = kind.charges.some((charge, index) => {
-                return this.isOnProbation(key, charge.at)
-                    || isOnlyCommonKind(kind.route, charge, kind.charges.slice(0, index));
-            });
-            if (!isJustified) {
-                this.confined.delete(key);
-                released.push({ service: kind.service, route: kind.route });
+            const rest = kind.charges.filter(charge => charge.crash !== crash);
+            if (rest.length < kind.charges.length) {
+                kind.charges = rest;
+                if (!this.isConfinedBy(key, kind)) {
+                    this.confined.delete(key);
+                    released.push({ service: kind.service, route: kind.route });
+                }
             }
         }
         return released;
     }
 
+    /** Tells whether one of the crashes of a kind confines it, together with those before it. */
+    private isConfinedBy(key: string, { route, charges }: ConfinedKind): boolean {
+        return charges.some((charge, index) => {
+            return this.isOnProbation(key, charge.at) || isOnlyCommonKind(route, charge, charges.slice(0, index));
+        });
+    }
+
     /**
      * Takes the arrival of a job into account.
      *
