--- a/packages/lovagepitch-direct/src/process/directMetrics.ts
+++ b/packages/lovagepitch-direct/src/process/directMetrics.ts
@@ -48,8 +48,7 @@
     });
     private readonly stopDelays = new Histogram({
         name: "lovagepitch_stop_delay_seconds",
-        help:
-            "Longest time that the end of a caller's connection can have waited in the process until the stops were sent",
+        help: "Time from the end of the previous tick until the stops for callers that have gone were sent",
         buckets: stopDelayBucketSeconds,
         registers: [this.registry],
     });
--- a/packages/lovagepitch-direct/src/process/stopDelays.ts
+++ b/packages/lovagepitch-direct/src/process/stopDelays.ts
@@ -14,8 +14,9 @@
 const lateMilliseconds = tickIntervalMilliseconds + resubmissionDelayMilliseconds - lostAgentTimeoutMilliseconds;
 
 /**
- * Measures the delay from the previous tick to the frames with the stops. The end of a connection that could be read before that tick was
- * read before it, so the delay bounds the time for which it has waited in the process; the time on the way is not included.
+ * Measures the delay from the end of the previous tick to the frames with the stops. The end of a connection that could be read before
+ * that tick was read before it, so it has waited in the process for at most this delay and the duration of that tick; its way there is not
+ * included.
  */
 export class StopDelays {
     private tickEndedAt: number;
