fix(entry): a job that a caller submits at a second entry runs at one of them

Cause: entries did not know of each other's jobs.

Change: an entry announces jobs that have been open for 1,000 ms to the other entries, by datagram. An entry that receives a submission of such a job places none of its tasks, asks the owner to end it, and starts it when the owner says that no run is going on, or when the owner has been silent for 1,474 ms. Such a job is interrupted rather than refused, unless no task of it has started.

--- a/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
@@ -11,6 +11,9 @@
             | agent frame      |
             | entry frame      |
             | capacity request |
+            | open jobs        |
+            | release request  |
+            | release notice   |
 
     Scenario Outline: A frame that would make its receiver fail is refused
         Then the <message> changed by <change> is refused
@@ -31,6 +34,11 @@
             | entry frame      | {"crashes":[null]}                                |
             | capacity request | {"from":{"address":"nowhere"}}                    |
             | capacity request | {"from":{"address":"10.1.0.1:0"}}                 |
+            | open jobs        | {"jobs":[["a1"]]}                                 |
+            | open jobs        | {"kind":"other"}                                  |
+            | open jobs        | {"from":{"address":"nowhere","incarnation":"a"}}  |
+            | release request  | {"ownerSubmission":"7"}                           |
+            | release notice   | {"mayHaveStarted":1}                              |
 
     Scenario: Numbers that are not finite, which frames can carry, are refused
         Then no agent frame with a send time of NaN and no entry frame with a sequence number of Infinity is accepted
--- a/packages/lovagepitch-direct/src/__tests__/malformedMessages.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.steps.ts
@@ -5,12 +5,17 @@
 import assert from "node:assert/strict";
 import { EntryCore } from "../entry/entryCore.js";
 import { isAgentFrame, isCapacityRequest, isEntryFrame } from "../links/frameGuards.js";
+import { isOwnershipMessage } from "../links/ownershipGuards.js";
 import { receiveInputs } from "../model/receiveInputs.js";
 import { AgentDriver, createOrder, createRegistration, entryAddress } from "./agentDriver.js";
 
 type Message = Readonly<Record<string, unknown>>;
 
 const { capacity } = createRegistration("life-1");
+
+const otherEntry = { address: "10.1.0.3:7720", incarnation: "entry-3" };
+
+const releaseFields = { job: "a1", owner: "entry-1", ownerSubmission: 7, asker: "entry-3", askerSubmission: 2 };
 const configuration = {
     version: 2,
     configuration: {
@@ -76,6 +81,9 @@
         requiredLabel: "a",
         agents: 2,
     },
+    "open jobs": { kind: "open-jobs", from: otherEntry, jobs: [["a1", 1], ["a3", 2]] },
+    "release request": { kind: "release-job", from: otherEntry, ...releaseFields },
+    "release notice": { kind: "job-released", from: otherEntry, ...releaseFields, mayHaveStarted: true },
 };
 
 let processed: readonly number[] = [];
@@ -133,6 +141,15 @@
             agent.advance(400);
             assertNothingDropped(agent.outputs);
             return true;
+        case "open jobs":
+        case "release request":
+        case "release notice":
+            if (!isOwnershipMessage(received)) {
+                return false;
+            }
+            entry.accept({ kind: "ownership", message: received });
+            assertNothingDropped(entry.tick());
+            return true;
         default:
             if (!isCapacityRequest(received)) {
                 return false;
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -24,6 +24,7 @@
 import type { EntryInput, EntryOutput } from "./entryPorts.js";
 import { type EntryIdentity, EntryState, mayHaveStarted } from "./entryState.js";
 import { receiveEvacuations } from "./evacuationRelay.js";
+import { announceJobs, receiveOwnershipMessage, requestReleases } from "./jobOwnership.js";
 import { reportLink } from "./linkReport.js";
 import { expireJobs, findNextExpiry, placeTasks } from "./placement.js";
 import { detectPause } from "./processPause.js";
@@ -166,11 +167,14 @@
             removeLostAgents(state);
         }
         releaseKinds(state);
+        requestReleases(state);
         placeTasks(state);
         expireJobs(state);
         requestCapacity(state);
         forgetInvitations(state);
         reportLink(state);
+        // Before the frames, which an owner of jobs may send only while others hear of it.
+        announceJobs(state);
         sendFrames(state);
         return state.outputs.splice(0);
     }
@@ -204,6 +208,8 @@
                 return receiveEntryLocations(state, input.entries);
             case "capacity-requested":
                 return receiveCapacityRequest(state, input.request);
+            case "ownership":
+                return receiveOwnershipMessage(state, input.message);
             case "unsent":
                 return state.linkBacklog.recordUnsent(input.bytes);
             case "shut-down":
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -6,6 +6,7 @@
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
+import type { OwnershipMessage } from "../model/jobOwnership.js";
 import type { LogLine } from "../model/logLine.js";
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
 
@@ -24,6 +25,8 @@
     | { readonly kind: "unsent"; readonly bytes: number }
     /** Another entry needs capacity. */
     | { readonly kind: "capacity-requested"; readonly request: CapacityRequest }
+    /** Another entry has sent a message about open jobs. */
+    | { readonly kind: "ownership"; readonly message: OwnershipMessage }
     /** Refuses new jobs from now on. */
     | { readonly kind: "shut-down" }
     /** Ends all open jobs. */
@@ -42,4 +45,6 @@
     | { readonly kind: "frame"; readonly connection: number; readonly frame: EntryFrame }
     /** Request to another entry. */
     | { readonly kind: "request-capacity"; readonly address: string; readonly request: CapacityRequest }
+    /** Message to another entry about open jobs. */
+    | { readonly kind: "ownership"; readonly address: string; readonly message: OwnershipMessage }
     | LogLine;
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -11,11 +11,13 @@
 import { type Resources, subtractResources } from "../model/resources.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import { noEvacuations, type ZoneEvacuations } from "../model/zoneEvacuations.js";
+import { AnnouncedJobs } from "../policies/announcedJobs.js";
 import { CapacitySearch } from "../policies/capacitySearch.js";
 import { CrashEvidence } from "../policies/crashEvidence.js";
 import { CrashingKinds } from "../policies/crashingKinds.js";
 import { CrashRecords } from "../policies/crashRecords.js";
 import type { EntryPolicies } from "../policies/entryPolicies.js";
+import { JobAnnouncements } from "../policies/jobAnnouncements.js";
 import type { JobDeadlines } from "../policies/jobDeadlines.js";
 import type { LinkBacklog } from "../policies/linkBacklog.js";
 import { OrderedJobs } from "../policies/orderedJobs.js";
@@ -26,12 +28,15 @@
 import type { WorkerHealth } from "../policies/workerHealth.js";
 import { WorkerSpeeds } from "../policies/workerSpeeds.js";
 import type { EntryOutput } from "./entryPorts.js";
+import type { HeldJob } from "./jobOwnership.js";
 
 /** A job that has not been answered. */
 export interface JobRow {
     readonly job: DirectJob;
     /** Unique in this process; tells runs of this submission from those of earlier ones of the same job. */
     readonly submission: number;
+    /** Number of the latest submission that this row serves; higher than `submission` when the job was submitted again. */
+    readonly latestSubmission: number;
     /** Ids of the requests that wait for its answer; more than one when the job was submitted again. */
     readonly requests: readonly number[];
     readonly acceptedAt: number;
@@ -127,6 +132,11 @@
     public readonly stoppingRuns = new Table<string, ReadonlySet<string>>();
     /** Jobs whose earlier submissions may have started tasks. */
     public readonly orderedJobs = new OrderedJobs();
+    public readonly jobAnnouncements = new JobAnnouncements();
+    /** Jobs that other entries have announced. */
+    public readonly announcedJobs = new AnnouncedJobs();
+    /** Open jobs of which no task is placed until other entries have released them, by id. */
+    public readonly heldJobs = new Map<string, HeldJob>();
     public readonly agents = new Table<string, AgentRow>();
     public readonly pendingOrders = new Map<string, PendingOrders>();
     /** All entries of the deployment that are known, by address. */
--- /dev/null
+++ b/packages/lovagepitch-direct/src/entry/jobOwnership.ts
@@ -0,0 +1,212 @@
+/**
+ * Jobs that callers have submitted at two entries: the second entry starts a job when the first one has released it.
+ */
+import type { OpenJob, OwnershipMessage, ReleaseNotice, ReleaseRequest } from "../model/jobOwnership.js";
+import type { JobOwner } from "../policies/announcedJobs.js";
+import { announcedAfterMilliseconds, type AnnouncedJob } from "../policies/jobAnnouncements.js";
+import { endJob } from "./endJob.js";
+import { type EntryState, type JobRow, mayHaveStarted } from "./entryState.js";
+import { judgeJob } from "./workerSeparation.js";
+
+/** Time between two requests for the release of a job, in milliseconds. */
+const requestIntervalMilliseconds = 50;
+
+/** A job of which no task is placed until its owners have released it. */
+export interface HeldJob {
+    /** Submission of the job at this entry. */
+    readonly submission: number;
+    /** Owners that have not released it. */
+    readonly owners: readonly JobOwner[];
+    readonly heldAt: number;
+    readonly requestedAt: number;
+}
+
+/**
+ * Announces the jobs that have been open for some time to the other entries.
+ *
+ * @param state - state of the entry
+ */
+export function announceJobs(state: EntryState): void {
+    const parts = state.jobAnnouncements.take(listOpenJobs(state), state.now);
+    for (const jobs of parts) {
+        for (const { address } of state.knownEntries.values()) {
+            if (address !== state.identity.address) {
+                send(state, address, { kind: "open-jobs", from: pickProcess(state), jobs });
+            }
+        }
+    }
+}
+
+function* listOpenJobs(state: EntryState): Iterable<AnnouncedJob> {
+    for (const { job, latestSubmission, acceptedAt } of state.jobs.values()) {
+        yield { job: job.id, submission: latestSubmission, acceptedAt };
+    }
+}
+
+/**
+ * Holds a job if another entry has announced it.
+ *
+ * @param state - state of the entry
+ * @param row - row of the job
+ * @returns true when no task of it may be placed yet
+ */
+export function holdAnnouncedJob(state: EntryState, row: JobRow): boolean {
+    const owners = state.announcedJobs.listOwners(row.job.id, state.now);
+    if (owners.length === 0) {
+        return false;
+    }
+    const known = state.heldJobs.get(row.job.id);
+    state.heldJobs.set(row.job.id, {
+        submission: row.submission,
+        owners,
+        heldAt: known?.heldAt ?? state.now,
+        requestedAt: Number.NEGATIVE_INFINITY,
+    });
+    if (known === undefined) {
+        state.log("info", "job of another entry is held", {
+            job: row.job.id,
+            submission: row.submission,
+            owners: owners.map(({ address }) => address),
+        });
+    }
+    return true;
+}
+
+/**
+ * Requests the release of held jobs, and stops waiting for owners whose runs have ended because they are silent.
+ *
+ * @param state - state of the entry
+ */
+export function requestReleases(state: EntryState): void {
+    for (const [job, held] of [...state.heldJobs]) {
+        if (state.jobs.get(job)?.submission !== held.submission) {
+            state.heldJobs.delete(job);
+            continue;
+        }
+        if (state.now - held.requestedAt < requestIntervalMilliseconds) {
+            continue;
+        }
+        for (const owner of held.owners) {
+            send(state, owner.address, {
+                kind: "release-job",
+                from: pickProcess(state),
+                job,
+                owner: owner.incarnation,
+                ownerSubmission: owner.submission,
+                asker: state.identity.incarnation,
+                askerSubmission: held.submission,
+            });
+        }
+        // After a pause, what the owners have sent meanwhile is received first.
+        const isPaused = state.now < state.placesFrom;
+        const active = held.owners.filter(({ incarnation }) => {
+            return isPaused || state.announcedJobs.mayBeActive(incarnation, state.now);
+        });
+        state.heldJobs.set(job, { ...held, owners: active, requestedAt: state.now });
+        if (active.length === 0) {
+            state.orderedJobs.record(job, state.now);
+            startHeldJob(state, job, held, "owner of a held job is silent");
+        }
+    }
+}
+
+/**
+ * Processes a message from another entry.
+ *
+ * @param state - state of the entry
+ * @param message - announcement, request or notice
+ */
+export function receiveOwnershipMessage(state: EntryState, message: OwnershipMessage): void {
+    if (message.from.incarnation === state.identity.incarnation) {
+        return;
+    }
+    state.announcedJobs.recordHeard(message.from.incarnation, state.now);
+    switch (message.kind) {
+        case "open-jobs":
+            message.jobs.forEach(job => receiveOpenJob(state, message.from, job));
+            return;
+        case "release-job":
+            return receiveReleaseRequest(state, message);
+        case "job-released":
+            receiveReleaseNotice(state, message);
+    }
+}
+
+function receiveOpenJob(state: EntryState, from: OwnershipMessage["from"], openJob: OpenJob): void {
+    state.announcedJobs.record(from, openJob, state.now);
+    const [job] = openJob;
+    const row = state.jobs.get(job);
+    // The job that is announced is older, so that one of two entries asks the other.
+    const isOlderThere = row !== undefined && state.now - row.acceptedAt < announcedAfterMilliseconds;
+    if (isOlderThere && state.heldJobs.get(job)?.owners.some(isFrom) !== true) {
+        holdAnnouncedJob(state, row);
+    }
+
+    function isFrom({ incarnation }: JobOwner): boolean {
+        return incarnation === from.incarnation;
+    }
+}
+
+/** A request that names an earlier submission than the latest one is late: the caller has come back. */
+function receiveReleaseRequest(state: EntryState, request: ReleaseRequest): void {
+    const { job, ownerSubmission } = request;
+    const row = state.jobs.get(job);
+    if (request.owner !== state.identity.incarnation) {
+        return;
+    }
+    const hadStarted = (row !== undefined && mayHaveStarted(row)) || state.orderedJobs.has(job, state.now);
+    if (row !== undefined) {
+        if (row.latestSubmission > ownerSubmission) {
+            return;
+        }
+        endJob(state, row, { kind: "interrupted", reason: "the job was submitted to another entry" });
+    }
+    if (!state.stoppingRuns.has(job)) {
+        send(state, request.from.address, {
+            ...request,
+            kind: "job-released",
+            from: pickProcess(state),
+            mayHaveStarted: hadStarted,
+        });
+    }
+}
+
+function receiveReleaseNotice(state: EntryState, notice: ReleaseNotice): void {
+    const { job, owner, ownerSubmission } = notice;
+    const held = state.heldJobs.get(job);
+    const isOwn = notice.asker === state.identity.incarnation && notice.askerSubmission === held?.submission;
+    if (!isOwn || notice.from.incarnation !== owner) {
+        return;
+    }
+    state.announcedJobs.remove(job, { incarnation: owner, submission: ownerSubmission });
+    if (notice.mayHaveStarted) {
+        state.orderedJobs.record(job, state.now);
+    }
+    const owners = held.owners.filter(other => other.incarnation !== owner || other.submission > ownerSubmission);
+    state.heldJobs.set(job, { ...held, owners });
+    if (owners.length === 0) {
+        startHeldJob(state, job, held, "job released by another entry");
+    }
+}
+
+function startHeldJob(state: EntryState, job: string, held: HeldJob, event: string): void {
+    state.heldJobs.delete(job);
+    state.isPlacementDue = true;
+    state.log("info", event, {
+        job,
+        submission: held.submission,
+        heldMilliseconds: Math.round(state.now - held.heldAt),
+    });
+    const row = state.jobs.get(job);
+    if (row !== undefined && judgeJob(state, row.job) === "crashing") {
+        endJob(state, row, { kind: "failed" });
+    }
+}
+
+function pickProcess(state: EntryState): OwnershipMessage["from"] {
+    return { address: state.identity.address, incarnation: state.identity.incarnation };
+}
+
+function send(state: EntryState, address: string, message: OwnershipMessage): void {
+    state.outputs.push({ kind: "ownership", address, message });
+}
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -58,7 +58,8 @@
             refuseJob(state, row, "kind-confined");
             continue;
         }
-        const canPlace = !state.stoppingRuns.has(row.job.id) && canPlaceJob(state, round, row, isContended);
+        const canPlace = !state.stoppingRuns.has(row.job.id) && !state.heldJobs.has(row.job.id)
+            && canPlaceJob(state, round, row, isContended);
         const isHeld = canPlace
             && holdForLink(state, round.link, row, inputs => refuseJob(state, row, "no-room-in-time", inputs));
         if (canPlace && !isHeld) {
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -6,6 +6,7 @@
 import { computeRetryAfterSeconds, maximumRetryAfterSeconds } from "../policies/retryAfter.js";
 import { endJob } from "./endJob.js";
 import { type EntryState, estimateWork, type JobRow, mayHaveStarted } from "./entryState.js";
+import { holdAnnouncedJob } from "./jobOwnership.js";
 import { judgeJob } from "./workerSeparation.js";
 
 /** Largest number of open jobs of one entry; far more than a deployment's workers finish while a caller waits. */
@@ -36,13 +37,16 @@
         return;
     }
     if (known !== undefined) {
-        state.jobs.set(job.id, { ...known, requests: [...known.requests, request] });
+        const latestSubmission = state.takeSubmissionNumber();
+        state.jobs.set(job.id, { ...known, latestSubmission, requests: [...known.requests, request] });
         state.log("info", "job submitted again", { job: job.id, callers: known.requests.length + 1 });
         return;
     }
+    const submission = state.takeSubmissionNumber();
     const row: JobRow = {
         job,
-        submission: state.takeSubmissionNumber(),
+        submission,
+        latestSubmission: submission,
         requests: [request],
         acceptedAt: state.now,
         deadlines: computeDeadlines(state, job),
@@ -57,7 +61,8 @@
     state.crashingKinds.recordArrival(job.service, job.route, state.now);
     state.policies.queueShares.recordArrival(job.service, job.route, estimateWork(job, job.taskCount), state.now);
     state.isPlacementDue = true;
-    if (judgeJob(state, job) === "crashing") {
+    const isHeld = holdAnnouncedJob(state, row);
+    if (!isHeld && judgeJob(state, job) === "crashing") {
         endJob(state, row, { kind: "failed" });
     }
     else if (state.isShuttingDown) {
@@ -87,7 +92,7 @@
         endJob(state, row, { kind: "interrupted", reason: "a run of the job was lost when its worker crashed" });
         return;
     }
-    if (state.orderedJobs.has(row.job.id, state.now)) {
+    if (state.orderedJobs.has(row.job.id, state.now) || state.heldJobs.has(row.job.id)) {
         // Not a refusal, which would say that the job has not run.
         endJob(state, row, { kind: "interrupted", reason: "tasks of an earlier submission may have started" }, inputs);
         return;
--- a/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
+++ b/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
@@ -1,24 +1,28 @@
 /**
- * Requests for capacity between entries, one UDP datagram each. A lost one is replaced by the next, and no connection
- * is kept for entries that rarely exchange any.
+ * Requests for capacity and messages about open jobs between entries, one UDP datagram each. A lost one is replaced by the
+ * next, and no connection is kept for entries that rarely exchange any.
  */
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import type { CapacityRequest } from "../model/capacityRequest.js";
+import type { OwnershipMessage } from "../model/jobOwnership.js";
 import { isCapacityRequest } from "./frameGuards.js";
 import { splitAddress } from "./listenAt.js";
+import { isOwnershipMessage } from "./ownershipGuards.js";
 
-/** Sends and receives requests for capacity. */
+/** Sends and receives requests for capacity and messages about open jobs. */
 export class CapacityDatagrams {
     private readonly socket: Socket = createSocket("udp4");
 
     /**
      * @param onRequest - called with each received request
-     * @param onFailure - called with the reason when a datagram cannot be sent or is not a request
+     * @param onFailure - called with the reason when a datagram cannot be sent or is none of these messages
+     * @param onOwnership - called with each received message about open jobs
      */
     public constructor(
         private readonly onRequest: (request: CapacityRequest) => void,
         private readonly onFailure: (reason: string) => void,
+        private readonly onOwnership: (message: OwnershipMessage) => void = () => undefined,
     ) {
         this.socket.on("message", data => this.receive(data.toString("utf8")));
     }
@@ -37,12 +41,12 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request or message.
      *
      * @param address - host and port of the other entry
-     * @param request - request to send
+     * @param request - request or message to send
      */
-    public send(address: string, request: CapacityRequest): void {
+    public send(address: string, request: CapacityRequest | OwnershipMessage): void {
         const { host, port } = splitAddress(address);
         this.socket.send(JSON.stringify(request), port, host, error => {
             if (error !== null) {
@@ -67,6 +71,9 @@
         if (isCapacityRequest(value)) {
             this.onRequest(value);
         }
+        else if (isOwnershipMessage(value)) {
+            this.onOwnership(value);
+        }
         else {
             this.onFailure("a datagram is not a request for capacity; only entries may send to this port");
         }
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -105,6 +105,7 @@
         this.datagrams = new CapacityDatagrams(
             request => this.loop.accept({ kind: "capacity-requested", request }),
             reason => this.log.write("warn", "request for capacity failed", { reason }),
+            message => this.loop.accept({ kind: "ownership", message }),
         );
         this.listener = new AgentListener({
             onFrame: (connection, frame) => this.loop.accept({ kind: "frame", connection, frame }),
@@ -323,6 +324,9 @@
             case "request-capacity":
                 this.datagrams.send(output.address, output.request);
                 return;
+            case "ownership":
+                this.datagrams.send(output.address, output.message);
+                return;
             case "log":
                 this.log.write(output.level, output.event, output.fields);
         }
--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.steps.ts
@@ -0,0 +1,152 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { OwnershipMessage } from "@lovagepitch/direct/model/jobOwnership";
+import assert from "node:assert/strict";
+import { DirectDeployment } from "../../direct/directDeployment.js";
+
+const longTaskMilliseconds = 4000;
+
+const workerCount = 3;
+
+const longJob = {
+    id: "e000000000000001",
+    taskCount: 8,
+    estimatedMilliseconds: longTaskMilliseconds,
+    callerWaitMilliseconds: 20_000,
+} as const;
+
+/** Time within which everything has ended, in milliseconds. */
+const settlingMilliseconds = 12_000;
+
+const ordinals = ["first", "second"];
+
+let deployment = createDeployment();
+let latestRequest = 0;
+
+function createDeployment(): DirectDeployment {
+    return new DirectDeployment({
+        entries: 3,
+        workers: workerCount,
+        milliCores: 16_000,
+        seed: 1,
+        getTaskDurationMilliseconds: ({ job }) => job === longJob.id ? longTaskMilliseconds : 100,
+    });
+}
+
+/** Number of its kind, from 1, of each message that a process has sent to all others at one instant. */
+function createCounter(): (message: OwnershipMessage) => number {
+    const sentAt = new Map<string, number[]>();
+    return ({ kind, from }) => {
+        const instants = sentAt.get(kind + from.incarnation) ?? [];
+        sentAt.set(kind + from.incarnation, instants);
+        const now = deployment.clock.nowMilliseconds();
+        if (instants.at(-1) !== now) {
+            instants.push(now);
+        }
+        return instants.length;
+    };
+}
+
+function submitTo(entry: number, milliseconds: number): void {
+    deployment.advance(milliseconds);
+    latestRequest = deployment.submit(entry, longJob);
+}
+
+function hasStartedSince(job: string, milliseconds: number): boolean {
+    const after = deployment.clock.nowMilliseconds() - milliseconds;
+    const tasks = Array.from({ length: longJob.taskCount }, (_, task) => task);
+    return tasks.some(task => deployment.record.findStart(job, task, after - 1) !== undefined);
+}
+
+Given("3 entries that know each other and a job of long tasks at entry 0", () => {
+    deployment = createDeployment();
+    submitTo(0, 0);
+});
+
+Given(/^(all|the first|the second|the first and second) (\S+) datagrams are lost$/, (which: string, kind: string) => {
+    const count = createCounter();
+    deployment.linkNetwork.datagramFault = (_, message) => {
+        const number = message.kind === kind ? count(message) : 0;
+        const isLost = number > 0 && (which === "all" || which.includes(ordinals[number - 1] ?? "none"));
+        return { copies: isLost ? 0 : 1, delayMilliseconds: 0 };
+    };
+});
+
+Given("datagrams arrive {int} ms late, {int} times", (delayMilliseconds: number, copies: number) => {
+    deployment.linkNetwork.datagramFault = () => ({ copies, delayMilliseconds });
+});
+
+Given("copies of datagrams arrive {int} ms late", (delayMilliseconds: number) => {
+    const { linkNetwork } = deployment;
+    linkNetwork.datagramFault = () => ({ copies: 1, delayMilliseconds: 0, lateCopyMilliseconds: delayMilliseconds });
+});
+
+Given("another job of short tasks at entry 2", () => {
+    deployment.submit(2, { id: "a000000000000001" });
+});
+
+When("the caller submits the long job to entry {int} after {int} ms", submitTo);
+
+When(
+    "the caller submits the long job to entry {int} after {int} ms, with an estimate of {int} ms",
+    (entry: number, milliseconds: number, estimatedMilliseconds: number) => {
+        deployment.advance(milliseconds);
+        latestRequest = deployment.submit(entry, { ...longJob, estimatedMilliseconds });
+        deployment.advance(1000);
+    },
+);
+
+When("entry 0 is killed {int} ms later, and its agents freeze for {int} ms", (later: number, milliseconds: number) => {
+    deployment.advance(later);
+    deployment.killEntry(0);
+    deployment.workers.forEach((_, index) => deployment.setFrozen("agent", index, true));
+    deployment.advance(milliseconds);
+    deployment.workers.forEach((_, index) => deployment.setFrozen("agent", index, false));
+});
+
+When(
+    "entry 0 is frozen {int} ms before the caller submits the long job to entry 1, for {int} ms",
+    (before: number, milliseconds: number) => {
+        deployment.advance(1300 - before);
+        deployment.setFrozen("entry", 0, true);
+        submitTo(1, before);
+        deployment.advance(milliseconds - before);
+        deployment.setFrozen("entry", 0, false);
+    },
+);
+
+When("a job that no worker may run goes from entry 0 to entry 1 after {int} ms", (milliseconds: number) => {
+    const job = { id: "c000000000000001", requiredLabel: "nowhere", callerWaitMilliseconds: 20_000 };
+    const waiting = { ...job, estimatedMilliseconds: longTaskMilliseconds };
+    deployment.submit(0, waiting);
+    deployment.advance(milliseconds);
+    latestRequest = deployment.submit(1, waiting);
+    deployment.advance(settlingMilliseconds);
+});
+
+Then("no task of the long job ran twice at the same time, and it was done at entry {int}", (entry: number) => {
+    deployment.advance(settlingMilliseconds);
+    const { violations, answers } = deployment.record;
+    assert.deepEqual(violations, []);
+    const answer = answers.find(({ request }) => request === latestRequest);
+    assert.deepEqual([answer?.entry, answer?.answer.kind], [entry, "done"]);
+});
+
+Then("it has started within {int} ms, and no message named it", (milliseconds: number) => {
+    deployment.advance(milliseconds);
+    assert.ok(hasStartedSince("a000000000000001", milliseconds));
+    deployment.advance(settlingMilliseconds);
+    const named = deployment.linkNetwork.ownershipMessages.filter(message => {
+        return JSON.stringify(message).includes("a000000000000001");
+    });
+    assert.deepEqual(named, []);
+});
+
+Then("the answer of entry 1 is {string}", (kind: string) => {
+    const answer = deployment.record.answers.find(({ request }) => request === latestRequest);
+    assert.equal(answer?.answer.kind, kind);
+});
+
+Then("tasks of the long job have started at entry 1 within {int} ms", (milliseconds: number) => {
+    deployment.advance(milliseconds);
+    assert.ok(hasStartedSince(longJob.id, milliseconds));
+});
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -344,6 +344,9 @@
         else if (output.kind === "frame") {
             this.linkNetwork.sendToAgent(output.connection, output.frame);
         }
+        else if (output.kind === "ownership") {
+            this.linkNetwork.sendOwnership(entry, Number(output.address), output.message);
+        }
         else if (output.kind === "request-capacity") {
             const { address, request } = output;
             this.linkNetwork.sendRequest(entry, Number(address), request);
--- a/packages/lovagepitch-testing/src/direct/linkNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/linkNetwork.ts
@@ -5,6 +5,7 @@
 import type { EntryInput, EntryOutput } from "@lovagepitch/direct/entry/entryPorts";
 import type { CapacityRequest } from "@lovagepitch/direct/model/capacityRequest";
 import type { AgentFrame, EntryFrame } from "@lovagepitch/direct/model/frames";
+import type { OwnershipMessage } from "@lovagepitch/direct/model/jobOwnership";
 import type { ManualClock } from "@lovagepitch/utils/clock";
 import type { EventQueue } from "../harness/eventQueue.js";
 import { BoundedLink } from "./boundedLink.js";
@@ -32,6 +33,17 @@
 /** Directions of a connection in which frames are lost. */
 export type SilentDirection = "to-agent" | "to-entry" | "both";
 
+/** What happens to a datagram on its way. */
+export interface DatagramFault {
+    /** Number of copies that arrive; 0 for a lost one. */
+    readonly copies: number;
+    readonly delayMilliseconds: number;
+    /** Further latency of one more copy, in milliseconds. */
+    readonly lateCopyMilliseconds?: number;
+}
+
+const soundDatagram: DatagramFault = { copies: 1, delayMilliseconds: 0 };
+
 /** Delivers an input to a process. */
 export type DeliverInput = <Input, Output>(host: CoreHost<Input, Output>, input: Input) => void;
 
@@ -48,6 +60,10 @@
     private readonly connectionsByEnds = new Map<string, Connection>();
     /** Further latency of frames from agents to entries, in milliseconds. */
     public delayToEntries = 0;
+    /** Messages about open jobs that entries have sent. */
+    public readonly ownershipMessages: OwnershipMessage[] = [];
+    /** Number of copies in which such a message arrives, and its further latency, by index of the sender and message. */
+    public datagramFault: (from: number, message: OwnershipMessage) => DatagramFault = () => soundDatagram;
     private readonly entryLinks = new Map<number, BoundedLink>();
     private nextConnection = 1;
 
@@ -238,6 +254,29 @@
         }
     }
 
+    /**
+     * Sends a message about open jobs from one entry to another as a datagram; it is lost when either is partitioned.
+     *
+     * @param from - index of the sending entry
+     * @param to - index of the receiving entry
+     * @param message - message to send
+     */
+    public sendOwnership(from: number, to: number, message: OwnershipMessage): void {
+        this.ownershipMessages.push(message);
+        const isPartitioned = (entry: number): boolean => getAt(this.entries, entry).isPartitioned;
+        const { copies, delayMilliseconds, lateCopyMilliseconds } = this.datagramFault(from, message);
+        const delays = Array.from({ length: copies }, () => delayMilliseconds);
+        for (const milliseconds of lateCopyMilliseconds === undefined ? delays : [...delays, lateCopyMilliseconds]) {
+            if (!isPartitioned(from)) {
+                this.scheduleAfterLatency(() => {
+                    if (!isPartitioned(to)) {
+                        this.deliverInput(getAt(this.entries, to), { kind: "ownership", message });
+                    }
+                }, milliseconds);
+            }
+        }
+    }
+
     private closeConnection(connection: Connection, byAgent: boolean): void {
         connection.isOpen = false;
         this.connections.delete(connection.number);
