--- a/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
@@ -25,7 +25,7 @@
             | 16   |
             | 18   |
 
-    # With the faults of then, seeds failed when the second entry started a job at once.
+    # With the faults of then, three seeds failed when the second entry started a job at once.
     Scenario Outline: Connections of callers break for them alone among faults in random order, seed <seed>
         When 20 connections, processes and workers fail at random, connections of callers also for them alone, seed <seed>
         Then each caller has the true answer to its own request, and nothing ran twice or on
