perf(entry): whether an entry hears agents costs one look in most ticks

Cause: each tick copied all agents to learn whether the entry is cut off, also without any old job (review).

Change: the loop ends with the first agent that can receive tasks.

--- a/packages/lovagepitch-direct/src/entry/jobOwnership.ts
+++ b/packages/lovagepitch-direct/src/entry/jobOwnership.ts
@@ -93,7 +93,7 @@
  */
 export function detectCut(state: EntryState): void {
     const wasCutOff = state.isCutOff;
-    state.isCutOff = ![...state.agents.values()].some(row => canReceiveTasks(state, row));
+    state.isCutOff = !hearsAgent(state);
     if (!wasCutOff || state.isCutOff) {
         return;
     }
@@ -107,6 +107,16 @@
 
 /**
  * Requests the release of held jobs, and stops waiting for owners whose runs have ended because they are silent.
+function hearsAgent(state: EntryState): boolean {
+    // Runs in every tick, and the first agent mostly tells.
+    for (const row of state.agents.values()) {
+        if (canReceiveTasks(state, row)) {
+            return true;
+        }
+    }
+    return false;
+}
+
  *
  * @param state - state of the entry
  */
