fix(entry): an entry that asks for a job learns of every owner and submission

Cause: an entry that waited for the owner of a job released it when a third entry asked, without naming that owner; a third entry that had not heard of the owner started the job beside it (TWICE). And an owner to which the caller had come back ignored requests for the earlier submission, while the asker did not take its later announcement into account, so it waited until the owner had done the job for nobody.

Change: the answer names the other processes that have announced the job, and the asker asks them too, none twice for a submission; an announcement of a later submission renews the request.

Seen: both new scenarios of jobOwnership failed before (four tasks ran at both entries; entry 0 answered done instead of interrupted), pass now; jobOwnership, callerWaits, callersAndConnections, malformedMessages: 102 passed.

--- a/packages/lovagepitch-direct/src/__tests__/malformedMessages.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.steps.ts
@@ -83,7 +83,13 @@
     },
     "open jobs": { kind: "open-jobs", from: otherEntry, jobs: [["a1", 1, 1000], ["a3", 2, 1100]] },
     "release request": { kind: "release-job", from: otherEntry, ...releaseFields },
-    "release notice": { kind: "job-released", from: otherEntry, ...releaseFields, mayHaveStarted: true },
+    "release notice": {
+        kind: "job-released",
+        from: otherEntry,
+        ...releaseFields,
+        mayHaveStarted: true,
+        owners: [{ ...otherEntry, submission: 3 }],
+    },
 };
 
 let processed: readonly number[] = [];
--- a/packages/lovagepitch-direct/src/entry/jobOwnership.ts
+++ b/packages/lovagepitch-direct/src/entry/jobOwnership.ts
@@ -1,9 +1,8 @@
 /**
  * Jobs that callers have submitted at two entries: the second entry starts a job when the first one has released it.
  */
-import type { OpenJob, OwnershipMessage, ReleaseNotice, ReleaseRequest } from "../model/jobOwnership.js";
+import type { JobOwner, OpenJob, OwnershipMessage, ReleaseNotice, ReleaseRequest } from "../model/jobOwnership.js";
 import { reactionAllowanceMilliseconds } from "../model/timing.js";
-import type { JobOwner } from "../policies/announcedJobs.js";
 import {
     announcedAfterMilliseconds,
     type AnnouncedJob,
@@ -26,6 +25,8 @@
     readonly submission: number;
     /** Owners that have not released it. */
     readonly owners: readonly JobOwner[];
+    /** Owners that have released it. */
+    readonly released: readonly JobOwner[];
     readonly heldAt: number;
     readonly requestedAt: number;
 }
@@ -72,6 +73,7 @@
     state.heldJobs.set(row.job.id, {
         submission: row.submission,
         owners,
+        released: known?.released ?? [],
         heldAt: known?.heldAt ?? state.now,
         requestedAt: Number.NEGATIVE_INFINITY,
     });
@@ -105,8 +107,6 @@
     }
 }
 
-/**
- * Requests the release of held jobs, and stops waiting for owners whose runs have ended because they are silent.
 function hearsAgent(state: EntryState): boolean {
     // Runs in every tick, and the first agent mostly tells.
     for (const row of state.agents.values()) {
@@ -117,6 +117,8 @@
     return false;
 }
 
+/**
+ * Requests the release of held jobs, and stops waiting for owners whose runs have ended because they are silent.
  *
  * @param state - state of the entry
  */
@@ -179,16 +181,17 @@
 }
 
 function receiveOpenJob(state: EntryState, from: OwnershipMessage["from"], openJob: OpenJob): void {
-    const [job, , ageMilliseconds] = openJob;
+    const [job, submission, ageMilliseconds] = openJob;
     const row = state.jobs.get(job);
     const isOlderThere = row !== undefined && state.now - row.submittedAt < ageMilliseconds;
-    if (isOlderThere && state.heldJobs.get(job)?.owners.some(isFrom) !== true) {
+    if (isOlderThere && !includesOwner(state.heldJobs.get(job)?.owners, { ...from, submission })) {
         holdAnnouncedJob(state, row);
     }
+}
 
-    function isFrom({ incarnation }: JobOwner): boolean {
-        return incarnation === from.incarnation;
-    }
+/** Tells whether owners include a process with the given submission or a later one. */
+function includesOwner(owners: readonly JobOwner[] = [], { incarnation, submission }: JobOwner): boolean {
+    return owners.some(owner => owner.incarnation === incarnation && owner.submission >= submission);
 }
 
 /** A request that names an earlier submission than the latest one is late: the caller has come back. */
@@ -211,10 +214,20 @@
             kind: "job-released",
             from: pickProcess(state),
             mayHaveStarted: hadStarted,
+            owners: listOtherOwners(state, request),
         });
     }
 }
 
+/** Lists the processes that may have a job open besides the asker of a request and this one. */
+function listOtherOwners(state: EntryState, { job, asker }: ReleaseRequest): readonly JobOwner[] {
+    return state.announcedJobs.listOwners(job, state.now)
+        .filter(({ incarnation }) => {
+            return incarnation !== asker && state.announcedJobs.mayBeActive(incarnation, state.now);
+        })
+        .map(({ address, incarnation, submission }) => ({ address, incarnation, submission }));
+}
+
 function receiveReleaseNotice(state: EntryState, notice: ReleaseNotice): void {
     const { job, owner, ownerSubmission } = notice;
     const held = state.heldJobs.get(job);
@@ -226,8 +239,17 @@
     if (notice.mayHaveStarted) {
         state.orderedJobs.record(job, state.now);
     }
-    const owners = held.owners.filter(other => other.incarnation !== owner || other.submission > ownerSubmission);
-    state.heldJobs.set(job, { ...held, owners });
+    const released = [...held.released, { ...notice.from, submission: ownerSubmission }];
+    const known = held.owners.filter(other => !includesOwner(released, other));
+    const named = notice.owners.filter(other => {
+        return other.incarnation !== state.identity.incarnation && !includesOwner([...released, ...known], other);
+    });
+    for (const other of named) {
+        state.announcedJobs.recordHeard(other.incarnation, state.now);
+    }
+    const owners = [...known, ...named];
+    const requestedAt = named.length > 0 ? Number.NEGATIVE_INFINITY : held.requestedAt;
+    state.heldJobs.set(job, { ...held, owners, released, requestedAt });
     if (owners.length === 0) {
         startHeldJob(state, job, held, "job released by another entry");
     }
--- a/packages/lovagepitch-direct/src/links/ownershipGuards.ts
+++ b/packages/lovagepitch-direct/src/links/ownershipGuards.ts
@@ -26,7 +26,9 @@
         case "release-job":
             return hasReleaseFields(value);
         case "job-released":
-            return hasReleaseFields(value) && typeof value["mayHaveStarted"] === "boolean";
+            return hasReleaseFields(value) && typeof value["mayHaveStarted"] === "boolean"
+                && Array.isArray(value["owners"]) && value["owners"].length <= maximumJobs
+                && value["owners"].every(isJobOwner);
         default:
             return false;
     }
@@ -43,6 +45,10 @@
         && Number.isSafeInteger(value[1]) && Number.isFinite(value[2]);
 }
 
+function isJobOwner(value: unknown): boolean {
+    return isFields(value) && isEntryProcess(value) && Number.isSafeInteger(value["submission"]);
+}
+
 function isEntryProcess(value: unknown): value is EntryProcess {
     return isFields(value) && typeof value["address"] === "string" && isSocketAddress(value["address"])
         && typeof value["incarnation"] === "string";
--- a/packages/lovagepitch-direct/src/model/jobOwnership.ts
+++ b/packages/lovagepitch-direct/src/model/jobOwnership.ts
@@ -11,6 +11,11 @@
     readonly incarnation: string;
 }
 
+/** A process that has had a job open, and the number of its submission there. */
+export interface JobOwner extends EntryProcess {
+    readonly submission: number;
+}
+
 /** Id of an open job, the number of its latest submission at the entry and the age of that submission in milliseconds. */
 export type OpenJob = readonly [job: string, submission: number, ageMilliseconds: number];
 
@@ -46,6 +51,8 @@
     readonly from: EntryProcess;
     /** False if no task of the job has started at this entry. */
     readonly mayHaveStarted: boolean;
+    /** Other processes that have announced the job to this entry. */
+    readonly owners: readonly JobOwner[];
 }
 
 /** Message between entries about open jobs. */
--- a/packages/lovagepitch-direct/src/policies/announcedJobs.ts
+++ b/packages/lovagepitch-direct/src/policies/announcedJobs.ts
@@ -1,7 +1,7 @@
 /**
  * What other entries have announced: which jobs they have open, and when each of their processes was last heard.
  */
-import type { EntryProcess, OpenJob } from "../model/jobOwnership.js";
+import type { EntryProcess, JobOwner, OpenJob } from "../model/jobOwnership.js";
 import { lostAgentTimeoutMilliseconds } from "../model/timing.js";
 import { announcementIntervalMilliseconds } from "./jobAnnouncements.js";
 
@@ -20,11 +20,6 @@
 /** Largest number of remembered processes. */
 const maximumProcesses = 4096;
 
-/** A process that has announced a job, and the submission that it has named. */
-export interface JobOwner extends EntryProcess {
-    readonly submission: number;
-}
-
 interface Mention extends JobOwner {
     readonly mentionedAt: number;
 }
--- a/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.feature
@@ -106,3 +106,17 @@
         Given all open-jobs datagrams are lost
         When the caller submits the long job to entry 1 after 1300 ms
         Then tasks of the long job have started at entry 1 within 5 ms
+
+    # Guards against an entry that starts a job which a third one still has, because the second one has released it.
+    Scenario: An entry that waits for the owner of a job names it to the next one
+        Given open-jobs datagrams from entry 0 to entry 2 and release-job datagrams from entry 1 to entry 0 are lost
+        When the caller submits the long job to entry 1 after 1300 ms
+        And the caller submits the long job to entry 2 after 1300 ms
+        Then no task of the long job ran twice at the same time, and it was done at entry 2
+
+    # Guards against an entry that asks for the release of an earlier submission until the owner has done the job for nobody.
+    Scenario: An entry asks for the submission that the owner names later
+        When the caller submits the long job to entry 0 after 1300 ms, and its first open-jobs datagrams since are lost
+        And the caller submits the long job to entry 1 after 1300 ms
+        Then no task of the long job ran twice at the same time, and it was done at entry 1
+        And entry 0 has interrupted the long job
--- a/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.steps.ts
@@ -71,6 +71,17 @@
     };
 });
 
+Given(
+    "open-jobs datagrams from entry {int} to entry {int} and release-job datagrams from entry {int} to entry {int} are lost",
+    (owner: number, asker: number, holder: number, silentTo: number) => {
+        deployment.linkNetwork.datagramFault = (from, { kind }, to) => {
+            const isLost = (kind === "open-jobs" && from === owner && to === asker)
+                || (kind === "release-job" && from === holder && to === silentTo);
+            return { copies: isLost ? 0 : 1, delayMilliseconds: 0 };
+        };
+    },
+);
+
 Given("datagrams arrive {int} ms late, {int} times", (delayMilliseconds: number, copies: number) => {
     deployment.linkNetwork.datagramFault = () => ({ copies, delayMilliseconds });
 });
@@ -86,6 +97,18 @@
 
 When("the caller submits the long job to entry {int} after {int} ms", submitTo);
 
+When(
+    "the caller submits the long job to entry {int} after {int} ms, and its first open-jobs datagrams since are lost",
+    (entry: number, milliseconds: number) => {
+        submitTo(entry, milliseconds);
+        const lostUntil = deployment.clock.nowMilliseconds() + 500;
+        deployment.linkNetwork.datagramFault = (_, { kind }) => {
+            const isLost = kind === "open-jobs" && deployment.clock.nowMilliseconds() < lostUntil;
+            return { copies: isLost ? 0 : 1, delayMilliseconds: 0 };
+        };
+    },
+);
+
 When(
     "the caller submits the long job to entry {int} after {int} ms, with an estimate of {int} ms",
     (entry: number, milliseconds: number, estimatedMilliseconds: number) => {
@@ -157,3 +180,9 @@
     deployment.advance(milliseconds);
     assert.ok(hasStartedSince(longJob.id, milliseconds));
 });
+
+Then("entry 0 has interrupted the long job", () => {
+    const answers = deployment.record.answers.filter(({ entry, job }) => entry === 0 && job === longJob.id);
+    assert.ok(answers.length > 0);
+    assert.ok(answers.every(({ answer }) => answer.kind === "interrupted"));
+});
--- a/packages/lovagepitch-testing/src/direct/linkNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/linkNetwork.ts
@@ -62,8 +62,8 @@
     public delayToEntries = 0;
     /** Messages about open jobs that entries have sent. */
     public readonly ownershipMessages: OwnershipMessage[] = [];
-    /** Number of copies in which such a message arrives, and its further latency, by index of the sender and message. */
-    public datagramFault: (from: number, message: OwnershipMessage) => DatagramFault = () => soundDatagram;
+    /** Number of copies in which such a message arrives, and its further latency, by sender, message and receiver. */
+    public datagramFault: (from: number, message: OwnershipMessage, to: number) => DatagramFault = () => soundDatagram;
     private readonly entryLinks = new Map<number, BoundedLink>();
     private nextConnection = 1;
 
@@ -264,7 +264,7 @@
     public sendOwnership(from: number, to: number, message: OwnershipMessage): void {
         this.ownershipMessages.push(message);
         const isPartitioned = (entry: number): boolean => getAt(this.entries, entry).isPartitioned;
-        const { copies, delayMilliseconds, lateCopyMilliseconds } = this.datagramFault(from, message);
+        const { copies, delayMilliseconds, lateCopyMilliseconds } = this.datagramFault(from, message, to);
         const delays = Array.from({ length: copies }, () => delayMilliseconds);
         for (const milliseconds of lateCopyMilliseconds === undefined ? delays : [...delays, lateCopyMilliseconds]) {
             if (!isPartitioned(from)) {
