fix(entry): a job of which a silent owner may have started tasks is not refused

Cause: a silent owner was noted only when no other owner was left; if another one then released the job and said that nothing had started, the job could be refused, which says that it has not run (review, by reading).

Change: each owner that is dropped for its silence is noted.

--- a/packages/lovagepitch-direct/src/entry/jobOwnership.ts
+++ b/packages/lovagepitch-direct/src/entry/jobOwnership.ts
@@ -148,8 +148,10 @@
             return isDeaf || state.announcedJobs.mayBeActive(incarnation, state.now);
         });
         state.heldJobs.set(job, { ...held, owners: active, requestedAt: state.now });
-        if (active.length === 0) {
+        if (active.length < held.owners.length) {
             state.orderedJobs.record(job, state.now);
+        }
+        if (active.length === 0) {
             startHeldJob(state, job, held, "owner of a held job is silent");
         }
     }
