--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -72,48 +72,7 @@
         );
         this.core = new EntryCore(identity, clock, random, createEntryPolicies(options.policies));
         this.loop = new TickLoop(this.core, clock, outputs => this.performAll(outputs));
-        this.metrics.addGauge("open_jobs", "Jobs without an answer", () => this.core.openJobs);
-        this.metrics.addGauge(
-            "event_loop_delay_seconds",
-            "Largest delay of a timer since the metrics were read",
-            () => {
-                return this.loop.takeLargestDelayMilliseconds() / 1000;
-            },
-        );
-        this.metrics.addGauge("configuration_version", "Version in force, 0 without one", () => {
-            return this.core.configuration?.version ?? 0;
-        });
-        this.metrics.addGauge("link_unsent_bytes", "Bytes to agents that the operating system has not taken", () => {
-            return this.listener.countUnsentBytes();
-        });
-        this.metrics.addGauge("link_in_flight_bytes", "Bytes of start orders that agents do not reflect yet", () => {
-            return this.core.link.inFlightBytes;
-        });
-        this.metrics.addGauge("link_bound_bytes", "Bound on the bytes of start orders in flight", () => {
-            return this.core.link.windowBytes;
-        });
-        this.metrics.addGauge("link_delay_seconds", "Delay of frames to agents by frames before them", () => {
-            return this.core.link.delayMilliseconds / 1000;
-        });
-        this.metrics.addGauge(
-            "link_oldest_seconds",
-            "Age of the oldest frame that its agent does not reflect yet",
-            () => {
-                return this.core.link.oldestMilliseconds / 1000;
-            },
-        );
-        this.metrics.addGauge("evacuated_zones", evacuatedZonesHelp, () => this.core.evacuations.zones.length);
-        this.metrics.addGauge(
-            "confined_kinds",
-            "Routes whose jobs run on few workers because they crash workers",
-            () => {
-                return this.core.crashFigures.confinedKinds;
-            },
-        );
-        this.metrics.addGauge("crashing_jobs", "Jobs that are known to crash the workers that run them", () => {
-            return this.core.crashFigures.crashingJobs;
-        });
-        this.metrics.addQueueGauges(() => this.core.listQueueUse());
+        this.addGauges();
         this.datagrams = new CapacityDatagrams(
             request => this.loop.accept({ kind: "capacity-requested", request }),
             reason => this.log.write("warn", "request for capacity failed", { reason }),
@@ -308,6 +267,51 @@
         this.log.write(level, event, fields);
     }
 
+    private addGauges(): void {
+        this.metrics.addGauge("open_jobs", "Jobs without an answer", () => this.core.openJobs);
+        this.metrics.addGauge(
+            "event_loop_delay_seconds",
+            "Largest delay of a timer since the metrics were read",
+            () => {
+                return this.loop.takeLargestDelayMilliseconds() / 1000;
+            },
+        );
+        this.metrics.addGauge("configuration_version", "Version in force, 0 without one", () => {
+            return this.core.configuration?.version ?? 0;
+        });
+        this.metrics.addGauge("link_unsent_bytes", "Bytes to agents that the operating system has not taken", () => {
+            return this.listener.countUnsentBytes();
+        });
+        this.metrics.addGauge("link_in_flight_bytes", "Bytes of start orders that agents do not reflect yet", () => {
+            return this.core.link.inFlightBytes;
+        });
+        this.metrics.addGauge("link_bound_bytes", "Bound on the bytes of start orders in flight", () => {
+            return this.core.link.windowBytes;
+        });
+        this.metrics.addGauge("link_delay_seconds", "Delay of frames to agents by frames before them", () => {
+            return this.core.link.delayMilliseconds / 1000;
+        });
+        this.metrics.addGauge(
+            "link_oldest_seconds",
+            "Age of the oldest frame that its agent does not reflect yet",
+            () => {
+                return this.core.link.oldestMilliseconds / 1000;
+            },
+        );
+        this.metrics.addGauge("evacuated_zones", evacuatedZonesHelp, () => this.core.evacuations.zones.length);
+        this.metrics.addGauge(
+            "confined_kinds",
+            "Routes whose jobs run on few workers because they crash workers",
+            () => {
+                return this.core.crashFigures.confinedKinds;
+            },
+        );
+        this.metrics.addGauge("crashing_jobs", "Jobs that are known to crash the workers that run them", () => {
+            return this.core.crashFigures.crashingJobs;
+        });
+        this.metrics.addQueueGauges(() => this.core.listQueueUse());
+    }
+
     private performAll(outputs: readonly EntryOutput[]): void {
         outputs.forEach(output => this.perform(output));
         this.stopDelays.recordTick();
