--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -20,11 +20,13 @@
 } from "./capacityRequests.js";
 import { receiveConfiguration } from "./configurationRelay.js";
 import { releaseKinds } from "./crashReports.js";
+import { detectCut } from "./entryCut.js";
 import { sendFrames } from "./entryFrames.js";
 import type { EntryInput, EntryOutput } from "./entryPorts.js";
 import { type EntryIdentity, EntryState, mayHaveStarted } from "./entryState.js";
 import { receiveEvacuations } from "./evacuationRelay.js";
-import { announceJobs, detectCut, receiveOwnershipMessage, requestReleases } from "./jobOwnership.js";
+import { requestReleases } from "./heldJobs.js";
+import { announceJobs, receiveOwnershipMessage } from "./jobOwnership.js";
 import { reportLink } from "./linkReport.js";
 import { expireJobs, findNextExpiry, placeTasks } from "./placement.js";
 import { detectPause } from "./processPause.js";
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -28,7 +28,7 @@
 import type { WorkerHealth } from "../policies/workerHealth.js";
 import { WorkerSpeeds } from "../policies/workerSpeeds.js";
 import type { EntryOutput } from "./entryPorts.js";
-import type { HeldJob } from "./jobOwnership.js";
+import type { HeldJob } from "./heldJobs.js";
 
 /** A job that has not been answered. */
 export interface JobRow {
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -6,7 +6,7 @@
 import { computeRetryAfterSeconds, maximumRetryAfterSeconds } from "../policies/retryAfter.js";
 import { endJob } from "./endJob.js";
 import { type EntryState, estimateWork, type JobRow, mayHaveStarted } from "./entryState.js";
-import { holdAnnouncedJob } from "./jobOwnership.js";
+import { holdAnnouncedJob } from "./heldJobs.js";
 import { judgeJob } from "./workerSeparation.js";
 
 /** Largest number of open jobs of one entry; far more than a deployment's workers finish while a caller waits. */
