test(direct): a job of a silent owner and one that started nothing is not refused

A scenario for: entry 0 has started tasks and is killed, entry 2 has started none and releases the job later, and no worker has room for it at entry 1. The answer is `interrupted`.

--- a/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.feature
@@ -120,3 +120,12 @@
         And the caller submits the long job to entry 1 after 1300 ms
         Then no task of the long job ran twice at the same time, and it was done at entry 1
         And entry 0 has interrupted the long job
+
+    # Guards against an answer that says that a job has not run, because an owner that started nothing was the last one to release it.
+    Scenario: A job of which one owner is silent and another one has started nothing is not refused
+        Given entry 0 has started tasks of the long job, of which entry 2 does not know, and no worker has room for them any more
+        When the caller submits the long job to entry 2 after 1300 ms
+        And entry 0 is killed and the caller submits the long job to entry 1 after 1300 ms
+        And release-job datagrams to entry 2 are lost for 2000 ms
+        Then entry 2 has released the long job and started nothing, after entry 1 no longer waited for entry 0
+        And the answer of entry 1 is "interrupted"
--- a/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/jobOwnership.steps.ts
@@ -153,6 +153,47 @@
     deployment.advance(settlingMilliseconds);
 });
 
+Given(
+    "entry 0 has started tasks of the long job, of which entry 2 does not know, and no worker has room for them any more",
+    () => {
+        deployment.linkNetwork.datagramFault = (from, { kind }, to) => {
+            const isLost = kind === "open-jobs" && from === 0 && to === 2;
+            return { copies: isLost ? 0 : 1, delayMilliseconds: 0 };
+        };
+        deployment.advance(100);
+        assert.ok(hasStartedSince(longJob.id, 100));
+        deployment.workers.forEach((_, index) => deployment.fleet.setCapacity(index, 100));
+    },
+);
+
+When("entry 0 is killed and the caller submits the long job to entry 1 after {int} ms", (milliseconds: number) => {
+    deployment.advance(milliseconds);
+    deployment.killEntry(0);
+    submitTo(1, 0);
+});
+
+When("release-job datagrams to entry 2 are lost for {int} ms", (milliseconds: number) => {
+    deployment.linkNetwork.datagramFault = (_, { kind }, to) => {
+        return { copies: kind === "release-job" && to === 2 ? 0 : 1, delayMilliseconds: 0 };
+    };
+    deployment.advance(milliseconds);
+    deployment.linkNetwork.datagramFault = () => ({ copies: 1, delayMilliseconds: 0 });
+});
+
+Then(
+    "entry 2 has released the long job and started nothing, after entry 1 no longer waited for entry 0",
+    () => {
+        const { ownershipMessages } = deployment.linkNetwork;
+        const askedBefore = ownershipMessages.length;
+        deployment.advance(settlingMilliseconds);
+        const asked = ownershipMessages.slice(askedBefore).filter(({ kind }) => kind === "release-job");
+        assert.deepEqual([...new Set(asked.map(message => "owner" in message ? message.owner : ""))].length, 1);
+        const notices = ownershipMessages.filter(message => message.kind === "job-released");
+        assert.ok(notices.length > 0);
+        assert.ok(notices.every(({ mayHaveStarted }) => !mayHaveStarted), JSON.stringify(notices));
+    },
+);
+
 Then("no task of the long job ran twice at the same time, and it was done at entry {int}", (entry: number) => {
     deployment.advance(settlingMilliseconds);
     const { violations, answers } = deployment.record;
