--- a/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
@@ -43,3 +43,4 @@
             | 8    |
             | 9    |
             | 10   |
+            | 58   |
