fix(agent): orders to a worker are bounded by its answers

Cause: all orders of a job were queued at once for four connections, and their timeout of 40 ms began in the queue. Late calls opened connections of their own; each was repeated and revoked, and all stops were sent again every 50 ms at once, which took longer than that. Runs without a confirmed stop stayed, so the agent accepted nothing.

Change: at most 16 starts and 16 stops are unanswered; others wait in the agent, the job with the fewest sent orders first. Stops are repeated with growing delays. The timeout of a call counts from when it is sent; a call that is late before that is not sent and counts so. A run that the worker never knew ends without a confirmed stop, once no later life can start it either.

Why it works: a call is sent only when an earlier one was answered or given up, so the work at hand can't exceed what its period allows.

--- a/packages/lovagepitch-direct/src/agent/agentCore.ts
+++ b/packages/lovagepitch-direct/src/agent/agentCore.ts
@@ -19,8 +19,9 @@
 } from "./entryLinks.js";
 import { closeUnusedConnections, receiveEntryLocations, updatePartners } from "./knownEntries.js";
 import { queueCheckIntervalMilliseconds, startQueuedOrders } from "./orderQueue.js";
-import { findNextRepeatAt, receiveStartAnswer, receiveStopAnswer, repeatLateStarts, resendStops } from "./runOrders.js";
+import { findNextRepeatAt, receiveStartAnswer, repeatLateStarts, sendPendingStarts } from "./runOrders.js";
 import { stopStalledRuns } from "./stalledRuns.js";
+import { receiveStopAnswer, sendDueStops } from "./stopOrders.js";
 import { receiveReport, receiveWorkerLeft, removeLeftWorker, restoreWorker } from "./workerRegistration.js";
 import { expireWorkerLease, findNextViewAt, receiveView, receiveViewFailure, requestView } from "./workerViews.js";
 
@@ -73,8 +74,9 @@
         stopOrphanedRuns(state);
         stopStalledRuns(state);
         startQueuedOrders(state);
+        sendPendingStarts(state);
         repeatLateStarts(state);
-        resendStops(state);
+        sendDueStops(state);
         requestView(state);
         updatePartners(state);
         closeUnusedConnections(state);
@@ -120,10 +122,12 @@
             case "view-failed":
                 return receiveViewFailure(state, input.call, input.failure);
             case "start-answered":
+                state.startsInFlight -= 1;
                 return input.life === state.worker?.life
                     ? receiveStartAnswer(state, input.run, input.outcome)
                     : undefined;
             case "stop-answered":
+                state.stopsInFlight -= 1;
                 return input.life === state.worker?.life
                     ? receiveStopAnswer(state, input.run, input.outcome)
                     : undefined;
--- a/packages/lovagepitch-direct/src/agent/agentPorts.ts
+++ b/packages/lovagepitch-direct/src/agent/agentPorts.ts
@@ -16,6 +16,8 @@
     | "superseded"
     /** The worker has received a higher epoch than that of the order. */
     | "outdated-epoch"
+    /** The order has never left this process. */
+    | "not-sent"
     /** No usable response: the order may have been executed, or may still be. */
     | "unknown"
     /**
@@ -57,6 +59,8 @@
     readonly startedAt?: number | undefined;
     readonly running: readonly ReportedRun[];
     readonly ended: readonly ReportedRunEnd[];
+    /** True if the worker may have more ends than the view lists; false by default. */
+    readonly hasMoreEnds?: boolean;
 }
 
 /** Reason for which a view call returned no view. */
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -2,6 +2,7 @@
  * State of an agent: its worker, runs, queued orders and connections to entries.
  */
 import type { Clock } from "@lovagepitch/utils/clock";
+import { RandomSource } from "@lovagepitch/utils/randomSource";
 import { Table } from "@lovagepitch/utils/table";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import { type EndedRun, formatRunKey, type RunIdentity, type StartOrder } from "../model/frames.js";
@@ -12,10 +13,13 @@
 import { AnswerTime } from "../policies/answerTime.js";
 import { CrashRecords } from "../policies/crashRecords.js";
 import type { PartnerCandidate } from "../policies/partnerChoice.js";
+import { PendingStarts } from "../policies/pendingStarts.js";
 import { RunSpeed } from "../policies/runSpeed.js";
 import { initialWorkerHealth, type WorkerHealth } from "../policies/workerHealth.js";
 import type { AgentOutput, WorkerRun } from "./agentPorts.js";
+import { hashIncarnation } from "./epochs.js";
 import { RunNumbers } from "./runNumbers.js";
+import { RunTable } from "./runTable.js";
 
 /** A run that occupies or may occupy the worker. */
 export interface RunRow {
@@ -27,6 +31,8 @@
     /** Incarnation of the entry that ordered the run; undefined for a run that was found at the worker. */
     readonly entry: string | undefined;
     readonly state:
+        /** The start order has not been sent, because the worker has not answered enough of the earlier ones. */
+        | "pending"
         /** The start order was sent and has not been answered yet. */
         | "starting"
         /**
@@ -34,7 +40,7 @@
          */
         | "unanswered"
         | "running"
-        /** A stop order was sent; it is resent until the worker answers. */
+        /** A stop order is due or was sent; it is resent until the worker answers or the run is known to have ended. */
         | "stopping"
         /** The worker has confirmed the stop; the run has ended once a later view does not list it. */
         | "stopped";
@@ -45,6 +51,14 @@
     readonly startAttempts: number;
     /** Number of start orders that have timed out. */
     readonly unansweredAttempts: number;
+    /** Epoch of the latest start order; the worker does not execute it once it has seen a higher one. */
+    readonly startEpoch: number;
+    /** Number of stop orders sent since the run was last to be stopped. */
+    readonly stopAttempts: number;
+    /** When the next stop order is due. */
+    readonly nextStopAt: number;
+    /** True while a stop order has neither been answered nor timed out. */
+    readonly isStopInFlight: boolean;
     /** Number of the first view call that reflects the worker's answer to the latest start or stop order. */
     readonly visibleFromCall: number;
     /** When the agent learned that the worker has accepted the start. */
@@ -197,7 +211,15 @@
 /** Mutable state of an agent, shared by its systems. */
 export class AgentState {
     /** Runs by the key of their number at the worker. */
-    public readonly runs = new Table<string, RunRow>();
+    public readonly runs = new RunTable();
+    /** Runs whose start order has not been sent. */
+    public readonly pendingStarts = new PendingStarts();
+    /** Number of start orders that have neither been answered nor timed out. */
+    public startsInFlight = 0;
+    /** Number of stop orders that have neither been answered nor timed out. */
+    public stopsInFlight = 0;
+    /** Source of the jitter of repeated orders. */
+    public readonly random: RandomSource;
     public readonly runNumbers = new RunNumbers();
     /** Queued orders by entry and run. */
     public readonly queuedOrders = new Table<string, QueuedOrder>();
@@ -258,7 +280,9 @@
         public readonly identity: AgentIdentity,
         public readonly clock: Clock,
         public readonly reportIntervalMilliseconds: number | undefined,
-    ) {}
+    ) {
+        this.random = new RandomSource(hashIncarnation(identity.incarnation));
+    }
 
     /**
      * Current monotonic time, in milliseconds. It is the same within one tick: if the process is paused between a check and
@@ -309,13 +333,7 @@
      * @returns its row, or undefined when the entry has no such run here
      */
     public findRun(entry: string, identity: RunIdentity): RunRow | undefined {
-        const key = formatRunKey(identity);
-        for (const row of this.runs.values()) {
-            if (row.entry === entry && formatRunKey(row.identity) === key) {
-                return row;
-            }
-        }
-        return undefined;
+        return this.runs.findOrdered(entry, identity);
     }
 
     /**
@@ -335,7 +353,9 @@
      * @param row - row of the ended run
      */
     public removeRun(row: RunRow): void {
-        if (this.runs.delete(formatRunKey(row.workerRun))) {
+        const key = formatRunKey(row.workerRun);
+        this.pendingStarts.remove(key);
+        if (this.runs.delete(key)) {
             this.reserved = subtractResources(this.reserved, row.order?.needs ?? noResources);
             this.markUpdatePending();
         }
--- a/packages/lovagepitch-direct/src/agent/entryLeases.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLeases.ts
@@ -4,7 +4,7 @@
 import { formatRunKey } from "../model/frames.js";
 import type { AgentState, RunRow } from "./agentState.js";
 import { withdrawQueuedOrder } from "./orderQueue.js";
-import { stopRun } from "./runOrders.js";
+import { stopRun } from "./stopOrders.js";
 import { listEntryLeaseExpiries } from "./workerLease.js";
 
 /**
--- a/packages/lovagepitch-direct/src/agent/epochs.ts
+++ b/packages/lovagepitch-direct/src/agent/epochs.ts
@@ -64,7 +64,13 @@
     return takeUnit(startUnit * unitsPerStart + clockUnit, Math.max(1, formerUnit % unitsPerStart));
 }
 
-function hashIncarnation(incarnation: string): number {
+/**
+ * Hashes an incarnation.
+ *
+ * @param incarnation - unique name of a process
+ * @returns an integer of 32 bits
+ */
+export function hashIncarnation(incarnation: string): number {
     let hash = hashOffset;
     for (let index = 0; index < incarnation.length; index += 1) {
         hash = Math.imul(hash ^ incarnation.charCodeAt(index), hashPrime);
--- a/packages/lovagepitch-direct/src/agent/orderQueue.ts
+++ b/packages/lovagepitch-direct/src/agent/orderQueue.ts
@@ -35,7 +35,7 @@
         state.log("info", "start declined", { ...pickRunIdentity(order), obstacle });
     }
     else if (obstacle === undefined) {
-        startRun(state, worker, entry, order);
+        startRun(state, entry, order);
     }
     else {
         enqueueOrder(state, entry, order);
@@ -78,7 +78,7 @@
         }
         else if (worker !== undefined && obstacle === undefined) {
             state.queuedOrders.delete(formatOrderKey(entry, order));
-            startRun(state, worker, entry, order);
+            startRun(state, entry, order);
         }
         else if (obstacle !== "insufficient free resources" || state.now >= expiresAt) {
             returnOrder(state, queued);
--- a/packages/lovagepitch-direct/src/agent/otherProcesses.ts
+++ b/packages/lovagepitch-direct/src/agent/otherProcesses.ts
@@ -1,7 +1,7 @@
 /**
  * Other processes of the same agent that call the worker: one of them has to give way.
  */
-import type { AgentState, WorkerRow } from "./agentState.js";
+import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { describeRuns } from "./workerCrash.js";
 import { takeEpoch } from "./workerRegistration.js";
 
@@ -57,3 +57,18 @@
     };
     state.markUpdatePending();
 }
+
+/**
+ * Marks the epoch as unconfirmed after the worker has rejected an order for its epoch. The worker rejects the next view too and
+ * returns its clock, which gives the new epoch. An order that was sent before this process raised its epoch shows nothing of
+ * another process.
+ *
+ * @param state - state of the agent
+ * @param row - run of the order
+ */
+export function requestNewEpoch(state: AgentState, row: RunRow): void {
+    if (state.worker !== undefined && row.lastOrderSentAt > state.worker.epochRaisedAt) {
+        state.worker = { ...state.worker, isConfirmed: false };
+        state.markUpdatePending();
+    }
+}
--- a/packages/lovagepitch-direct/src/agent/runEnds.ts
+++ b/packages/lovagepitch-direct/src/agent/runEnds.ts
@@ -11,7 +11,8 @@
 const endRetentionMilliseconds = 3000;
 
 /**
- * Removes a run that no longer occupies the worker, and reports its end to the entry that ordered it.
+ * Removes a run that no longer occupies the worker, and reports its end to the entry that ordered it. A run whose start was never
+ * ordered ends as not started, whatever has become of the worker.
  *
  * @param state - state of the agent
  * @param row - row of the run
@@ -22,7 +23,9 @@
     if (row.entry === undefined) {
         return;
     }
-    reportEnd(state, row.entry, { ...row.identity, end, ranMilliseconds: state.now - row.orderedAt });
+    const actualEnd = row.state === "pending" ? "not-started" : end;
+    const ranMilliseconds = row.state === "pending" ? 0 : state.now - row.orderedAt;
+    reportEnd(state, row.entry, { ...row.identity, end: actualEnd, ranMilliseconds });
 }
 
 /**
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -1,5 +1,5 @@
 /**
- * Start and stop orders to the worker, and the handling of their answers.
+ * Start orders to the worker, and the handling of their answers.
  */
 import { type EndedRun, formatRunKey, pickRunIdentity, type StartOrder } from "../model/frames.js";
 import { fitsInto, noResources } from "../model/resources.js";
@@ -8,7 +8,9 @@
 import type { OrderOutcome, WorkerRun } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { mustBeKeptApart } from "./isolation.js";
+import { requestNewEpoch } from "./otherProcesses.js";
 import { endRun, reportEnd } from "./runEnds.js";
+import { stopRun } from "./stopOrders.js";
 import { isCapacityKnown } from "./workerCapacity.js";
 import { estimateWorkerClock, isLeaseWithheld } from "./workerLease.js";
 import { isZoneEvacuated } from "./zoneEvacuation.js";
@@ -16,8 +18,11 @@
 /** The worker rejects a start that arrives later than this, in milliseconds; it usually answers within a few. */
 const startWindowMilliseconds = 300;
 
-/** A stop without an answer is sent again after this time, in milliseconds. */
-const stopResendIntervalMilliseconds = 50;
+/** Largest number of start orders that the worker has not answered; others wait in the agent, which can still return them. */
+export const maximumStartsInFlight = 16;
+
+/** Shortest time for which a start may be pending, in milliseconds; a task of a job that has begun has no other limit. */
+const minimumPendingMilliseconds = 300;
 
 /**
  * Reports to an entry that the run of an order has not started.
@@ -32,14 +37,13 @@
 }
 
 /**
- * Orders the worker to start a task.
+ * Accepts a start order: its resources are reserved, and the worker is ordered to start the task when its turn comes.
  *
  * @param state - state of the agent
- * @param worker - row of the worker
  * @param entry - incarnation of the entry that sent the order
  * @param order - start order of the task
  */
-export function startRun(state: AgentState, worker: WorkerRow, entry: string, order: StartOrder): void {
+export function startRun(state: AgentState, entry: string, order: StartOrder): void {
     const { now } = state;
     const workerRun = state.runNumbers.take(order, now);
     state.addRun({
@@ -47,11 +51,15 @@
         workerRun,
         order,
         entry,
-        state: "starting",
+        state: "pending",
         orderedAt: now,
         lastOrderSentAt: now,
-        startAttempts: 1,
+        startAttempts: 0,
         unansweredAttempts: 0,
+        startEpoch: Number.NEGATIVE_INFINITY,
+        stopAttempts: 0,
+        nextStopAt: now,
+        isStopInFlight: false,
         visibleFromCall: Number.POSITIVE_INFINITY,
         runningSince: now,
         percent: 0,
@@ -59,10 +67,58 @@
         mustEndSince: undefined,
         stopReason: "not-started",
     });
-    sendStart(state, worker, order, workerRun);
+    const { priority, spareMilliseconds } = order.urgency;
+    state.pendingStarts.add({
+        key: formatRunKey(workerRun),
+        job: order.job,
+        priority,
+        expiresAt: now + Math.max(minimumPendingMilliseconds, spareMilliseconds),
+    });
+}
+
+/**
+ * Sends pending start orders as far as the worker has answered earlier ones. When the worker can start no tasks any more,
+ * all of them are returned to their entries, as none has reached the worker.
+ *
+ * @param state - state of the agent
+ */
+export function sendPendingStarts(state: AgentState): void {
+    const { worker, pendingStarts } = state;
+    if (pendingStarts.size === 0) {
+        return;
+    }
+    const canStart = worker !== undefined && canOrderStarts(state) && fitsInto(noResources, state.free)
+        && state.runs.size <= getMaximumRuns(state.health, state.now);
+    const returned = canStart ? pendingStarts.listExpired(state.now) : pendingStarts.listAll();
+    for (const key of returned) {
+        const row = state.runs.get(key);
+        if (row !== undefined) {
+            endRun(state, row, "not-started");
+        }
+    }
+    if (returned.length > 0) {
+        state.log("info", "pending starts returned", { starts: returned.length, isExpired: canStart });
+    }
+    while (worker !== undefined && state.startsInFlight < maximumStartsInFlight) {
+        const row = state.runs.get(pendingStarts.takeNext() ?? "");
+        if (row?.order === undefined) {
+            return;
+        }
+        state.runs.set(formatRunKey(row.workerRun), {
+            ...row,
+            state: "starting",
+            lastOrderSentAt: state.now,
+            runningSince: state.now,
+            percentChangedAt: state.now,
+            startAttempts: 1,
+            startEpoch: worker.epoch,
+        });
+        sendStart(state, worker, row.order, row.workerRun);
+    }
 }
 
 function sendStart(state: AgentState, worker: WorkerRow, order: StartOrder, run: WorkerRun): void {
+    state.startsInFlight += 1;
     if (state.worker !== undefined) {
         // The worker extends its lease to the latest start.
         const extensionAt = state.now + startWindowMilliseconds - workerLeaseMilliseconds;
@@ -89,10 +145,15 @@
  */
 export function repeatLateStarts(state: AgentState): void {
     const { worker } = state;
-    for (const row of state.runs.values()) {
+    const openOrders = state.runs.listOpenOrders();
+    if (worker === undefined || openOrders.length === 0 || !mayRepeatStarts(state)) {
+        return;
+    }
+    for (const row of openOrders) {
         const dueAt = getRepeatAt(state, row);
-        if (worker !== undefined && row.order !== undefined && dueAt !== undefined && state.now >= dueAt) {
-            state.runs.set(formatRunKey(row.workerRun), { ...row, startAttempts: row.startAttempts + 1 });
+        if (row.order !== undefined && dueAt !== undefined && state.now >= dueAt) {
+            const startAttempts = row.startAttempts + 1;
+            state.runs.set(formatRunKey(row.workerRun), { ...row, startAttempts, startEpoch: worker.epoch });
             sendStart(state, worker, row.order, row.workerRun);
         }
     }
@@ -105,54 +166,29 @@
  * @returns monotonic milliseconds, or undefined when no order waits for its first answer
  */
 export function findNextRepeatAt(state: AgentState): number | undefined {
+    const openOrders = state.runs.listOpenOrders();
+    if (openOrders.length === 0 || !mayRepeatStarts(state)) {
+        return undefined;
+    }
     let next: number | undefined;
-    for (const row of state.runs.values()) {
+    for (const row of openOrders) {
         const dueAt = getRepeatAt(state, row);
         next = dueAt === undefined || (next !== undefined && next <= dueAt) ? next : dueAt;
     }
     return next;
 }
 
-function getRepeatAt(state: AgentState, row: RunRow): number | undefined {
+function mayRepeatStarts(state: AgentState): boolean {
     // A repeated order could be the one that starts the task, in a zone in which none may start any more, or beyond a
-    // capacity that has shrunk, and it extends the worker's lease.
-    if (row.state !== "starting" || row.startAttempts !== 1) {
-        return undefined;
-    }
-    const mayRepeat = state.worker?.isResponsive === true && !isZoneEvacuated(state)
+    // capacity that has shrunk, and it extends the worker's lease. While other starts are pending, it would delay these.
+    return state.worker?.isResponsive === true && state.pendingStarts.size === 0 && !isZoneEvacuated(state)
         && fitsInto(noResources, state.free) && !isLeaseWithheld(state, startWindowMilliseconds);
-    return mayRepeat
-        ? row.lastOrderSentAt + state.answerTime.repeatDelayMilliseconds
-        : undefined;
 }
 
-/**
- * Orders the worker to stop a run, which occupies the worker until it reports the end.
- *
- * @param state - state of the agent
- * @param row - row of the run
- * @param reason - end that is reported to the entry once the run has stopped
- */
-export function stopRun(state: AgentState, row: RunRow, reason: RunRow["stopReason"]): void {
-    const { worker } = state;
-    if (row.state === "stopped" || worker === undefined) {
-        return;
-    }
-    state.runs.set(formatRunKey(row.workerRun), {
-        ...row,
-        state: "stopping",
-        lastOrderSentAt: state.now,
-        visibleFromCall: Number.POSITIVE_INFINITY,
-        stopReason: row.state === "stopping" ? row.stopReason : reason,
-    });
-    state.outputs.push({
-        kind: "stop",
-        worker: worker.report.id,
-        life: worker.life,
-        run: row.workerRun,
-        epoch: worker.epoch,
-        timeoutMilliseconds: orderTimeoutMilliseconds,
-    });
+function getRepeatAt(state: AgentState, row: RunRow): number | undefined {
+    return row.state === "starting" && row.startAttempts === 1
+        ? row.lastOrderSentAt + state.answerTime.repeatDelayMilliseconds
+        : undefined;
 }
 
 /**
@@ -189,11 +225,18 @@
         case "outdated-epoch":
             requestNewEpoch(state, row);
             return isOnlyAttempt ? endRun(state, row, "not-started") : recordUnanswered(state, row);
-        case "unknown": {
-            const unansweredAttempts = row.unansweredAttempts + 1;
-            state.runs.set(formatRunKey(run), { ...row, unansweredAttempts });
-            return unansweredAttempts === row.startAttempts ? recordUnanswered(state, row) : undefined;
-        }
+        case "not-sent":
+            return isOnlyAttempt ? endRun(state, row, "not-started") : countUnanswered(state, row);
+        case "unknown":
+            return countUnanswered(state, row);
+    }
+}
+
+function countUnanswered(state: AgentState, row: RunRow): void {
+    const unansweredAttempts = row.unansweredAttempts + 1;
+    state.runs.set(formatRunKey(row.workerRun), { ...row, unansweredAttempts });
+    if (unansweredAttempts === row.startAttempts) {
+        recordUnanswered(state, row);
     }
 }
 
@@ -232,52 +275,6 @@
     stopRun(state, row, "not-started");
 }
 
-/**
- * Processes the worker's answer to a stop order.
- *
- * @param state - state of the agent
- * @param run - run of the order, as the worker knows it
- * @param outcome - outcome of the order
- */
-export function receiveStopAnswer(state: AgentState, run: WorkerRun, outcome: OrderOutcome): void {
-    const row = state.runs.get(formatRunKey(run));
-    if (row?.state !== "stopping") {
-        return;
-    }
-    if (outcome === "unknown" || outcome === "rejected") {
-        return;
-    }
-    if (outcome === "outdated-epoch") {
-        requestNewEpoch(state, row);
-        return;
-    }
-    state.runs.set(formatRunKey(run), { ...row, state: "stopped", visibleFromCall: state.nextCall });
-}
-
-/**
- * Resends stop orders that have not been answered within the resend interval.
- *
- * @param state - state of the agent
- */
-export function resendStops(state: AgentState): void {
-    for (const row of state.runs.values()) {
-        if (row.state === "stopping" && state.now - row.lastOrderSentAt >= stopResendIntervalMilliseconds) {
-            stopRun(state, row, row.stopReason);
-        }
-    }
-}
-
-/**
- * Marks the epoch as unconfirmed. The worker rejects the next view too and returns its clock, which gives the new
- * epoch. An order that was sent before this process raised its epoch shows nothing of another process.
- */
-function requestNewEpoch(state: AgentState, row: RunRow): void {
-    if (state.worker !== undefined && row.lastOrderSentAt > state.worker.epochRaisedAt) {
-        state.worker = { ...state.worker, isConfirmed: false };
-        state.markUpdatePending();
-    }
-}
-
 /**
  * Finds the reason why a task cannot start now.
  *
@@ -305,16 +302,12 @@
     if (!fitsInto(order.needs, state.free)) {
         return "insufficient free resources";
     }
-    let runsOfSameJob = 0;
-    for (const row of state.runs.values()) {
-        if (row.identity.job === order.job) {
-            runsOfSameJob += 1;
-            if (row.identity.task === order.task) {
-                return "an earlier run of the task has not ended on this worker";
-            }
-        }
+    if (state.runs.hasTask(order.job, order.task)) {
+        return "an earlier run of the task has not ended on this worker";
     }
-    return runsOfSameJob >= order.maximumPerWorker ? "limit on tasks of the job per worker reached" : undefined;
+    return state.runs.countOfJob(order.job) >= order.maximumPerWorker
+        ? "limit on tasks of the job per worker reached"
+        : undefined;
 }
 
 /**
@@ -325,10 +318,13 @@
  *   that has to end goes on or was started by an earlier agent process, and when the agent shuts down
  */
 export function acceptsTasks(state: AgentState): boolean {
+    return canOrderStarts(state) && state.runs.size < getMaximumRuns(state.health, state.now);
+}
+
+function canOrderStarts(state: AgentState): boolean {
     const { worker } = state;
     return worker !== undefined && worker.isConfirmed && worker.hasReported && worker.isResponsive
         && isCapacityKnown(state, worker) && !worker.report.isDraining && !state.isShuttingDown
         && !isZoneEvacuated(state)
-        && !isLeaseWithheld(state, startWindowMilliseconds)
-        && state.runs.size < getMaximumRuns(state.health, state.now);
+        && !isLeaseWithheld(state, startWindowMilliseconds);
 }
--- a/packages/lovagepitch-direct/src/agent/stalledRuns.ts
+++ b/packages/lovagepitch-direct/src/agent/stalledRuns.ts
@@ -11,7 +11,7 @@
 } from "../policies/runProgress.js";
 import { recordStall } from "../policies/workerHealth.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
-import { stopRun } from "./runOrders.js";
+import { stopRun } from "./stopOrders.js";
 import { getUsualSpeed } from "./workerSpeed.js";
 
 /** Interval over which a worker's speed is measured, in milliseconds; several views, and shorter than most tasks. */
--- a/packages/lovagepitch-direct/src/agent/workerCrash.ts
+++ b/packages/lovagepitch-direct/src/agent/workerCrash.ts
@@ -18,9 +18,11 @@
         return worker.refusal;
     }
     const { now } = state;
-    const runs = [...state.runs.values()].flatMap(({ identity: run, order, orderedAt }) => {
+    const runs = [...state.runs.values()].flatMap(({ identity: run, order, orderedAt, state: runState }) => {
         const ageMilliseconds = Math.round(now - orderedAt);
-        return order === undefined ? [] : [{ job: run.job, task: run.task, route: order.route ?? "", ageMilliseconds }];
+        return order === undefined || runState === "pending"
+            ? []
+            : [{ job: run.job, task: run.task, route: order.route ?? "", ageMilliseconds }];
     });
     const refusal = { since: now, runs, isUnbroken: true };
     recordCrash(state, { ...worker, refusal }, "suspected");
--- a/packages/lovagepitch-direct/src/agent/workerLives.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLives.ts
@@ -8,6 +8,7 @@
 import { initialWorkerHealth } from "../policies/workerHealth.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { deriveEpoch } from "./epochs.js";
+import { endRun } from "./runEnds.js";
 import { confirmCrash } from "./workerCrash.js";
 
 /** A life of a worker id, compared with the one that the agent knows. */
@@ -87,7 +88,12 @@
     };
     state.nextLife += 1;
     for (const [key, row] of [...state.runs.entries()]) {
-        state.runs.set(key, carryOver(state, row));
+        if (row.state === "pending") {
+            endRun(state, row, "not-started");
+        }
+        else {
+            state.runs.set(key, carryOver(state, row));
+        }
     }
     state.log("warn", "worker has started again under its id", {
         worker: worker.report.id,
@@ -112,6 +118,8 @@
         percent: 0,
         percentChangedAt: state.now,
         visibleFromCall: state.nextCall,
+        nextStopAt: state.now,
+        isStopInFlight: false,
         stopReason: row.stopReason === "not-started" ? "stopped" : row.stopReason,
     };
 }
--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -11,11 +11,12 @@
 } from "../model/timing.js";
 import { isHealthyRunTime } from "../policies/runProgress.js";
 import { recordFailure, recordSuccess } from "../policies/workerHealth.js";
-import type { ReportedRun, ReportedRunEnd, ViewFailure, WorkerView } from "./agentPorts.js";
+import type { ReportedRunEnd, ViewFailure, WorkerView } from "./agentPorts.js";
 import type { AgentState, RunRow, WorkerRow } from "./agentState.js";
 import { receiveHigherEpoch } from "./otherProcesses.js";
 import { endAllRunsAsLost, endRun } from "./runEnds.js";
-import { revokeStart, stopRun } from "./runOrders.js";
+import { revokeStart } from "./runOrders.js";
+import { reconcileRuns } from "./runReconciliation.js";
 import { confirmCrash, describeRuns, receiveRefusal, refuteCrash } from "./workerCrash.js";
 import { estimateWorkerClock, excludeLateCalls, isLeaseWithheld } from "./workerLease.js";
 import { beginLaterLife, compareLives } from "./workerLives.js";
@@ -58,12 +59,6 @@
  */
 const failuresUntilPause = 3;
 
-/**
- * Time after a stop order within which the worker ends the run, in milliseconds; a run that it still lists then has started
- * after the stop.
- */
-const stopCompletionMilliseconds = 150;
-
 /** Shortest time without an answer before the runs of a worker count as lost, in milliseconds. */
 const minimumSilenceMilliseconds = 250;
 
@@ -182,7 +177,7 @@
             endRun(state, row, ended.end === "stopped" ? getReportedStopReason(row) : ended.end);
         }
     }
-    reconcileRuns(state, call, view.running);
+    reconcileRuns(state, call, view);
 }
 
 /**
@@ -240,78 +235,6 @@
     return !state.health.isOnTrial || row.orderedAt >= state.health.pausedUntil;
 }
 
-/** Updates the agent's runs from the running runs of a view, and stops runs that the agent does not know. */
-function reconcileRuns(state: AgentState, call: number, reported: readonly ReportedRun[]): void {
-    const reportedByKey = new Map(reported.map(run => [formatRunKey(run), run]));
-    for (const row of [...state.runs.values()]) {
-        const run = reportedByKey.get(formatRunKey(row.workerRun));
-        if (run === undefined) {
-            // The worker had answered the start or stop order before this view was requested, so the run has ended.
-            if (call >= row.visibleFromCall) {
-                endRun(state, row, row.state === "stopped" ? row.stopReason : "lost");
-            }
-            else if (row.state === "unanswered") {
-                revokeStart(state, row);
-            }
-        }
-        else {
-            updateRun(state, row, run);
-        }
-    }
-    for (const run of reported) {
-        if (!state.runs.has(formatRunKey(run))) {
-            stopUnknownRun(state, run);
-        }
-    }
-}
-
-function updateRun(state: AgentState, row: RunRow, reported: ReportedRun): void {
-    const key = formatRunKey(row.workerRun);
-    if (row.state === "starting" || row.state === "unanswered") {
-        state.runs.set(key, {
-            ...row,
-            state: "running",
-            runningSince: state.now,
-            percent: reported.percent,
-            percentChangedAt: state.now,
-            visibleFromCall: state.nextCall,
-        });
-    }
-    else if (row.state === "stopped" && state.now - row.lastOrderSentAt >= stopCompletionMilliseconds) {
-        state.log("warn", "run listed after its stop is stopped again", { ...row.identity });
-        state.runs.set(key, { ...row, state: "stopping" });
-    }
-    else if (reported.percent !== row.percent) {
-        state.runs.set(key, { ...row, percent: reported.percent, percentChangedAt: state.now });
-    }
-}
-
-/** Adds and stops a run that an earlier process of this agent started. */
-function stopUnknownRun(state: AgentState, run: ReportedRun): void {
-    const { now } = state;
-    const workerRun = { job: run.job, task: run.task, run: run.run };
-    const row: RunRow = {
-        identity: workerRun,
-        workerRun,
-        order: undefined,
-        entry: undefined,
-        state: "running",
-        orderedAt: now,
-        lastOrderSentAt: now,
-        startAttempts: 0,
-        unansweredAttempts: 0,
-        visibleFromCall: Number.POSITIVE_INFINITY,
-        runningSince: now,
-        percent: run.percent,
-        percentChangedAt: now,
-        mustEndSince: now,
-        stopReason: "stopped",
-    };
-    state.addRun(row);
-    state.log("warn", "run of an earlier process is stopped", { ...row.identity });
-    stopRun(state, row, "stopped");
-}
-
 /**
  * Processes the failure of a view call.
  *
--- a/packages/lovagepitch-testing/src/direct/workerPort.ts
+++ b/packages/lovagepitch-testing/src/direct/workerPort.ts
@@ -78,7 +78,7 @@
             worker: FakeWorker,
             isOfFormerLife: boolean,
             lateMilliseconds: number,
-        ) => "accepted" | "rejected" | "superseded" | "outdated-epoch" | "unknown" | "other-incarnation",
+        ) => OrderOutcome,
         createInput: (outcome: OrderOutcome) => AgentInput,
     ): void {
         const worker = getAt(this.workers, agent);
