fix(entry): a job that may be old is asked for at other entries before it starts

Cause: the entry took the instant at which it read a submission for that of its arrival, so the job was neither announced nor known elsewhere before its tasks were placed.

Change: late ticks show since when the process had not read. A submission counts as sent then. If that is 1,000 ms ago or more, every other entry is asked, and no task is placed before all have answered that they do not have the job, or have been silent for 1,474 ms.

Why it works: from the instant at which a caller may turn elsewhere, one of the two entries either has announced the job or asks for it.

--- a/packages/lovagepitch-direct/src/entry/earlyRefusal.ts
+++ b/packages/lovagepitch-direct/src/entry/earlyRefusal.ts
@@ -32,7 +32,8 @@
             spareMilliseconds: row.deadlines.latestStart - state.now,
         };
         // A job whose earlier runs are being stopped, here or at another entry, waits for that, not for room.
-        const isDelayed = state.stoppingRuns.has(job.id) || state.heldJobs.has(job.id);
+        const isDelayed = state.stoppingRuns.has(job.id) || state.heldJobs.has(job.id)
+            || state.inquiries.has(job.id);
         const mayBeRefused = !mayHaveStarted(row) && !isDelayed;
         if (mayBeRefused && !admission.canServe(conditions) && isShortOfRoom(round, row)) {
             const isOver = queueShares.readState(job.service, job.route, state.now) === "over";
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -26,6 +26,7 @@
 import { type EntryIdentity, EntryState, mayHaveStarted } from "./entryState.js";
 import { receiveEvacuations } from "./evacuationRelay.js";
 import { requestReleases } from "./heldJobs.js";
+import { sendInquiries } from "./jobInquiries.js";
 import { announceJobs, receiveOwnershipMessage } from "./jobOwnership.js";
 import { reportLink } from "./linkReport.js";
 import { expireJobs, findNextExpiry, placeTasks } from "./placement.js";
@@ -171,6 +172,7 @@
         releaseKinds(state);
         detectCut(state);
         requestReleases(state);
+        sendInquiries(state);
         placeTasks(state);
         expireJobs(state);
         requestCapacity(state);
@@ -179,6 +181,7 @@
         // Before the frames, which an owner of jobs may send only while others hear of it.
         announceJobs(state);
         sendFrames(state);
+        state.wakeAt = this.nextWakeAtMilliseconds();
         return state.outputs.splice(0);
     }
 
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -22,6 +22,7 @@
 import type { LinkBacklog } from "../policies/linkBacklog.js";
 import { OrderedJobs } from "../policies/orderedJobs.js";
 import { PriorityRanks } from "../policies/priorityRanks.js";
+import { ReadDelay } from "../policies/readDelay.js";
 import { DrainRate } from "../policies/retryAfter.js";
 import { RoomRate } from "../policies/roomRate.js";
 import type { RunTimeDistribution } from "../policies/runTimeDistribution.js";
@@ -29,13 +30,14 @@
 import { WorkerSpeeds } from "../policies/workerSpeeds.js";
 import type { EntryOutput } from "./entryPorts.js";
 import type { HeldJob } from "./heldJobs.js";
+import type { Inquiry } from "./jobInquiries.js";
 
 /** A job that has not been answered. */
 export interface JobRow {
     readonly job: DirectJob;
     /** Unique in this process; tells runs of this submission from those of earlier ones of the same job. */
     readonly submission: number;
-    /** Instant of the latest submission. */
+    /** Earliest instant at which the latest submission may have been sent. */
     readonly submittedAt: number;
     /** Number of the latest submission that this row serves; higher than `submission` when the job was submitted again. */
     readonly latestSubmission: number;
@@ -139,6 +141,12 @@
     public readonly announcedJobs = new AnnouncedJobs();
     /** Open jobs of which no task is placed until other entries have released them, by id. */
     public readonly heldJobs = new Map<string, HeldJob>();
+    /** Jobs that other entries are asked for. */
+    public readonly inquiries = new Map<string, Inquiry>();
+    /** How long requests may have waited until the process has read them. */
+    public readonly readDelay = new ReadDelay();
+    /** Latest instant at which the next tick is due; undefined before the first one. */
+    public wakeAt: number | undefined;
     public readonly agents = new Table<string, AgentRow>();
     public readonly pendingOrders = new Map<string, PendingOrders>();
     /** All entries of the deployment that are known, by address. */
--- a/packages/lovagepitch-direct/src/entry/jobOwnership.ts
+++ b/packages/lovagepitch-direct/src/entry/jobOwnership.ts
@@ -1,11 +1,19 @@
 /**
  * Which jobs this entry tells the others that it has open, and what it does when they tell it of theirs or ask for a release.
  */
-import type { JobOwner, OpenJob, OwnershipMessage, ReleaseRequest } from "../model/jobOwnership.js";
+import type {
+    JobInquiry,
+    JobOwner,
+    OpenJob,
+    OpenJobsMessage,
+    OwnershipMessage,
+    ReleaseRequest,
+} from "../model/jobOwnership.js";
 import type { AnnouncedJob } from "../policies/jobAnnouncements.js";
 import { endJob } from "./endJob.js";
 import { type EntryState, mayHaveStarted } from "./entryState.js";
 import { holdAnnouncedJob, includesOwner, receiveReleaseNotice } from "./heldJobs.js";
+import { answerInquiry, receiveInquiryAnswer } from "./jobInquiries.js";
 import { pickProcess, sendOwnership } from "./ownershipOutput.js";
 
 /**
@@ -30,6 +38,10 @@
 
 function* listOpenJobs(state: EntryState): Iterable<AnnouncedJob> {
     for (const { job, latestSubmission, acceptedAt, submittedAt } of state.jobs.values()) {
+        // Inquiries name the job themselves.
+        if (state.inquiries.has(job.id)) {
+            continue;
+        }
         yield { job: job.id, submission: latestSubmission, acceptedAt, submittedAt };
     }
 }
@@ -49,9 +61,12 @@
     }
     switch (message.kind) {
         case "open-jobs":
+        case "inquire-jobs":
             state.announcedJobs.record(message.from, message.jobs, state.now);
-            message.jobs.forEach(job => receiveOpenJob(state, message.from, job));
-            return;
+            message.jobs.forEach(job => receiveOpenJob(state, message, job));
+            return message.kind === "inquire-jobs" ? answerInquiry(state, message) : undefined;
+        case "jobs-not-open":
+            return receiveInquiryAnswer(state, message);
         case "release-job":
             return receiveReleaseRequest(state, message);
         case "job-released":
@@ -59,11 +74,18 @@
     }
 }
 
-function receiveOpenJob(state: EntryState, from: OwnershipMessage["from"], openJob: OpenJob): void {
+function receiveOpenJob(state: EntryState, message: OpenJobsMessage | JobInquiry, openJob: OpenJob): void {
+    const { from } = message;
     const [job, submission, ageMilliseconds] = openJob;
     const row = state.jobs.get(job);
-    const isOlderThere = row !== undefined && state.now - row.submittedAt < ageMilliseconds;
-    if (isOlderThere && !includesOwner(state.heldJobs.get(job)?.owners, { ...from, submission })) {
+    if (row === undefined || includesOwner(state.heldJobs.get(job)?.owners, { ...from, submission })) {
+        return;
+    }
+    // Two entries that inquire about a job know no age exactly, so their names decide which of them asks for the release.
+    const isToBeReleased = message.kind === "inquire-jobs" && state.inquiries.has(job)
+        ? state.identity.incarnation > from.incarnation
+        : state.now - row.submittedAt < ageMilliseconds;
+    if (isToBeReleased) {
         holdAnnouncedJob(state, row);
     }
 }
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -59,7 +59,7 @@
             continue;
         }
         const canPlace = !state.stoppingRuns.has(row.job.id) && !state.heldJobs.has(row.job.id)
-            && canPlaceJob(state, round, row, isContended);
+            && !state.inquiries.has(row.job.id) && canPlaceJob(state, round, row, isContended);
         const isHeld = canPlace
             && holdForLink(state, round.link, row, inputs => refuseJob(state, row, "no-room-in-time", inputs));
         if (canPlace && !isHeld) {
--- a/packages/lovagepitch-direct/src/entry/processPause.ts
+++ b/packages/lovagepitch-direct/src/entry/processPause.ts
@@ -3,17 +3,19 @@
  */
 import { entryLeaseMilliseconds, reactionAllowanceMilliseconds } from "../model/timing.js";
 import type { EntryState } from "./entryState.js";
+import { inquireOpenJobs } from "./jobInquiries.js";
 
 /**
  * Detects a pause by the time since the latest tick. After a pause that is longer than its leases, the entry places no tasks
  * until it has received what has arrived meanwhile: the first tick may run before the process learns which of its callers'
- * connections have been closed. After a shorter pause, a task that is started for a caller that has gone can still be stopped before
+ * connections have been closed. Jobs that have been open for long may be open at other entries by then, so these are asked. After a shorter pause, a task that is started for a caller that has gone can still be stopped before
  * the caller submits its job again.
  *
  * @param state - state of the entry
  */
 export function detectPause(state: EntryState): void {
     const { now } = state;
+    state.readDelay.recordTick(now, state.wakeAt);
     const pausedMilliseconds = now - (state.lastTickAt ?? now);
     state.lastTickAt = now;
     if (pausedMilliseconds > entryLeaseMilliseconds) {
@@ -22,5 +24,6 @@
             pausedMilliseconds: Math.round(pausedMilliseconds),
             jobs: state.jobs.size,
         });
+        inquireOpenJobs(state);
     }
 }
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -7,6 +7,7 @@
 import { endJob } from "./endJob.js";
 import { type EntryState, estimateWork, type JobRow, mayHaveStarted } from "./entryState.js";
 import { holdAnnouncedJob } from "./heldJobs.js";
+import { inquireOldJob } from "./jobInquiries.js";
 import { judgeJob } from "./workerSeparation.js";
 
 /** Largest number of open jobs of one entry; far more than a deployment's workers finish while a caller waits. */
@@ -20,6 +21,7 @@
  * @param job - submitted job
  */
 export function receiveJob(state: EntryState, request: number, job: DirectJob): void {
+    const submittedAt = state.readDelay.findEarliestArrival(state.now);
     const known = state.jobs.get(job.id);
     if (known !== undefined && !isSameJob(known.job, job)) {
         state.outputs.push({
@@ -39,7 +41,7 @@
     if (known !== undefined) {
         const latestSubmission = state.takeSubmissionNumber();
         const requests = [...known.requests, request];
-        state.jobs.set(job.id, { ...known, latestSubmission, submittedAt: state.now, requests });
+        state.jobs.set(job.id, { ...known, latestSubmission, submittedAt, requests });
         state.log("info", "job submitted again", { job: job.id, callers: known.requests.length + 1 });
         return;
     }
@@ -48,7 +50,7 @@
         job,
         submission,
         latestSubmission: submission,
-        submittedAt: state.now,
+        submittedAt,
         requests: [request],
         acceptedAt: state.now,
         deadlines: computeDeadlines(state, job),
@@ -64,6 +66,7 @@
     state.policies.queueShares.recordArrival(job.service, job.route, estimateWork(job, job.taskCount), state.now);
     state.isPlacementDue = true;
     const isHeld = holdAnnouncedJob(state, row);
+    inquireOldJob(state, row);
     if (!isHeld && judgeJob(state, job) === "crashing") {
         endJob(state, row, { kind: "failed" });
     }
@@ -94,7 +97,8 @@
         endJob(state, row, { kind: "interrupted", reason: "a run of the job was lost when its worker crashed" });
         return;
     }
-    if (state.orderedJobs.has(row.job.id, state.now) || state.heldJobs.has(row.job.id)) {
+    const { id } = row.job;
+    if (state.orderedJobs.has(id, state.now) || state.heldJobs.has(id) || state.inquiries.has(id)) {
         // Not a refusal, which would say that the job has not run.
         endJob(state, row, { kind: "interrupted", reason: "tasks of an earlier submission may have started" }, inputs);
         return;
--- a/packages/lovagepitch-direct/src/links/ownershipGuards.ts
+++ b/packages/lovagepitch-direct/src/links/ownershipGuards.ts
@@ -21,8 +21,12 @@
     }
     switch (value["kind"]) {
         case "open-jobs":
+        case "inquire-jobs":
             return Array.isArray(value["jobs"]) && value["jobs"].length <= maximumJobs
                 && value["jobs"].every(isOpenJob);
+        case "jobs-not-open":
+            return typeof value["asker"] === "string" && Array.isArray(value["jobs"])
+                && value["jobs"].length <= maximumJobs && value["jobs"].every(isInquiredJob);
         case "release-job":
             return hasReleaseFields(value);
         case "job-released":
@@ -45,6 +49,10 @@
         && Number.isSafeInteger(value[1]) && Number.isFinite(value[2]);
 }
 
+function isInquiredJob(value: unknown): boolean {
+    return Array.isArray(value) && value.length === 2 && typeof value[0] === "string" && Number.isSafeInteger(value[1]);
+}
+
 function isJobOwner(value: unknown): boolean {
     return isFields(value) && isEntryProcess(value) && Number.isSafeInteger(value["submission"]);
 }
--- a/packages/lovagepitch-direct/src/model/jobOwnership.ts
+++ b/packages/lovagepitch-direct/src/model/jobOwnership.ts
@@ -55,5 +55,24 @@
     readonly owners: readonly JobOwner[];
 }
 
+/** Names jobs as an announcement does, and asks the receiver for an answer, because it may have been handed them since. */
+export interface JobInquiry {
+    readonly kind: "inquire-jobs";
+    readonly from: EntryProcess;
+    readonly jobs: readonly OpenJob[];
+}
+
+/** Id of a job and the number of its submission at the asker. */
+export type InquiredJob = readonly [job: string, submission: number];
+
+/** Answers an inquiry for the jobs of which the sender has no submission and no run. */
+export interface JobInquiryAnswer {
+    readonly kind: "jobs-not-open";
+    readonly from: EntryProcess;
+    /** Incarnation of the process that has asked. */
+    readonly asker: string;
+    readonly jobs: readonly InquiredJob[];
+}
+
 /** Message between entries about open jobs. */
-export type OwnershipMessage = OpenJobsMessage | ReleaseRequest | ReleaseNotice;
+export type OwnershipMessage = OpenJobsMessage | ReleaseRequest | ReleaseNotice | JobInquiry | JobInquiryAnswer;
--- a/packages/lovagepitch-direct/src/policies/jobAnnouncements.ts
+++ b/packages/lovagepitch-direct/src/policies/jobAnnouncements.ts
@@ -35,7 +35,7 @@
     readonly job: string;
     readonly submission: number;
     readonly acceptedAt: number;
-    /** Instant of the latest submission. */
+    /** Earliest instant at which the latest submission may have been sent. */
     readonly submittedAt: number;
 }
 
@@ -73,10 +73,8 @@
         this.mentions = new Map();
         const due: OpenJob[] = [];
         for (const { job, submission, acceptedAt, submittedAt } of openJobs) {
-            if (now - acceptedAt < announcedAfterMilliseconds) {
-                break;
-            }
-            if (job.length > maximumIdLength) {
+            const isYoung = now - Math.min(acceptedAt, submittedAt) < announcedAfterMilliseconds;
+            if (isYoung || job.length > maximumIdLength) {
                 continue;
             }
             const known = previous.get(job);
@@ -95,14 +93,19 @@
         }
         this.signsOfLife = Math.max(0, this.signsOfLife - 1);
         this.latestAt = now;
-        return divide(due);
+        return divideIntoDatagrams(due);
     }
 }
 
-/** Divides jobs into datagrams. */
-function divide(jobs: readonly OpenJob[]): readonly (readonly OpenJob[])[] {
-    const parts: OpenJob[][] = [];
-    let part: OpenJob[] = [];
+/**
+ * Divides jobs into datagrams.
+ *
+ * @param jobs - jobs as messages name them
+ * @returns the jobs of each datagram; one empty list without jobs
+ */
+export function divideIntoDatagrams<Job extends readonly unknown[]>(jobs: readonly Job[]): readonly (readonly Job[])[] {
+    const parts: Job[][] = [];
+    let part: Job[] = [];
     let bytes = 0;
     for (const job of jobs) {
         const jobBytes = Buffer.byteLength(JSON.stringify(job)) + 1;
--- /dev/null
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.feature
@@ -0,0 +1,50 @@
+@direct
+Feature: Submissions that an entry reads late
+
+    An entry that was frozen reads what has waited meanwhile. A submission may be so old that its caller has submitted the job to another
+    entry since, and nothing tells the entry that the caller's connection is broken. Before it places tasks of such a job, it asks
+    the other entries.
+
+    # Guards against an entry that starts a job beside another one because it takes an old submission for a new one (review, case 2).
+    Scenario Outline: A frozen entry reads a submission while another entry runs the job, and <lost>
+        Given 3 entries, and <lost>
+        When entry 0 is frozen for <frozen> ms, and a job is submitted to it after 200 ms and to entry 1 after <second> ms
+        Then no task of the job ran twice at the same time, and entry 1 has done it
+
+        Examples:
+            | frozen | second | lost                                    |
+            | 3500   | 3000   | no datagram is lost                     |
+            | 3500   | 3000   | the first inquire-jobs datagrams are lost |
+            | 3500   | 3000   | the first open-jobs datagrams are lost  |
+            | 3500   | 3000   | the first release-job datagrams are lost |
+            | 3500   | 3000   | datagrams arrive 100 ms late            |
+            | 3001   | 3000   | datagrams arrive 100 ms late            |
+            | 1600   | 1520   | no datagram is lost                     |
+            | 1600   | 1520   | datagrams arrive 100 ms late            |
+
+    Scenario: A frozen entry reads a submission that no other entry has got
+        Given 3 entries, and no datagram is lost
+        When entry 0 is frozen for 3500 ms, and a job is submitted to it after 200 ms
+        And 100 ms pass after the freeze
+        Then tasks of the job run
+        And entry 0 has done the job
+
+    Scenario: An entry that does not answer is waited for as long as its runs could go on
+        Given 3 entries, and no datagram is lost
+        When entry 2 ends without a notice
+        And entry 0 is frozen for 3500 ms, and a job is submitted to it after 200 ms
+        And 1300 ms pass after the freeze
+        Then no task of the job runs
+        When 400 ms pass after the freeze
+        Then tasks of the job run
+
+    # Guards against a job that both entries give up because each takes the other one for the younger.
+    Scenario: Two entries that were frozen at the same time read submissions of one job
+        Given 3 entries, and no datagram is lost
+        When entries 0 and 1 are frozen for 3500 ms and 3520 ms, and a job is submitted to the first after 200 ms and to the second after 3000 ms
+        Then no task of the job ran twice at the same time, and one entry has done it
+
+    Scenario: A job that is read without delay starts at once and causes no message
+        Given 3 entries, and no datagram is lost
+        When a job of short tasks is submitted to entry 0
+        Then it is done, and no entry was asked for it
