fix(entry): an entry that was cut off asks the others for its jobs

Cause: after two announcements a job is named every 2,000 ms only. The entry listened for 260 ms after the cut, heard no name and started.

Change: after a cut it asks the others for its open jobs, and for each new one until announcements have been repeated. An entry that has a job answers an inquiry with an announcement of it.

--- a/packages/lovagepitch-direct/src/entry/entryCut.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCut.ts
@@ -2,16 +2,19 @@
  * Cuts of the entry from the deployment, during which it hears neither agents nor other entries.
  */
 import { reactionAllowanceMilliseconds } from "../model/timing.js";
-import { announcedAfterMilliseconds, announcementIntervalMilliseconds } from "../policies/jobAnnouncements.js";
+import {
+    announcedAfterMilliseconds,
+    listeningMilliseconds,
+    repetitionMilliseconds,
+} from "../policies/jobAnnouncements.js";
 import { canReceiveTasks } from "./agentFrames.js";
 import type { EntryState } from "./entryState.js";
-
-/** Time after a cut in which each entry with open jobs is heard, although a datagram is lost, in milliseconds. */
-const listeningMilliseconds = 2 * announcementIntervalMilliseconds + reactionAllowanceMilliseconds;
+import { inquireOpenJobs } from "./jobInquiries.js";
 
 /**
  * Detects that the entry was cut off from all agents, and so perhaps from the entries. Other entries may have started its jobs
- * meanwhile: it announces them again, and places no tasks until the answers may have arrived.
+ * meanwhile, and have announced others: it announces its jobs again, asks the others for them, and places no tasks until the
+ * answers may have arrived. Until announcements have been repeated, it asks for new jobs too.
  *
  * @param state - state of the entry
  */
@@ -23,6 +26,11 @@
     }
     state.listensUntil = state.now + listeningMilliseconds;
     state.jobAnnouncements.repeat(false);
+    if (state.hasHeardAgent) {
+        state.inquiresUntil = state.now + repetitionMilliseconds + listeningMilliseconds;
+        inquireOpenJobs(state);
+    }
+    state.hasHeardAgent = true;
     const [oldest] = state.jobs.values();
     if (oldest !== undefined && state.now - oldest.acceptedAt >= announcedAfterMilliseconds) {
         state.placesFrom = Math.max(state.placesFrom, state.now + reactionAllowanceMilliseconds);
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -143,6 +143,12 @@
     public readonly heldJobs = new Map<string, HeldJob>();
     /** Jobs that other entries are asked for. */
     public readonly inquiries = new Map<string, Inquiry>();
+    /** Since when entries have left inquiries unanswered, by address, unless another message of theirs has arrived. */
+    public readonly silentSince = new Map<string, number>();
+    /** Until then other entries are asked for each new job, because their announcements may have been missed. */
+    public inquiresUntil = Number.NEGATIVE_INFINITY;
+    /** True once an agent has been heard. */
+    public hasHeardAgent = false;
     /** How long requests may have waited until the process has read them. */
     public readonly readDelay = new ReadDelay();
     /** Latest instant at which the next tick is due; undefined before the first one. */
--- a/packages/lovagepitch-direct/src/entry/jobInquiries.ts
+++ b/packages/lovagepitch-direct/src/entry/jobInquiries.ts
@@ -3,8 +3,13 @@
  * placed until every other entry has answered that it does not have it. One that has it asks for its release instead.
  */
 import type { JobInquiry, JobInquiryAnswer, OpenJob } from "../model/jobOwnership.js";
+import { lostAgentTimeoutMilliseconds } from "../model/timing.js";
 import { ownerLeaseMilliseconds } from "../policies/announcedJobs.js";
-import { announcedAfterMilliseconds, divideIntoDatagrams } from "../policies/jobAnnouncements.js";
+import {
+    announcedAfterMilliseconds,
+    divideIntoDatagrams,
+    listeningMilliseconds,
+} from "../policies/jobAnnouncements.js";
 import type { EntryState, JobRow } from "./entryState.js";
 import { holdAnnouncedJob } from "./heldJobs.js";
 import { pickProcess, sendOwnership } from "./ownershipOutput.js";
@@ -18,22 +23,33 @@
     readonly submission: number;
     /** Addresses of the entries that have not answered. */
     readonly addresses: ReadonlySet<string>;
+    /** Time after which entries that have sent nothing are not waited for. */
+    readonly silenceLimitMilliseconds: number;
     readonly beganAt: number;
     readonly askedAt: number;
 }
 
 /**
- * Begins an inquiry about a job that its caller may have submitted elsewhere, because it was possibly sent so long ago that the other
- * entries should have heard of it.
+ * Begins an inquiry about a job that its caller may have submitted elsewhere: it was possibly sent so long ago that the caller
+ * has given it up since, or this entry may have missed the announcements of another one. A job that is not as old is announced.
  *
  * @param state - state of the entry
  * @param row - row of the job
  */
 export function inquireOldJob(state: EntryState, row: JobRow): void {
     const ageMilliseconds = state.now - row.submittedAt;
-    if (ageMilliseconds < announcedAfterMilliseconds) {
-        return;
+    if (ageMilliseconds >= lostAgentTimeoutMilliseconds) {
+        beginInquiry(state, row, ownerLeaseMilliseconds);
+    }
+    else if (state.now < state.inquiresUntil) {
+        beginInquiry(state, row, listeningMilliseconds);
+    }
+    else if (ageMilliseconds >= announcedAfterMilliseconds) {
+        state.jobAnnouncements.repeat(false);
     }
+}
+
+function beginInquiry(state: EntryState, row: JobRow, silenceLimitMilliseconds: number): void {
     const addresses = new Set<string>();
     for (const { address } of state.knownEntries.values()) {
         if (address !== state.identity.address) {
@@ -44,11 +60,17 @@
         return;
     }
     const { job, submission } = row;
-    state.inquiries.set(job.id, { submission, addresses, beganAt: state.now, askedAt: Number.NEGATIVE_INFINITY });
+    state.inquiries.set(job.id, {
+        submission,
+        addresses,
+        silenceLimitMilliseconds,
+        beganAt: state.now,
+        askedAt: Number.NEGATIVE_INFINITY,
+    });
     state.log("info", "other entries are asked for a job that may be old", {
         job: job.id,
         submission,
-        ageMilliseconds: Math.round(ageMilliseconds),
+        ageMilliseconds: Math.round(state.now - row.submittedAt),
         entries: addresses.size,
     });
 }
@@ -76,8 +98,8 @@
         if (row?.submission !== inquiry.submission) {
             state.inquiries.delete(job);
         }
-        else if (state.now - inquiry.beganAt > ownerLeaseMilliseconds) {
-            // The runs of an entry that has ended are over by now; one that has announced the job is asked for its release.
+        else if (state.now - inquiry.beganAt > ownerLeaseMilliseconds || isUnanswerable(state, inquiry)) {
+            // An entry that has announced the job is asked for its release.
             state.orderedJobs.record(job, state.now);
             endInquiry(state, job, inquiry);
             holdAnnouncedJob(state, row);
@@ -85,6 +107,7 @@
         else if (state.now - inquiry.askedAt >= inquiryIntervalMilliseconds) {
             state.inquiries.set(job, { ...inquiry, askedAt: state.now });
             for (const address of inquiry.addresses) {
+                state.silentSince.set(address, state.silentSince.get(address) ?? state.now);
                 const due = dueByAddress.get(address) ?? [];
                 due.push([job, row.latestSubmission, Math.round(state.now - row.submittedAt)]);
                 dueByAddress.set(address, due);
@@ -98,8 +121,15 @@
     }
 }
 
+/** Tells whether all entries that have not answered have been silent for long. */
+function isUnanswerable(state: EntryState, { addresses, silenceLimitMilliseconds }: Inquiry): boolean {
+    return [...addresses].every(address => {
+        return state.now - (state.silentSince.get(address) ?? state.now) > silenceLimitMilliseconds;
+    });
+}
+
 /**
- * Answers an inquiry of another entry, which has been processed as an announcement.
+ * Answers an inquiry of another entry, which has been processed as an announcement. Jobs that are open here are announced to it.
  *
  * @param state - state of the entry
  * @param inquiry - the inquiry
@@ -108,6 +138,13 @@
     const absent = inquiry.jobs.flatMap(([job, submission]) => {
         return state.jobs.has(job) || state.stoppingRuns.has(job) ? [] : [[job, submission] as const];
     });
+    const open = inquiry.jobs.flatMap(([job]): readonly OpenJob[] => {
+        const row = state.inquiries.has(job) ? undefined : state.jobs.get(job);
+        return row === undefined ? [] : [[job, row.latestSubmission, Math.round(state.now - row.submittedAt)]];
+    });
+    if (open.length > 0) {
+        sendOwnership(state, inquiry.from.address, { kind: "open-jobs", from: pickProcess(state), jobs: open });
+    }
     if (absent.length > 0) {
         sendOwnership(state, inquiry.from.address, {
             kind: "jobs-not-open",
--- a/packages/lovagepitch-direct/src/entry/jobOwnership.ts
+++ b/packages/lovagepitch-direct/src/entry/jobOwnership.ts
@@ -56,6 +56,7 @@
     if (message.from.incarnation === state.identity.incarnation) {
         return;
     }
+    state.silentSince.delete(message.from.address);
     if (state.announcedJobs.recordHeard(message.from.incarnation, state.now)) {
         state.jobAnnouncements.repeat(false);
     }
--- a/packages/lovagepitch-direct/src/policies/jobAnnouncements.ts
+++ b/packages/lovagepitch-direct/src/policies/jobAnnouncements.ts
@@ -2,6 +2,7 @@
  * Schedule by which an entry tells the others which jobs it has had open for some time.
  */
 import type { OpenJob } from "../model/jobOwnership.js";
+import { reactionAllowanceMilliseconds } from "../model/timing.js";
 
 /**
  * Age at which a job is announced, in milliseconds. Both of its first announcements are sent before its caller, whose
@@ -12,11 +13,14 @@
 /** Time between two announcements while there are such jobs, in milliseconds. */
 export const announcementIntervalMilliseconds = 100;
 
+/** Time in which each entry that announces jobs is heard, although a datagram is lost, in milliseconds. */
+export const listeningMilliseconds = 2 * announcementIntervalMilliseconds + reactionAllowanceMilliseconds;
+
 /** Number of consecutive announcements that first name a job, because datagrams get lost. */
 const firstMentions = 2;
 
 /** Time after which a job is named again, for entries that have started since, in milliseconds. */
-const repetitionMilliseconds = 2000;
+export const repetitionMilliseconds = 2000;
 
 /** Longest id that is announced, in characters; one datagram holds it. */
 const maximumIdLength = 256;
--- a/packages/lovagepitch-testing/src/__tests__/direct/lateReading.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.feature
@@ -44,6 +44,21 @@
         When entries 0 and 1 are frozen for 3500 ms and 3520 ms, and a job is submitted to the first after 200 ms and to the second after 3000 ms
         Then no task of the job ran twice at the same time, and one entry has done it
 
+    # Guards against an entry that starts a job beside its owner because it was cut off while that one announced it (seed 101 of
+    # callersAndConnections).
+    Scenario Outline: An entry that was cut off until <end> ms gets a job at <second> ms that another one runs
+        Given 3 entries, and no datagram is lost
+        When a job is submitted to entry 1
+        And entry 0 is cut off after 900 ms until <end> ms, and the job is submitted to it after <second> ms
+        Then no task of the job ran twice at the same time, and one entry has done it
+
+        Examples:
+            | end  | second |
+            | 1900 | 1300   |
+            | 1290 | 1300   |
+            | 1290 | 2500   |
+            | 2500 | 2600   |
+
     Scenario: A job that is read without delay starts at once and causes no message
         Given 3 entries, and no datagram is lost
         When a job of short tasks is submitted to entry 0
--- a/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
@@ -104,6 +104,32 @@
     },
 );
 
+When("a job is submitted to entry 1", () => {
+    deployment.submit(1, job);
+});
+
+When(
+    "entry 0 is cut off after 900 ms until {int} ms, and the job is submitted to it after {int} ms",
+    (endsAt: number, submittedAt: number) => {
+        const begin = deployment.clock.nowMilliseconds();
+        const advanceTo = (milliseconds: number): void => {
+            deployment.advance(begin + milliseconds - deployment.clock.nowMilliseconds());
+        };
+        advanceTo(900);
+        deployment.setPartitioned("entry", 0, true);
+        if (submittedAt < endsAt) {
+            advanceTo(submittedAt);
+            deployment.submit(0, job);
+        }
+        advanceTo(endsAt);
+        deployment.setPartitioned("entry", 0, false);
+        if (submittedAt >= endsAt) {
+            advanceTo(submittedAt);
+            deployment.submit(0, job);
+        }
+    },
+);
+
 When("entry 2 ends without a notice", () => deployment.killEntry(2));
 
 When("{int} ms pass after the freeze", (milliseconds: number) => deployment.advance(milliseconds));
