fix(entry): a cancellation that is read together with its submission stops the job

Cause: the job was an input of the next tick, and the cancellation looked it up in the table of the latest one.

Change: the lookup includes waiting submissions. While requests are read late, a cancellation also counts for a submission that is read after it but may have been sent before.

--- a/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
+++ b/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
@@ -81,6 +81,26 @@
         this.outputs.push(...this.core.tick());
     }
 
+    /**
+     * Passes an input to the core, which processes it in the next tick.
+     *
+     * @param input - input of the core
+     */
+    public enqueue(input: EntryInput): void {
+        this.core.accept(input);
+    }
+
+    /**
+     * Describes the progress of an open job.
+     *
+     * @param job - id of the job
+     * @param route - name of its route
+     * @returns the progress, or undefined for an unknown job
+     */
+    public describeJob(job: string, route: string): "waiting" | "started" | undefined {
+        return this.core.describeJob(job, route);
+    }
+
     /**
      * Connects an agent with an idle worker, or connects it again.
      *
--- a/packages/lovagepitch-direct/src/__tests__/refusals.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/refusals.steps.ts
@@ -47,7 +47,7 @@
         assert.equal(entry.findAnswer(request)?.kind, "failed");
     },
     "was cancelled while it ran": request => {
-        entry.accept({ kind: "cancelled", job: job.id });
+        entry.accept({ kind: "cancelled", job: job.id, route: job.route });
         assert.equal(entry.findAnswer(request)?.kind, "cancelled");
     },
     "was refused": request => {
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -31,7 +31,13 @@
 import { reportLink } from "./linkReport.js";
 import { expireJobs, findNextExpiry, placeTasks } from "./placement.js";
 import { detectPause } from "./processPause.js";
-import { interruptJobs, receiveCallerDisconnected, receiveCancellation, receiveJob } from "./submissions.js";
+import {
+    forgetEarlyCancellations,
+    interruptJobs,
+    receiveCallerDisconnected,
+    receiveCancellation,
+    receiveJob,
+} from "./submissions.js";
 
 /**
  * Longest time between ticks, in milliseconds; bounds the delay until a lost agent or the end of a pause is detected.
@@ -128,7 +134,11 @@
     public describeJob(id: string, route: string): "waiting" | "started" | undefined {
         const row = this.state.jobs.get(id);
         if (row?.job.route !== route) {
-            return undefined;
+            // A job that was read in the same turn of the event loop is processed in the next tick.
+            const isSubmitted = this.inputs.some(input => {
+                return input.kind === "submitted" && input.job.id === id && input.job.route === route;
+            });
+            return isSubmitted ? "waiting" : undefined;
         }
         return mayHaveStarted(row) ? "started" : "waiting";
     }
@@ -163,6 +173,7 @@
         const inputs = this.inputs;
         this.inputs = [];
         detectPause(state);
+        forgetEarlyCancellations(state);
         state.linkBacklog.recordTick(state.now);
         receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
         if (state.now >= this.nextLostAgentCheckAt) {
@@ -201,7 +212,7 @@
             case "caller-disconnected":
                 return receiveCallerDisconnected(state, input.request, input.job);
             case "cancelled":
-                return receiveCancellation(state, input.job);
+                return receiveCancellation(state, input.job, input.route);
             case "frame":
                 return receiveAgentFrame(state, input.connection, input.frame);
             case "disconnected":
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -14,7 +14,7 @@
 export type EntryInput =
     | { readonly kind: "submitted"; readonly request: number; readonly job: DirectJob }
     | { readonly kind: "caller-disconnected"; readonly request: number; readonly job: string }
-    | { readonly kind: "cancelled"; readonly job: string }
+    | { readonly kind: "cancelled"; readonly job: string; readonly route: string }
     | { readonly kind: "frame"; readonly connection: number; readonly frame: AgentFrame }
     | { readonly kind: "disconnected"; readonly connection: number }
     | { readonly kind: "configured"; readonly configuration: DispatchConfiguration; readonly source: "store" | "agent" }
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -149,6 +149,8 @@
     public inquiresUntil = Number.NEGATIVE_INFINITY;
     /** True once an agent has been heard. */
     public hasHeardAgent = false;
+    /** Instants of cancellations of jobs that were not open, by id of the job, while requests are read late. */
+    public readonly earlyCancellations = new Map<string, number>();
     /** How long requests may have waited until the process has read them. */
     public readonly readDelay = new ReadDelay();
     /** Latest instant at which the next tick is due; undefined before the first one. */
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -65,6 +65,10 @@
     state.crashingKinds.recordArrival(job.service, job.route, state.now);
     state.policies.queueShares.recordArrival(job.service, job.route, estimateWork(job, job.taskCount), state.now);
     state.isPlacementDue = true;
+    if (submittedAt < (state.earlyCancellations.get(job.id) ?? Number.NEGATIVE_INFINITY)) {
+        endJob(state, row, { kind: "cancelled" });
+        return;
+    }
     const isHeld = holdAnnouncedJob(state, row);
     inquireOldJob(state, row);
     if (!isHeld && judgeJob(state, job) === "crashing") {
@@ -134,16 +138,34 @@
 }
 
 /**
- * Cancels a job at a caller's request.
+ * Cancels a job at a caller's request. While requests are read late, the submission of the job may be read after its cancellation.
  *
  * @param state - state of the entry
  * @param id - id of the job
+ * @param route - name of the job's route
  */
-export function receiveCancellation(state: EntryState, id: string): void {
+export function receiveCancellation(state: EntryState, id: string, route: string): void {
     const row = state.jobs.get(id);
-    if (row !== undefined) {
+    if (row?.job.route === route) {
         endJob(state, row, { kind: "cancelled" });
     }
+    else if (row === undefined && state.readDelay.findEarliestArrival(state.now) < state.now) {
+        state.earlyCancellations.set(id, state.now);
+    }
+}
+
+/**
+ * Forgets cancellations of jobs that were not open, once what was sent before them has been read.
+ *
+ * @param state - state of the entry
+ */
+export function forgetEarlyCancellations(state: EntryState): void {
+    const earliest = state.readDelay.findEarliestArrival(state.now);
+    for (const [id, cancelledAt] of state.earlyCancellations) {
+        if (earliest >= cancelledAt) {
+            state.earlyCancellations.delete(id);
+        }
+    }
 }
 
 /**
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -165,9 +165,7 @@
      */
     public cancel(id: string, route: string): boolean {
         const isKnown = this.core.describeJob(id, route) !== undefined;
-        if (isKnown) {
-            this.loop.accept({ kind: "cancelled", job: id });
-        }
+        this.loop.accept({ kind: "cancelled", job: id, route });
         return isKnown;
     }
 
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -127,7 +127,7 @@
      * @param job - id of the job
      */
     public cancel(entry: number, job: string): void {
-        this.deliverInput(this.getEntryHost(entry), { kind: "cancelled", job });
+        this.deliverInput(this.getEntryHost(entry), { kind: "cancelled", job, route: defaultJob.route });
     }
 
     /**
