fix(agent): a restored worker waits for its report or for an entry that has lately heard it

Cause: the agent could not record the capacity while the store was away, and its successor took the older record for current. The record has no age, and so had the entries' memory.

Change: a restored worker accepts no tasks until it reports, or an entry that has heard the former process in the last 2,500 ms names its capacity. An entry does so only if the worker accepted tasks then, as the removal of a record can fail in the same way.

Why it works: what is believed of the worker is at most 2,500 ms old when it first counts, and is replaced by its next report.

--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -156,6 +156,8 @@
      * have changed since.
      */
     readonly isRestored: boolean;
+    /** True when an entry has confirmed the record of a restored worker; until then, it accepts no tasks. */
+    readonly isRecordConfirmed: boolean;
     /** Earliest end of a draining worker; undefined when it is not draining or has not reported the end. */
     readonly endsAt: number | undefined;
     /**
--- a/packages/lovagepitch-direct/src/agent/workerCapacity.ts
+++ b/packages/lovagepitch-direct/src/agent/workerCapacity.ts
@@ -49,15 +49,20 @@
 
 /**
  * Tells whether the capacity of the worker is known. After a pause of the process it is not until the worker reports again.
- * The age of the report is measured on the worker's clock, which runs on while the agent's instance is suspended.
+ * The age of the report is measured on the worker's clock, which runs on while the agent's instance is suspended. A record of
+ * an earlier process has no age: the worker may have reported another capacity, or that it drains, which that process could not
+ * record because the store was away.
  *
  * @param state - state of the agent
  * @param worker - row of the worker
- * @returns false when its latest report is too old
+ * @returns false when its latest report is too old, or only a record is known that no entry has confirmed
  */
 export function isCapacityKnown(state: AgentState, worker: WorkerRow): boolean {
     const { reportIntervalMilliseconds: interval } = state;
-    if (interval === undefined || worker.isRestored) {
+    if (worker.isRestored) {
+        return worker.isRecordConfirmed;
+    }
+    if (interval === undefined) {
         return true;
     }
     const age = state.now + worker.clockOffset - worker.report.workerClock;
@@ -65,23 +70,27 @@
 }
 
 /**
- * Limits the capacity of a restored worker to the one that an entry knows from the earlier process, until the worker reports.
+ * Confirms the record of a restored worker by what an entry has lately heard from the earlier process. Its capacity is the smaller
+ * one of both until the worker reports.
  *
  * @param state - state of the agent
- * @param known - capacity that the entry knows; undefined when it knows none
+ * @param known - capacity that the entry knows; undefined when it has heard none lately
  */
-export function limitRestoredCapacity(state: AgentState, known: Resources | undefined): void {
+export function confirmRestoredCapacity(state: AgentState, known: Resources | undefined): void {
     const { worker } = state;
-    if (known === undefined || worker?.isRestored !== true || fitsInto(worker.report.capacity, known)) {
+    if (known === undefined || worker?.isRestored !== true) {
         return;
     }
     const { capacity: recorded } = worker.report;
+    if (worker.isRecordConfirmed && fitsInto(recorded, known)) {
+        return;
+    }
     const capacity = {
         milliCores: Math.min(recorded.milliCores, known.milliCores),
         memoryMegabytes: Math.min(recorded.memoryMegabytes, known.memoryMegabytes),
         accelerators: Math.min(recorded.accelerators, known.accelerators),
     };
-    state.worker = { ...worker, report: { ...worker.report, capacity } };
-    state.log("info", "capacity of a restored worker limited", { worker: worker.report.id, recorded, capacity });
+    state.worker = { ...worker, isRecordConfirmed: true, report: { ...worker.report, capacity } };
+    state.log("info", "capacity of a restored worker confirmed", { worker: worker.report.id, recorded, capacity });
     state.markUpdatePending();
 }
--- a/packages/lovagepitch-direct/src/agent/workerLives.ts
+++ b/packages/lovagepitch-direct/src/agent/workerLives.ts
@@ -65,6 +65,7 @@
         isLaterLife: true,
         hasReported: sign.report !== undefined,
         isRestored: false,
+        isRecordConfirmed: false,
         endsAt: undefined,
         needsEpoch: false,
         epoch: deriveEpoch(state.identity, sign, worker.epoch),
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -68,7 +68,8 @@
 
 /**
  * Registers the worker that an earlier process of this agent has recorded, so that a restarted agent need not wait for
- * its next report. The worker receives tasks once it has answered as that incarnation. Reports take precedence.
+ * its next report. The worker receives tasks once it has answered as that incarnation and an entry has confirmed the record.
+ * Reports take precedence.
  *
  * @param state - state of the agent
  * @param registration - recorded worker
@@ -122,6 +123,7 @@
         isLaterLife: false,
         hasReported: true,
         isRestored: needsEpoch,
+        isRecordConfirmed: false,
         endsAt: computeWorkerEnd(state, report),
         needsEpoch,
         epoch: deriveEpoch(state.identity, report, 0),
--- a/packages/lovagepitch-direct/src/entry/agentFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/agentFrames.ts
@@ -69,9 +69,7 @@
             : previous?.lastFrameSentAt ?? Number.NEGATIVE_INFINITY,
         openRunCount: previous?.openRunCount ?? 0,
     });
-    if (frame.worker !== undefined && frame.worker.isRestored !== true) {
-        state.reportedCapacities.set(frame.instance, frame.worker.capacity);
-    }
+    state.reportedCapacities.record(frame.instance, frame.worker, state.now);
     state.isPlacementDue = true;
     recordNamedVersion(state, frame.configuration.version);
     receiveConfiguration(state, frame.configuration.configuration, "agent");
--- a/packages/lovagepitch-direct/src/entry/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/entry/entryFrames.ts
@@ -81,7 +81,9 @@
             isRequested: isConfigurationRequestDue(state, row),
         },
         evacuations: isNoticeDue(state.evacuations, row.evacuations) ? state.evacuations : undefined,
-        workerCapacity: row.worker?.isRestored === true ? state.reportedCapacities.get(row.instance) : undefined,
+        workerCapacity: row.worker?.isRestored === true
+            ? state.reportedCapacities.find(row.instance, state.now)
+            : undefined,
         crashes: state.crashRecords.listAfter(row.sentCrashRevision, state.now),
     };
 }
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -23,6 +23,7 @@
 import { OrderedJobs } from "../policies/orderedJobs.js";
 import { PriorityRanks } from "../policies/priorityRanks.js";
 import { ReadDelay } from "../policies/readDelay.js";
+import { ReportedCapacities } from "../policies/reportedCapacities.js";
 import { DrainRate } from "../policies/retryAfter.js";
 import { RoomRate } from "../policies/roomRate.js";
 import type { RunTimeDistribution } from "../policies/runTimeDistribution.js";
@@ -183,7 +184,7 @@
     public readonly runTimes = new Map<string, RunTimeDistribution>();
     public readonly workerSpeeds = new WorkerSpeeds();
     /** Capacity of each worker as it last reported it, by instance, for an agent that restarts. */
-    public readonly reportedCapacities = new Map<string, Resources>();
+    public readonly reportedCapacities = new ReportedCapacities();
     public readonly crashRecords = new CrashRecords();
     public readonly crashEvidence = new CrashEvidence();
     public readonly crashingKinds = new CrashingKinds();
