--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -327,17 +327,6 @@
         return using;
     }
 
-    /**
-     * Finds a run that an entry has ordered.
-     *
-     * @param entry - incarnation of the entry
-     * @param identity - the run as the entry knows it
-     * @returns its row, or undefined when the entry has no such run here
-     */
-    public findRun(entry: string, identity: RunIdentity): RunRow | undefined {
-        return this.runs.findOrdered(entry, identity);
-    }
-
     /**
      * Adds a run and reserves its resources.
      *
--- a/packages/lovagepitch-direct/src/agent/entryLinks.ts
+++ b/packages/lovagepitch-direct/src/agent/entryLinks.ts
@@ -192,7 +192,7 @@
     frame.crashes?.forEach(crash => state.crashRecords.add(crash, state.now));
     for (const stop of frame.stops) {
         withdrawQueuedOrder(state, frame.entry, stop);
-        const run = state.findRun(frame.entry, stop);
+        const run = state.runs.findOrdered(frame.entry, stop);
         if (run !== undefined) {
             // The frame may have been under way, or the agent paused, beyond the lease that the entry had until now.
             requireEnd(state, run, row.leaseRenewedAt + entryLeaseMilliseconds);
@@ -206,7 +206,7 @@
             age: state.now - leaseRenewedAt,
             starts: frame.starts.length,
         });
-        frame.starts.filter(start => state.findRun(frame.entry, start) === undefined)
+        frame.starts.filter(start => state.runs.findOrdered(frame.entry, start) === undefined)
             .forEach(start => declineStart(state, frame.entry, start));
         return;
     }
--- a/packages/lovagepitch-direct/src/agent/orderQueue.ts
+++ b/packages/lovagepitch-direct/src/agent/orderQueue.ts
@@ -22,7 +22,7 @@
  * @param order - start order of the task
  */
 export function receiveStart(state: AgentState, entry: string, order: StartOrder): void {
-    const known = state.findRun(entry, order);
+    const known = state.runs.findOrdered(entry, order);
     if (known !== undefined) {
         const { state: knownState } = known;
         state.log("warn", "repeated start order ignored", { ...pickRunIdentity(order), entry, state: knownState });
