fix(direct): odd rows of another writer are ignored, and logged once

Found here: a row of the entries that was written in the future counted for ever; a value nested too deeply kept an agent from recording its worker; a record with a start in the far future kept a worker out of use, as its reports counted as those of a former life.

Change: rows are checked field by field, in what is read and in what is compared. A restored worker that answers tells its own start. One line names each ignored row.

--- a/packages/lovagepitch-direct/src/agent/workerViews.ts
+++ b/packages/lovagepitch-direct/src/agent/workerViews.ts
@@ -194,7 +194,9 @@
     // A recorded worker without a start was recorded by an earlier version, perhaps in a former life.
     const known = worker.report.startedAt ?? (worker.needsEpoch ? Number.NEGATIVE_INFINITY : undefined);
     const life = compareLives(known, startedAt);
-    if (life === "later" && startedAt !== undefined) {
+    // A record of another writer may name any start; the worker that answers tells its own.
+    const isUnconfirmedRecord = worker.isRestored && worker.confirmedEpoch === Number.NEGATIVE_INFINITY;
+    if (startedAt !== undefined && (life === "later" || (life === "earlier" && isUnconfirmedRecord))) {
         beginLaterLife(state, worker, { startedAt, workerClock, report: undefined });
     }
     else if (life === "earlier") {
--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -7,6 +7,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { isSocketAddress, splitAddress } from "../links/listenAt.js";
 import type { EntryLocation } from "../model/entryLocation.js";
+import { OddRows } from "./oddRows.js";
 import type { RowsView, SharedRows } from "./sharedRows.js";
 import type { StoreReachability } from "./storeReachability.js";
 
@@ -31,6 +32,9 @@
 /** Interval at which an entry renews its row, in milliseconds; a quarter of the row's lifetime. */
 const writeIntervalMilliseconds = 10_000;
 
+/** Longest name of an availability zone, in characters; it goes to all agents. */
+const maximumZoneLength = 256;
+
 /** Age above which a row counts as that of an entry that has ended, in milliseconds on the store's clock. */
 const rowLifetimeMilliseconds = 40_000;
 
@@ -45,12 +49,14 @@
      * @param clock - monotonic clock
      * @param reachability - records whether the store answers
      * @param onEntries - called with all current entries after each read
+     * @param oddRows - logs rows that no entry has written
      */
     public constructor(
         private readonly rows: SharedRows,
         private readonly clock: Clock,
         private readonly reachability: StoreReachability,
         private readonly onEntries: (entries: readonly EntryLocation[]) => void,
+        private readonly oddRows: OddRows = new OddRows({ write: () => undefined }),
     ) {}
 
     /**
@@ -85,7 +91,7 @@
         this.reachability.recordOutcome(true, "the entries' addresses were read");
         this.storeMilliseconds = result.val.storeMilliseconds;
         this.version = result.val.version;
-        const entries = listEntries(result.val);
+        const entries = listEntries(result.val, key => this.oddRows.record(entriesTable, key));
         this.hasFoundEntries = entries.length > 0;
         this.onEntries(entries);
         return true;
@@ -114,28 +120,39 @@
 }
 
 /**
- * Lists the entries with a recent row. Rows that cannot be decoded are skipped.
+ * Lists the entries with a recent row. Rows of other writers that name no entry are skipped.
  *
  * @param view - rows of the table of addresses
+ * @param onOddRow - called with the key of each row that no entry has written
  * @returns location of each entry; rows of earlier versions name no availability zone
  */
-export function listEntries(view: RowsView): readonly EntryLocation[] {
+export function listEntries(
+    view: RowsView,
+    onOddRow: (key: string) => void = () => undefined,
+): readonly EntryLocation[] {
     const entries: EntryLocation[] = [];
-    for (const { value } of view.rows) {
+    for (const { key, value, isRemoved } of view.rows) {
         const row = value as Readonly<Record<"address" | "availabilityZone" | "writtenAt", unknown>> | null | undefined;
-        const isRecent = typeof row?.writtenAt === "number"
-            && view.storeMilliseconds - row.writtenAt <= rowLifetimeMilliseconds;
-        if (isRecent && typeof row.address === "string" && isEntryAddress(row.address)) {
-            const { address, availabilityZone } = row;
-            entries.push({
-                address,
-                availabilityZone: typeof availabilityZone === "string" ? availabilityZone : undefined,
-            });
+        const { address, availabilityZone, writtenAt } = row ?? {};
+        const isZone = availabilityZone === undefined || isZoneName(availabilityZone);
+        // Entries take the time from an earlier response of the store, so none writes a later one.
+        const isWritten = typeof writtenAt === "number" && writtenAt <= view.storeMilliseconds;
+        if (typeof address !== "string" || !isEntryAddress(address) || !isZone || !isWritten) {
+            if (!isRemoved) {
+                onOddRow(key);
+            }
+        }
+        else if (view.storeMilliseconds - writtenAt <= rowLifetimeMilliseconds) {
+            entries.push({ address, availabilityZone });
         }
     }
     return entries;
 }
 
+function isZoneName(value: unknown): value is string {
+    return typeof value === "string" && value.length <= maximumZoneLength;
+}
+
 function isEntryAddress(text: string): boolean {
     return isSocketAddress(text) && isIPv4(splitAddress(text).host);
 }
--- a/packages/lovagepitch-direct/src/process/workerDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/workerDirectory.ts
@@ -5,7 +5,9 @@
 import type { Clock } from "@lovagepitch/utils/clock";
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { setTimeout as delay } from "node:timers/promises";
+import type { Resources } from "../model/resources.js";
 import type { WorkerRegistration } from "../model/workerStatus.js";
+import { OddRows } from "./oddRows.js";
 import type { SharedRows, VersionedRow } from "./sharedRows.js";
 import type { StoreReachability } from "./storeReachability.js";
 
@@ -42,6 +44,7 @@
      * @param clock - monotonic clock
      * @param reachability - records whether the store answers
      * @param random - source of the delay before a new worker is recorded
+     * @param oddRows - logs a row that no agent has written
      */
     public constructor(
         private readonly rows: SharedRows,
@@ -49,6 +52,7 @@
         private readonly clock: Clock,
         private readonly reachability: StoreReachability,
         private readonly random: RandomSource,
+        private readonly oddRows: OddRows = new OddRows({ write: () => undefined }),
     ) {}
 
     /**
@@ -59,7 +63,11 @@
      */
     public async readRecorded(): Promise<WorkerRegistration | undefined> {
         const row = await this.readOwn();
-        return decodeRegistration(row?.value);
+        const registration = decodeRegistration(row?.value);
+        if (registration === undefined && row !== undefined && row.version > 0 && !isEmpty(row.value)) {
+            this.oddRows.record(workersTable, this.instance);
+        }
+        return registration;
     }
 
     /**
@@ -104,8 +112,11 @@
             return false;
         }
         const value = registration ?? noWorker;
-        // A row that does not exist is written too: a delayed write that expects none would otherwise take effect.
-        const isCurrent = row.version > 0 && JSON.stringify(row.value) === JSON.stringify(value);
+        // A row that does not exist is written too: a delayed write that expects none would otherwise take effect. Values of other
+        // writers are compared as far as they can be decoded; nested too deeply, they can't be serialized.
+        const isCurrent = row.version > 0
+            && JSON.stringify(decodeRegistration(row.value) ?? noWorker) === JSON.stringify(value)
+            && (registration !== undefined || isEmpty(row.value));
         if (isCurrent && !this.hasUncertainWrite) {
             return true;
         }
@@ -142,16 +153,13 @@
  */
 export function decodeRegistration(value: unknown): WorkerRegistration | undefined {
     const row = value as { readonly [Name in keyof WorkerRegistration]?: unknown } | null | undefined;
-    const capacity = row?.capacity as { readonly [Name in keyof WorkerRegistration["capacity"]]?: unknown } | undefined;
     if (
         typeof row?.id !== "string" || typeof row.service !== "string" || !Array.isArray(row.labels)
-        || !row.labels.every(label => typeof label === "string") || typeof capacity?.milliCores !== "number"
-        || typeof capacity.memoryMegabytes !== "number" || typeof capacity.accelerators !== "number"
-        || !isStart(row.startedAt)
+        || !row.labels.every(label => typeof label === "string") || !isCapacity(row.capacity) || !isStart(row.startedAt)
     ) {
         return undefined;
     }
-    const { milliCores, memoryMegabytes, accelerators } = capacity;
+    const { milliCores, memoryMegabytes, accelerators } = row.capacity;
     return {
         id: row.id,
         ...row.startedAt === undefined ? {} : { startedAt: row.startedAt },
@@ -161,6 +169,19 @@
     };
 }
 
+/** Tells whether a value is a capacity that a worker can have. */
+function isCapacity(value: unknown): value is Resources {
+    const capacity = value as { readonly [Name in keyof Resources]?: unknown } | null | undefined;
+    return [capacity?.milliCores, capacity?.memoryMegabytes, capacity?.accelerators].every(amount => {
+        return typeof amount === "number" && amount >= 0 && amount <= Number.MAX_SAFE_INTEGER;
+    });
+}
+
+/** Tells whether a row says that no worker may be restored. */
+function isEmpty(value: unknown): boolean {
+    return typeof value === "object" && value !== null && !Array.isArray(value) && Object.keys(value).length === 0;
+}
+
 /** Tells whether a value is the start of a worker in Unix milliseconds, or missing. */
 function isStart(value: unknown): value is number | undefined {
     return value === undefined || (typeof value === "number" && Number.isSafeInteger(value) && value >= 0);
