--- a/packages/lovagepitch-direct/src/process/rateLimitedLog.ts
+++ b/packages/lovagepitch-direct/src/process/rateLimitedLog.ts
@@ -4,22 +4,12 @@
 import type { Clock } from "@lovagepitch/utils/clock";
 import { JsonEventLog } from "@lovagepitch/utils/logger";
 import type { DirectMetrics } from "./directMetrics.js";
-
-/** Limit on lines of severity "info" per second; an entry at its typical load writes about 100. */
-const infoLinesPerSecond = 200;
-
-/** Limit on lines of severity "warn" per second. */
-const warningLinesPerSecond = 100;
-
-/** Length of the window that the limits apply to, in milliseconds. */
-const windowMilliseconds = 1000;
+import { LineBudget } from "./lineBudget.js";
 
 /** Writes structured log lines to standard output, and reports how many were omitted. */
 export class RateLimitedLog {
     private readonly log: JsonEventLog;
-    private windowStart = 0;
-    private writtenLines = { info: 0, warn: 0 };
-    private omittedLines = 0;
+    private readonly budget = new LineBudget();
 
     /**
      * @param name - instance name that each line carries
@@ -39,26 +29,16 @@
      */
     public write(level: "info" | "warn", event: string, fields: Readonly<Record<string, unknown>>): void {
         this.metrics.countEvent(event);
-        const now = this.clock.nowMilliseconds();
-        if (now - this.windowStart >= windowMilliseconds) {
-            this.startWindow(now);
+        const omitted = this.budget.beginWindow(this.clock.nowMilliseconds());
+        if (omitted !== undefined) {
+            const lines = Object.values(omitted).reduce((sum, count) => sum + count, 0);
+            this.log.logEvent("warn", "log lines were left out", { lines, events: omitted });
         }
-        const limit = level === "info" ? infoLinesPerSecond : warningLinesPerSecond;
-        if (this.writtenLines[level] >= limit) {
-            this.omittedLines += 1;
-            this.metrics.countOmittedLine();
-            return;
+        if (this.budget.take(level, event)) {
+            this.log.logEvent(level, event, fields);
         }
-        this.writtenLines[level] += 1;
-        this.log.logEvent(level, event, fields);
-    }
-
-    private startWindow(now: number): void {
-        if (this.omittedLines > 0) {
-            this.log.logEvent("warn", "log lines were left out", { lines: this.omittedLines });
+        else {
+            this.metrics.countOmittedLine();
         }
-        this.windowStart = now;
-        this.writtenLines = { info: 0, warn: 0 };
-        this.omittedLines = 0;
     }
 }
