--- a/packages/lovagepitch-testing/src/__tests__/direct/lateReading.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.feature
@@ -59,6 +59,20 @@
             | 1290 | 2500   |
             | 2500 | 2600   |
 
+    # Guards against an entry that starts a job beside its owner because the announcements did not fit into its socket's buffer while it
+    # was frozen.
+    Scenario Outline: An entry that was frozen until <end> ms, and has lost the datagrams, gets a job at <second> ms that another one runs
+        Given 3 entries, and no datagram is lost
+        When a job is submitted to entry 1
+        And entry 0 is frozen after 500 ms until <end> ms, and the job is submitted to it after <second> ms
+        Then no task of the job ran twice at the same time, and one entry has done it
+
+        Examples:
+            | end  | second |
+            | 1290 | 1300   |
+            | 1800 | 1900   |
+            | 2500 | 3000   |
+
     Scenario: A job that is read without delay starts at once and causes no message
         Given 3 entries, and no datagram is lost
         When a job of short tasks is submitted to entry 0
--- a/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
@@ -130,6 +130,20 @@
     },
 );
 
+When(
+    "entry 0 is frozen after 500 ms until {int} ms, and the job is submitted to it after {int} ms",
+    (endsAt: number, submittedAt: number) => {
+        deployment.advance(500);
+        freeze(0);
+        deployment.linkNetwork.datagramFault = (_, __, to) => ({ copies: to === 0 ? 0 : 1, delayMilliseconds: 0 });
+        deployment.advance(endsAt - 500);
+        deployment.linkNetwork.datagramFault = () => ({ copies: 1, delayMilliseconds: 0 });
+        thaw(0);
+        deployment.advance(submittedAt - endsAt);
+        deployment.submit(0, job);
+    },
+);
+
 When("entry 2 ends without a notice", () => deployment.killEntry(2));
 
 When("{int} ms pass after the freeze", (milliseconds: number) => deployment.advance(milliseconds));
