fix(entry): tasks are placed after the datagrams that came before their job have been read

What callers can see: a task runs twice, as an entry that was delayed reads a job before its announcement. Trial: Node.js reads 32 datagrams from a socket in a turn of the event loop, whatever waits there.

--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -38,6 +38,7 @@
     receiveCancellation,
     receiveJob,
 } from "./submissions.js";
+import { awaitsDatagrams, detectUnreadDatagrams } from "./unreadDatagrams.js";
 
 /**
  * Longest time between ticks, in milliseconds; bounds the delay until a lost agent or the end of a pause is detected.
@@ -173,6 +174,7 @@
         const inputs = this.inputs;
         this.inputs = [];
         detectPause(state);
+        detectUnreadDatagrams(state, inputs);
         forgetEarlyCancellations(state);
         state.linkBacklog.recordTick(state.now);
         receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
@@ -199,6 +201,9 @@
     /** {@inheritDoc Core.nextWakeAtMilliseconds} */
     public override nextWakeAtMilliseconds(): number | undefined {
         const { state } = this;
+        if (awaitsDatagrams(state)) {
+            return state.now;
+        }
         const isIdle = state.jobs.size === 0 && state.stoppingRuns.size === 0;
         const latest = state.now + (isIdle ? idleTickIntervalMilliseconds : maximumTickIntervalMilliseconds);
         return Math.min(latest, findNextExpiry(state) ?? latest);
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -148,6 +148,8 @@
     public readonly silentSince = new Map<string, number>();
     /** Until then other entries are asked for each new job, because their announcements may have been missed. */
     public inquiresUntil = Number.NEGATIVE_INFINITY;
+    /** Since when datagrams that have arrived may not have been read; undefined when all have. */
+    public datagramsUnreadSince: number | undefined;
     /** True once an agent has been heard. */
     public hasHeardAgent = false;
     /** Instants of cancellations of jobs that were not open, by id of the job, while requests are read late. */
--- a/packages/lovagepitch-direct/src/entry/placement.ts
+++ b/packages/lovagepitch-direct/src/entry/placement.ts
@@ -21,6 +21,7 @@
 import { PlacementRound, sharedIsolation } from "./placementRound.js";
 import { refreshWorkerSpeeds } from "./speedReports.js";
 import { refuseJob } from "./submissions.js";
+import { awaitsDatagrams } from "./unreadDatagrams.js";
 
 /** Interval at which placement is retried when no event has triggered it, in milliseconds. */
 const placementIntervalMilliseconds = 25;
@@ -34,7 +35,7 @@
  * @param state - state of the entry
  */
 export function placeTasks(state: EntryState): void {
-    if (state.now < state.placesFrom) {
+    if (state.now < state.placesFrom || awaitsDatagrams(state)) {
         return;
     }
     // The end of a worker's pause triggers no event, so placement also runs at intervals.
