fix(entry): a submission on a connection that was accepted late counts as sent before

What callers can see: a task runs twice, as an entry that is starved of processor time reads a submission long after its caller went elsewhere.

Cause: the last three delays of ticks were counted, but Node.js accepts one connection in a turn of the event loop, so connections wait for many.

Change: what is read on a connection that was accepted in consecutive turns may have arrived before the first of them.

--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -158,6 +158,16 @@
         return count;
     }
 
+    /**
+     * Finds the earliest instant at which a connection or request that is read now may have arrived.
+     *
+     * @returns monotonic milliseconds
+     */
+    public findEarliestArrival(): number {
+        const { readDelay, now, wakeAt } = this.state;
+        return readDelay.findEarliestArrival(now, wakeAt);
+    }
+
     /** Lists the use of room by each queue; empty without shares. */
     public listQueueUse(): readonly QueueUse[] {
         return this.state.policies.queueShares.list(this.state.now);
@@ -213,7 +223,7 @@
         const { state } = this;
         switch (input.kind) {
             case "submitted":
-                return receiveJob(state, input.request, input.job);
+                return receiveJob(state, input.request, input.job, input.earliestArrival);
             case "caller-disconnected":
                 return receiveCallerDisconnected(state, input.request, input.job);
             case "cancelled":
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -12,7 +12,13 @@
 
 /** Input of an entry's core. */
 export type EntryInput =
-    | { readonly kind: "submitted"; readonly request: number; readonly job: DirectJob }
+    | {
+        readonly kind: "submitted";
+        readonly request: number;
+        readonly job: DirectJob;
+        /** Earliest instant at which it may have arrived, if its connection was accepted late; in monotonic milliseconds. */
+        readonly earliestArrival?: number | undefined;
+    }
     | { readonly kind: "caller-disconnected"; readonly request: number; readonly job: string }
     | { readonly kind: "cancelled"; readonly job: string; readonly route: string }
     | { readonly kind: "frame"; readonly connection: number; readonly frame: AgentFrame }
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -19,9 +19,15 @@
  * @param state - state of the entry
  * @param request - id of the caller's request
  * @param job - submitted job
+ * @param earliestArrival - earliest instant at which it may have arrived if its connection was accepted late
  */
-export function receiveJob(state: EntryState, request: number, job: DirectJob): void {
-    const submittedAt = state.readDelay.findEarliestArrival(state.now);
+export function receiveJob(
+    state: EntryState,
+    request: number,
+    job: DirectJob,
+    earliestArrival = state.now,
+): void {
+    const submittedAt = Math.min(earliestArrival, state.readDelay.findEarliestArrival(state.now));
     const known = state.jobs.get(job.id);
     if (known !== undefined && !isSameJob(known.job, job)) {
         state.outputs.push({
--- a/packages/lovagepitch-direct/src/policies/readDelay.ts
+++ b/packages/lovagepitch-direct/src/policies/readDelay.ts
@@ -46,12 +46,15 @@
     }
 
     /**
-     * Finds the earliest instant at which a request that is read in this tick may have arrived.
+     * Finds the earliest instant at which a request that is read now may have arrived.
      *
      * @param now - current monotonic time, in milliseconds
+     * @param dueAt - latest instant at which the next tick is due; undefined within a tick
      * @returns monotonic milliseconds; `now` while the process reads without delay
      */
-    public findEarliestArrival(now: number): number {
-        return this.delays.reduce((earliest, { since }) => Math.min(earliest, since), now);
+    public findEarliestArrival(now: number, dueAt?: number): number {
+        const isLate = dueAt !== undefined && now - dueAt > timerAllowanceMilliseconds;
+        const latest = isLate ? Math.min(now, this.lastTickAt ?? now) : now;
+        return this.delays.reduce((earliest, { since }) => Math.min(earliest, since), latest);
     }
 }
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -139,13 +139,15 @@
      *
      * @param job - job to run
      * @param onAnswer - called once with the answer, unless the submission is abandoned first
+     * @param earliestArrival - earliest instant at which it may have arrived if its connection was accepted late, in
+     *   monotonic milliseconds
      * @returns the submission, which can be abandoned
      */
-    public submit(job: DirectJob, onAnswer: (answer: JobAnswer) => void): Submission {
+    public submit(job: DirectJob, onAnswer: (answer: JobAnswer) => void, earliestArrival?: number): Submission {
         const request = this.nextRequest;
         this.nextRequest += 1;
         this.answerCallbacks.set(request, onAnswer);
-        this.loop.accept({ kind: "submitted", request, job });
+        this.loop.accept({ kind: "submitted", request, job, earliestArrival });
         return {
             abandon: () => {
                 if (this.answerCallbacks.delete(request)) {
@@ -156,6 +158,15 @@
         };
     }
 
+    /**
+     * Finds the earliest instant at which a connection that is accepted now may have arrived.
+     *
+     * @returns monotonic milliseconds
+     */
+    public findEarliestArrival(): number {
+        return this.core.findEarliestArrival();
+    }
+
     /**
      * Cancels a job.
      *
--- a/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
@@ -135,7 +135,9 @@
     (endsAt: number, submittedAt: number) => {
         deployment.advance(500);
         freeze(0);
-        deployment.linkNetwork.datagramFault = (_, __, to) => ({ copies: to === 0 ? 0 : 1, delayMilliseconds: 0 });
+        deployment.linkNetwork.datagramFault = (...[, , to]) => {
+            return { copies: to === 0 ? 0 : 1, delayMilliseconds: 0 };
+        };
         deployment.advance(endsAt - 500);
         deployment.linkNetwork.datagramFault = () => ({ copies: 1, delayMilliseconds: 0 });
         thaw(0);
