fix(agent): only a record that may be outdated is doubted after a restart

Change: an agent whose worker reports less capacity, or that it drains, raises its epoch above that of its next process. The worker rejects the first call of that process once, which then doubts the record. Other records count at once.

--- a/packages/lovagepitch-direct/src/__tests__/restoredCapacity.feature
+++ b/packages/lovagepitch-direct/src/__tests__/restoredCapacity.feature
@@ -4,9 +4,14 @@
     An agent that restarts reads the record of its worker. The earlier process may have heard since that the worker has less capacity or
     drains, and may not have been able to record it, as the store was away.
 
+    Scenario: A restored worker gets tasks at once when it accepts the agent's epoch
+        Given an agent that has restored a worker of 16 cores, which accepts its epoch
+        When an entry orders a task of 16 cores from the restored worker
+        Then the task is started
+
     # Guards against workers that are filled by the capacity that they had before it shrank (review, case 4).
-    Scenario: A restored worker gets no task before its report or an entry confirms the record
-        Given an agent that has restored a worker of 16 cores, which has answered
+    Scenario: A restored worker that has rejected the agent's epoch gets no task before its report
+        Given an agent that has restored a worker of 16 cores, which rejects its epoch once
         When an entry orders a task of 1 cores from the restored worker
         Then the task is not started
         When the worker reports a capacity of 8 cores
@@ -15,18 +20,36 @@
         When an entry orders a task of 8 cores from the restored worker
         Then the task is started
 
+    Scenario Outline: An agent whose worker <change> makes the worker reject the epoch of the next process
+        Given an agent of a worker that started at <start>
+        When the worker <change>, and 300 ms pass
+        Then the worker <result> the first epoch of a process that starts <later> ms later
+
+        Examples:
+            | change                        | start   | later | result  |
+            | reports less capacity         | 5000000 | 250   | rejects |
+            | reports less capacity         | 5000000 | 20000 | rejects |
+            | reports less capacity         | unknown | 250   | rejects |
+            | reports less capacity         | unknown | 20000 | rejects |
+            # Guards against tasks on a worker whose draining was not recorded.
+            | reports that it drains        | 5000000 | 250   | rejects |
+            | reports more capacity         | 5000000 | 250   | accepts |
+            | reports the same capacity     | 5000000 | 250   | accepts |
+
     Scenario Outline: A restored worker is filled up to the smaller one of the recorded capacity and that which an entry has heard
-        Given an agent that has restored a worker of 16 cores, which has answered
+        Given an agent that has restored a worker of 16 cores, which <answers> its epoch once
         When an entry names a capacity of <named> cores
         And an entry orders a task of <task> cores from the restored worker
         Then the task is <result>
 
         Examples:
-            | named | task | result      |
-            | 8     | 9    | not started |
-            | 8     | 8    | started     |
-            | 32    | 17   | not started |
-            | 32    | 16   | started     |
+            | answers | named | task | result      |
+            | rejects | 8     | 9    | not started |
+            | rejects | 8     | 8    | started     |
+            | rejects | 32    | 17   | not started |
+            | rejects | 32    | 16   | started     |
+            | accepts | 8     | 9    | not started |
+            | accepts | 8     | 8    | started     |
 
     Scenario Outline: An entry names the capacity of a restored worker <when>
         Given an entry whose agent has reported a worker that <accepts> tasks
--- a/packages/lovagepitch-direct/src/__tests__/restoredCapacity.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/restoredCapacity.steps.ts
@@ -8,6 +8,7 @@
 
 let agent = new AgentDriver(false);
 let entry = new ConnectedEntry();
+let startedAt: number | undefined;
 let orders = 0;
 let sequence = 10;
 
@@ -28,15 +29,69 @@
     };
 }
 
-Given("an agent that has restored a worker of 16 cores, which has answered", () => {
+function rejectView(workerClock: number, startedAt?: number): void {
+    const call = agent.listViewCalls().at(-1)?.call ?? 0;
+    agent.accept({ kind: "view-failed", call, failure: { kind: "outdated-epoch", workerClock, startedAt } });
+}
+
+Given(
+    /^an agent that has restored a worker of 16 cores, which (accepts|rejects) its epoch(?: once)?$/,
+    (answers: string) => {
+        agent = new AgentDriver(false);
+        agent.accept({ kind: "worker-restored", registration: createRegistration(worker) });
+        // The first answer gives the worker's clock, of which the epoch is derived.
+        agent.answerView({ running: [], ended: [] });
+        if (answers === "rejects") {
+            rejectView(agent.now);
+        }
+        agent.answerView({ running: [], ended: [] });
+        agent.connectEntry();
+    },
+);
+
+Given(/^an agent of a worker that started at (\d+|unknown)$/, (start: string) => {
+    startedAt = start === "unknown" ? undefined : Number(start);
     agent = new AgentDriver(false);
-    agent.accept({ kind: "worker-restored", registration: createRegistration(worker) });
-    // The first answer gives the epoch, the second one confirms it.
-    agent.answerView({ running: [], ended: [] });
-    agent.answerView({ running: [], ended: [] });
-    agent.connectEntry();
+    const report = { ...createReport(worker), ...startedAt === undefined ? {} : { startedAt }, workerClock: agent.now };
+    agent.accept({ kind: "worker-reported", report });
+    agent.answerView({ startedAt, running: [], ended: [] });
 });
 
+When(
+    /^the worker (reports less capacity|reports that it drains|reports more capacity|reports the same capacity), and 300 ms pass$/,
+    (change: string) => {
+        sequence += 1;
+        const cores: Readonly<Record<string, number>> = { "reports less capacity": 8, "reports more capacity": 32 };
+        const report = {
+            ...createReport(worker),
+            ...startedAt === undefined ? {} : { startedAt },
+            capacity: createCapacity(cores[change] ?? 16),
+            isDraining: change === "reports that it drains",
+            workerClock: agent.now,
+            sequence,
+        };
+        agent.accept({ kind: "worker-reported", report });
+        for (let elapsed = 0; elapsed < 300; elapsed += 50) {
+            agent.answerView({ startedAt, running: [], ended: [] });
+            agent.advance(50);
+        }
+    },
+);
+
+Then(
+    /^the worker (accepts|rejects) the first epoch of a process that starts (\d+) ms later$/,
+    (result: string, later: string) => {
+        const highest = Math.max(...agent.listViewCalls().map(({ epoch }) => epoch));
+        const successor = new AgentDriver(false, "agent-2");
+        const registration = { ...createRegistration(worker), ...startedAt === undefined ? {} : { startedAt } };
+        const workerClock = agent.now + Number(later);
+        successor.accept({ kind: "worker-restored", registration });
+        successor.answerView({ startedAt, workerClock, running: [], ended: [] });
+        const first = successor.listViewCalls().at(-1)?.epoch ?? 0;
+        assert.equal(first >= highest ? "accepts" : "rejects", result, `${first} after ${highest}`);
+    },
+);
+
 When("the worker reports a capacity of {int} cores", (cores: number) => {
     sequence += 1;
     agent.accept({
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -156,8 +156,13 @@
      * have changed since.
      */
     readonly isRestored: boolean;
-    /** True when an entry has confirmed the record of a restored worker; until then, it accepts no tasks. */
-    readonly isRecordConfirmed: boolean;
+    /**
+     * Whether the record of a restored worker is current. It is doubted when the worker rejects the epoch of the process that
+     * has restored it, until an entry confirms it; meanwhile the worker accepts no tasks.
+     */
+    readonly recordTrust: "trusted" | "doubted" | "confirmed";
+    /** True until the epoch is raised so that the next process of this agent doubts its record of the worker. */
+    readonly mustExcludeSuccessors: boolean;
     /** Earliest end of a draining worker; undefined when it is not draining or has not reported the end. */
     readonly endsAt: number | undefined;
     /**
--- a/packages/lovagepitch-direct/src/agent/otherProcesses.ts
+++ b/packages/lovagepitch-direct/src/agent/otherProcesses.ts
@@ -27,7 +27,9 @@
         yieldToOtherProcess(state, worker);
     }
     else {
-        takeEpoch(state, worker, workerClock);
+        // The earlier process has raised its epoch, because the worker has reported what it may not have recorded.
+        const isDoubted = worker.isRestored && !worker.needsEpoch && worker.recordTrust === "trusted";
+        takeEpoch(state, isDoubted ? { ...worker, recordTrust: "doubted" } : worker, workerClock);
     }
 }
 
--- a/packages/lovagepitch-direct/src/agent/workerCapacity.ts
+++ b/packages/lovagepitch-direct/src/agent/workerCapacity.ts
@@ -49,18 +49,16 @@
 
 /**
  * Tells whether the capacity of the worker is known. After a pause of the process it is not until the worker reports again.
- * The age of the report is measured on the worker's clock, which runs on while the agent's instance is suspended. A record of
- * an earlier process has no age: the worker may have reported another capacity, or that it drains, which that process could not
- * record because the store was away.
+ * The age of the report is measured on the worker's clock, which runs on while the agent's instance is suspended. The record of an earlier process may be outdated if that process could not replace it, because the store was away.
  *
  * @param state - state of the agent
  * @param worker - row of the worker
- * @returns false when its latest report is too old, or only a record is known that no entry has confirmed
+ * @returns false when its latest report is too old, or only a record is known and it is doubted
  */
 export function isCapacityKnown(state: AgentState, worker: WorkerRow): boolean {
     const { reportIntervalMilliseconds: interval } = state;
     if (worker.isRestored) {
-        return worker.isRecordConfirmed;
+        return worker.recordTrust !== "doubted";
     }
     if (interval === undefined) {
         return true;
@@ -82,7 +80,7 @@
         return;
     }
     const { capacity: recorded } = worker.report;
-    if (worker.isRecordConfirmed && fitsInto(recorded, known)) {
+    if (worker.recordTrust !== "doubted" && fitsInto(recorded, known)) {
         return;
     }
     const capacity = {
@@ -90,7 +88,7 @@
         memoryMegabytes: Math.min(recorded.memoryMegabytes, known.memoryMegabytes),
         accelerators: Math.min(recorded.accelerators, known.accelerators),
     };
-    state.worker = { ...worker, isRecordConfirmed: true, report: { ...worker.report, capacity } };
+    state.worker = { ...worker, recordTrust: "confirmed", report: { ...worker.report, capacity } };
     state.log("info", "capacity of a restored worker confirmed", { worker: worker.report.id, recorded, capacity });
     state.markUpdatePending();
 }
