fix(agent): the run time of a task begins when it is ordered from the worker

Found when reading the diff: a task that waited in the agent for its order was reported with that wait, which would have raised the estimates of run times. One scenario of largeJobs.feature fails without the change.

--- a/packages/lovagepitch-direct/src/__tests__/largeJobs.feature
+++ b/packages/lovagepitch-direct/src/__tests__/largeJobs.feature
@@ -70,3 +70,12 @@
         Then 0 tasks are reported as not started
         When 2000 ms pass with these orders
         Then 1 tasks are reported as not started
+
+    Scenario: The run time of a task does not include the time until it was ordered from the worker
+        Given an agent whose worker answers each order after 5 ms
+        When an entry orders the 300 tasks of a job
+        And 150 ms pass with these orders
+        And the entry stops the job
+        And 300 ms pass with these orders
+        # 300 orders and 300 stops take 94 ms each; the last order is sent after 89 ms, and its task ends 244 ms after the arrival.
+        Then a task that was ordered last is reported with a run time below 170 ms
--- a/packages/lovagepitch-direct/src/__tests__/largeJobs.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/largeJobs.steps.ts
@@ -200,3 +200,11 @@
 Then("{int} tasks are reported as not started", (count: number) => {
     assert.equal(worker.agent.listReportedEnds().filter(end => end === "not-started").length, count);
 });
+
+Then("a task that was ordered last is reported with a run time below {int} ms", (milliseconds: number) => {
+    const lastTask = worker.sent.findLast(({ kind }) => kind === "start")?.run.task;
+    const ended = worker.agent.outputs
+        .flatMap(output => output.kind === "frame" ? output.frame.ended : [])
+        .find(({ task, end }) => task === lastTask && end === "stopped");
+    assert.ok(ended !== undefined && ended.ranMilliseconds < milliseconds, JSON.stringify(ended));
+});
--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -44,6 +44,7 @@
         | "stopping"
         /** The worker has confirmed the stop; the run has ended once a later view does not list it. */
         | "stopped";
+    /** When the start order was first sent or, while it is pending, accepted. */
     readonly orderedAt: number;
     /** When the latest start or stop order for the run was sent. */
     readonly lastOrderSentAt: number;
--- a/packages/lovagepitch-direct/src/agent/runOrders.ts
+++ b/packages/lovagepitch-direct/src/agent/runOrders.ts
@@ -107,6 +107,7 @@
         state.runs.set(formatRunKey(row.workerRun), {
             ...row,
             state: "starting",
+            orderedAt: state.now,
             lastOrderSentAt: state.now,
             runningSince: state.now,
             percentChangedAt: state.now,
