--- a/packages/lovagepitch-direct/src/__tests__/largeJobs.feature
+++ b/packages/lovagepitch-direct/src/__tests__/largeJobs.feature
@@ -79,3 +79,13 @@
         And 300 ms pass with these orders
         # 300 orders and 300 stops take 94 ms each; the last order is sent after 89 ms, and its task ends 244 ms after the arrival.
         Then a task that was ordered last is reported with a run time below 170 ms
+
+    # Guards against runs that are taken for lost because a view lists 500 ends and the worker has more.
+    Scenario: A run that is not in a list of ends that may be incomplete goes on
+        Given an agent whose worker answers each order after 5 ms
+        When an entry orders the 2 tasks of a job
+        And 20 ms pass with these orders
+        And a view lists neither of them, and says that there may be more ends
+        Then no end is reported
+        When the next view lists both as succeeded
+        Then both tasks are reported as succeeded
--- a/packages/lovagepitch-direct/src/__tests__/largeJobs.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/largeJobs.steps.ts
@@ -208,3 +208,22 @@
         .find(({ task, end }) => task === lastTask && end === "stopped");
     assert.ok(ended !== undefined && ended.ranMilliseconds < milliseconds, JSON.stringify(ended));
 });
+
+When("a view lists neither of them, and says that there may be more ends", () => {
+    worker.agent.answerView({ running: [], ended: [], hasMoreEnds: true });
+});
+
+When("the next view lists both as succeeded", () => {
+    worker.agent.advance(5);
+    const ended = [...worker.running.values()].map(({ job, task, run }, index) => {
+        return { job, task, run, sequence: index + 1, end: "succeeded" } as const;
+    });
+    worker.agent.answerView({ running: [], ended });
+});
+
+Then("no end is reported", () => assert.deepEqual(worker.agent.listReportedEnds(), []));
+
+Then("both tasks are reported as succeeded", () => {
+    worker.agent.advance(50);
+    assert.deepEqual(worker.agent.listReportedEnds(), ["succeeded", "succeeded"]);
+});
--- a/packages/lovagepitch-testing/src/__tests__/direct/lateReading.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.feature
@@ -38,6 +38,13 @@
         When 400 ms pass after the freeze
         Then tasks of the job run
 
+    # Entries of the former version do not answer inquiries.
+    Scenario: An entry that is heard but answers no inquiry is not waited for longer
+        Given 3 entries, of which no answer to an inquiry arrives
+        When entry 0 is frozen for 3500 ms, and a job is submitted to it after 200 ms
+        And 1700 ms pass after the freeze
+        Then tasks of the job run
+
     # Guards against a job that both entries give up because each takes the other one for the younger.
     Scenario: Two entries that were frozen at the same time read submissions of one job
         Given 3 entries, and no datagram is lost
--- a/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/lateReading.steps.ts
@@ -56,6 +56,14 @@
     deployment.linkNetwork.datagramFault = () => ({ copies: 1, delayMilliseconds });
 });
 
+Given("3 entries, of which no answer to an inquiry arrives", () => {
+    deployment = createDeployment();
+    deployment.advance(startMilliseconds);
+    deployment.linkNetwork.datagramFault = (_, { kind }) => {
+        return { copies: kind === "jobs-not-open" ? 0 : 1, delayMilliseconds: 0 };
+    };
+});
+
 Given(/^3 entries, and the first (\S+) datagrams are lost$/, (kind: string) => {
     deployment = createDeployment();
     deployment.advance(startMilliseconds);
