fix(links): keep unknown fields of frames whatever their names

No frame of this or a former version has such a field.

Change: they are collected as entries, from which the object is made.

Seen: the property of frameFormats.feature, whose unknown fields have that name now too, failed before the change and passes.

--- a/packages/lovagepitch-direct/src/__tests__/frameFormats.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/frameFormats.steps.ts
@@ -45,6 +45,8 @@
 
 /** A field that this version does not know, in any of the objects that a frame consists of. */
 const otherField = fastCheck.record({
+    // Assigning a field of this name would set the prototype of an object.
+    ["__proto__"]: fastCheck.boolean(),
     later: fastCheck.oneof(
         fastCheck.boolean(),
         fastCheck.constant([]),
--- a/packages/lovagepitch-direct/src/links/frameFormat.ts
+++ b/packages/lovagepitch-direct/src/links/frameFormat.ts
@@ -1,6 +1,7 @@
 /**
  * Binary format of frames: known fields by position, fields that hold their default left out, other fields by name.
  */
+
 /**
  * Version of the format, which is also the first byte of each frame; it differs from the brace with which JSON begins.
  * Version 1 changed some texts and is no longer read: peers that offer only that one exchange JSON.
@@ -49,7 +50,7 @@
     positioned: ReadonlySet<string>,
     omittedWhenEmpty: ReadonlySet<string> = noFields,
 ): OtherFields | 0 {
-    let others: Record<string, unknown> | undefined;
+    let others: [string, unknown][] | undefined;
     for (const name in value) {
         if (positioned.has(name)) {
             continue;
@@ -57,11 +58,11 @@
         const field = (value as OtherFields)[name];
         const isEmpty = field === false || (Array.isArray(field) && field.length === 0);
         if (field !== undefined && !(isEmpty && omittedWhenEmpty.has(name))) {
-            others ??= {};
-            others[name] = field;
+            others ??= [];
+            others.push([name, field]);
         }
     }
-    return others ?? 0;
+    return others === undefined ? 0 : Object.fromEntries(others);
 }
 
 /**
