fix(agent): a planned restart does not leave the worker idle

Seen: an entry forgot the capacity of a worker that accepted no tasks when it was last heard. That is so for each agent that shuts down, so that a restarted one had to wait for its worker's report, 1.5 s at most, although an entry had just heard of the latest one.

Cause: the entry took that state for a sign of draining, which it can't tell from a shutdown or a pause.

Change: an agent names no report of its worker once that drains, and an entry forgets the capacity only then. What counts is the age of the report, as before.

Seen: rows of restoredCapacity.feature (shutting down, draining) and of shrunkWorkers.feature (graceful shutdown, within 500 ms and never beyond the capacity) pass.

--- a/packages/lovagepitch-direct/src/__tests__/restoredCapacity.feature
+++ b/packages/lovagepitch-direct/src/__tests__/restoredCapacity.feature
@@ -76,16 +76,29 @@
         Then the task is not started
 
     Scenario Outline: An entry names the capacity of a restored worker <when>
-        Given an entry whose agent has reported a worker that <accepts> tasks
+        Given an entry whose agent has reported a worker that <state>
         When the agent ends, and the next process of it has restored its worker <milliseconds> ms later
         Then the entry names <named>
 
         Examples:
-            | when                                | accepts | milliseconds | named                        |
-            | with the report that it has heard   | accepts | 300          | its capacity and that report |
-            | with that report, however old it is | accepts | 2600         | its capacity and that report |
+            | when                                             | state         | milliseconds | named                        |
+            | with the report that it has heard                | accepts tasks | 300          | its capacity and that report |
+            | with that report, however old it is              | accepts tasks | 2600         | its capacity and that report |
+            | also if its agent was shutting down              | rejects tasks | 300          | its capacity and that report |
             # Guards against tasks on a worker whose draining was not recorded.
-            | only if it accepted tasks           | rejects | 300          | no capacity                  |
+            | only if the agent has named a report to the last | drains        | 300          | no capacity                  |
+
+    # Guards against tasks on a worker whose draining was not recorded.
+    Scenario Outline: An agent names the latest report of its worker unless that drains
+        Given an agent of a worker that started at 5000000
+        When the worker <change>, and 300 ms pass
+        Then the agent names <named> to an entry
+
+        Examples:
+            | change                    | named             |
+            | reports the same capacity | the latest report |
+            | reports less capacity     | the latest report |
+            | reports that it drains    | no report         |
 
     Scenario: The first frame of a process that does not know its worker yet does not make an entry forget the capacity
         Given an entry whose agent has reported a worker that accepts tasks
--- a/packages/lovagepitch-direct/src/__tests__/restoredCapacity.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/restoredCapacity.steps.ts
@@ -99,6 +99,17 @@
     },
 );
 
+Then(/^the agent names (the latest report|no report) to an entry$/, (what: string) => {
+    const reportedAt = agent.now - 300;
+    agent.connectEntry();
+    agent.advance(1);
+    const frame = agent.outputs.filter(output => output.kind === "frame").at(-1)?.frame;
+    assert.deepEqual(
+        frame?.worker?.latestReport,
+        what === "no report" ? undefined : { worker, startedAt, workerClock: reportedAt },
+    );
+});
+
 When("the worker reports a capacity of {int} cores", (cores: number) => {
     sequence += 1;
     agent.accept({
@@ -146,15 +157,17 @@
 });
 
 Given(
-    /^an entry whose agent( of an earlier version)? has reported a worker that (accepts|rejects) tasks$/,
-    (isEarlier: string | null, accepts: string) => {
+    /^an entry whose agent( of an earlier version)? has reported a worker that (accepts tasks|rejects tasks|drains)$/,
+    (isEarlier: string | null, state: string) => {
         entry = new ConnectedEntry();
-        const status = (acceptsTasks: boolean): WorkerStatus => ({
+        const status = (acceptsTasks: boolean, namesReport: boolean): WorkerStatus => ({
             ...createStatus(acceptsTasks, false),
-            ...isEarlier === null ? {} : { latestReport: undefined },
+            ...namesReport ? {} : { latestReport: undefined },
         });
-        entry.connect("agent-1", { instance: "side-1", worker: status(true) });
-        entry.report("agent-1", { instance: "side-1", worker: status(accepts === "accepts") });
+        const isCurrent = isEarlier === null;
+        entry.connect("agent-1", { instance: "side-1", worker: status(true, isCurrent) });
+        const latest = status(state === "accepts tasks", isCurrent && state !== "drains");
+        entry.report("agent-1", { instance: "side-1", worker: latest });
     },
 );
 
--- a/packages/lovagepitch-direct/src/agent/entryFrames.ts
+++ b/packages/lovagepitch-direct/src/agent/entryFrames.ts
@@ -130,8 +130,9 @@
     };
 }
 
+/** A worker that drains must not be used by the next process of this agent, so no report of it is named. */
 function describeLatestReport({ report, capacityReportedAt }: WorkerRow): ReportInstant | undefined {
-    if (capacityReportedAt === undefined) {
+    if (capacityReportedAt === undefined || report.isDraining) {
         return undefined;
     }
     const { id, startedAt } = report;
--- a/packages/lovagepitch-direct/src/model/workerStatus.ts
+++ b/packages/lovagepitch-direct/src/model/workerStatus.ts
@@ -59,7 +59,10 @@
     readonly isOnTrial: boolean;
     /** Separation of the tasks that run; undefined while other tasks may run beside them. */
     readonly isolation?: Isolation | undefined;
-    /** Report that has the capacity; undefined before the worker has reported to the agent, and in frames of earlier versions. */
+    /**
+     * Report that has the capacity; undefined before the worker has reported to the agent, once it drains, and in frames of earlier
+     * versions.
+     */
     readonly latestReport?: ReportInstant | undefined;
     /** True while the worker has not reported to the agent, which knows it from a record; undefined afterwards. */
     readonly isRestored?: boolean | undefined;
--- a/packages/lovagepitch-direct/src/policies/reportedCapacities.ts
+++ b/packages/lovagepitch-direct/src/policies/reportedCapacities.ts
@@ -10,7 +10,7 @@
     private readonly heard = new Map<string, ReportedCapacity>();
 
     /**
-     * Records what an agent says of its worker. A worker that accepts no tasks may be about to leave, so its capacity is forgotten.
+     * Records what an agent says of its worker. The capacity of a worker whose report is not named is forgotten, because it drains.
      *
      * @param instance - name of the agent's instance
      * @param worker - state of the worker; undefined when the agent knows none
@@ -20,11 +20,11 @@
             // A restarted process, which has not heard its worker yet.
             return;
         }
-        if (worker.acceptsTasks && worker.latestReport !== undefined) {
-            this.heard.set(instance, { ...worker.latestReport, capacity: worker.capacity });
+        if (worker.latestReport === undefined) {
+            this.heard.delete(instance);
         }
         else {
-            this.heard.delete(instance);
+            this.heard.set(instance, { ...worker.latestReport, capacity: worker.capacity });
         }
     }
 
--- a/packages/lovagepitch-testing/src/__tests__/direct/shrunkWorkers.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/shrunkWorkers.feature
@@ -16,7 +16,14 @@
             | while its entry is killed too                         |
             | and another process of the agent has lived in between |
             | and the store has lost the record of a smaller one    |
+            | after the agent was shut down gracefully              |
 
-    Scenario: A restarted agent need not wait for the next report when an entry knows a recent one
-        When a worker shrinks while its agent is away, at each phase of its reports, for 250 to 1250 ms, while its entry runs on
+    Scenario Outline: A restarted agent need not wait for the next report when an entry knows a recent one, <case>
+        When a worker shrinks while its agent is away, at each phase of its reports, for 250 to 1250 ms, <case>
         Then each worker got tasks within 500 ms after its agent was back
+
+        Examples:
+            | case                                                  |
+            | while its entry runs on                               |
+            | and another process of the agent has lived in between |
+            | after the agent was shut down gracefully              |
--- a/packages/lovagepitch-testing/src/__tests__/direct/shrunkWorkers.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/shrunkWorkers.steps.ts
@@ -7,9 +7,9 @@
 const presentCores = 4;
 
 /** Time between two tested phases of the kill within the interval of reports, in milliseconds. */
-const phaseStepMilliseconds = 300;
+const phaseStepMilliseconds = 150;
 
-const absenceStepMilliseconds = 500;
+const absenceStepMilliseconds = 250;
 
 /** Time between the end of the agent and the change of the capacity, in milliseconds. */
 const shrinkDelayMilliseconds = 50;
@@ -20,7 +20,10 @@
 const jobIntervalMilliseconds = 50;
 const taskMilliseconds = 600;
 
-/** Lives and ends of another process of the agent, in milliseconds after the end of the first one. */
+/** Time between the request to shut down and the end of the process, in milliseconds. */
+const shutdownMilliseconds = 100;
+
+/** Start and end of another process of the agent, in milliseconds after the end of the first one. */
 const interimProcess = { startsAt: 100, endsAt: 200 };
 
 /** One course of events. */
@@ -57,6 +60,10 @@
         shrink(presentCores * 2);
         deployment.advance(reportIntervalMilliseconds);
     }
+    if (course.kind === "after the agent was shut down gracefully") {
+        deployment.shutDownAgent(0);
+        deployment.advance(shutdownMilliseconds);
+    }
     const killedAt = deployment.clock.nowMilliseconds();
     deployment.killAgent(0);
     if (course.kind === "while its entry is killed too") {
