fix(entry): an entry's address has one spelling

Cause: a row of another writer could name a live entry's port with a leading zero. Agents know entries by address, so one would have connected a second time, and have said there that it has none of the entry's runs.

Change: a port with a leading zero is no address; the row is ignored and logged as odd.

That a task runs twice in this way was not tried.

--- a/packages/lovagepitch-direct/src/__tests__/oddRows.feature
+++ b/packages/lovagepitch-direct/src/__tests__/oddRows.feature
@@ -21,6 +21,19 @@
             | 1001      |
             | -1e400    |
 
+    # Guards against a second connection of an agent to one entry, which would seem to have none of the entry's runs.
+    Scenario Outline: A row with another spelling of an entry's address names no entry
+        Then a row with the address <address> names no entry
+
+        Examples:
+            | address           |
+            | 10.1.0.1:07720    |
+            | 10.1.0.01:7720    |
+            | 010.1.0.1:7720    |
+            | 10.1.0.1:+7720    |
+            | 10.1.1:7720       |
+            | [::ffff:a01:1]:7720 |
+
     Scenario: Each odd row is logged once, and the good ones are listed
         Given a table of entries with a good row and 3 odd ones
         When an entry has read the table 3 times
--- a/packages/lovagepitch-direct/src/__tests__/oddRows.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/oddRows.steps.ts
@@ -103,6 +103,15 @@
     assert.deepEqual(listEntries(view), []);
 });
 
+Then(/^a row with the address (\S+) names no entry$/, (address: string) => {
+    const view = {
+        rows: [{ key: "a", value: { ...goodEntry, address }, isRemoved: false }],
+        version: 1,
+        storeMilliseconds,
+    };
+    assert.deepEqual(listEntries(view), []);
+});
+
 Given("a table of entries with a good row and 3 odd ones", async () => {
     rows = new MemoryRows();
     await rows.write(entriesTable, "good", goodEntry);
--- a/packages/lovagepitch-direct/src/links/listenAt.ts
+++ b/packages/lovagepitch-direct/src/links/listenAt.ts
@@ -30,7 +30,8 @@
  */
 export function isSocketAddress(text: string): boolean {
     const { port } = splitAddress(text);
-    return /^[^\s:]+:\d{1,5}$/.test(text) && port > 0 && port <= maximumPort;
+    // A port with a leading zero would be another spelling of the same address.
+    return /^[^\s:]+:[1-9]\d{0,4}$/.test(text) && port <= maximumPort;
 }
 
 /**
