fix(agent): reports of another writer do not replace the worker's own

Seen: after one report to each agent that names an unknown service, no later job was served. The worker's own reports were acknowledged and did not count.

Cause: each report that could be decoded replaced the known service and number, after which the worker's own numbers were late.

One with another service or other labels than one incarnation keeps is set aside until the next report has them too; numbers and draining of the replaced writer do not count then.

Ruled out: a check against the configured services, which agents do not know; reports ordered by the worker's clock alone.

--- a/packages/lovagepitch-direct/src/agent/agentState.ts
+++ b/packages/lovagepitch-direct/src/agent/agentState.ts
@@ -241,6 +241,8 @@
      * Latest report of a different incarnation of the worker; it takes effect when the current incarnation has ended.
      */
     public pendingReport: WorkerReport | undefined;
+    /** Latest report with other properties than the known ones, if no other report of the worker has come since. */
+    public contestedReport: WorkerReport | undefined;
     /** Newest configuration that an entry has sent; it is requested only for an entry that cannot reach the store. */
     public configuration: DispatchConfiguration | undefined;
     /** Newest version that an entry has named. */
--- a/packages/lovagepitch-direct/src/agent/workerRegistration.ts
+++ b/packages/lovagepitch-direct/src/agent/workerRegistration.ts
@@ -5,6 +5,7 @@
 import { RunSpeed } from "../policies/runSpeed.js";
 import { initialWorkerHealth } from "../policies/workerHealth.js";
 import type { AgentState, WorkerRow } from "./agentState.js";
+import { haveSameProperties, setContestedReportAside } from "./contestedReports.js";
 import { deriveEpoch } from "./epochs.js";
 import { endAllRunsAsLost } from "./runEnds.js";
 import { isCapacityToBeRecorded, logCapacityChange } from "./workerCapacity.js";
@@ -26,10 +27,15 @@
             recordWorkerChange(state, report.isDraining ? undefined : report);
             return;
         }
-        if (life === "earlier" || report.sequence <= worker.report.sequence) {
+        if (life === "earlier" || setContestedReportAside(state, worker, report)) {
             return;
         }
-        if (!worker.hasReported || isCapacityToBeRecorded(state, report.capacity)) {
+        // What another writer has reported, also its numbers, does not count beside the worker's own reports.
+        const isOfSameWriter = haveSameProperties(worker.report, report);
+        if (isOfSameWriter && report.sequence <= worker.report.sequence) {
+            return;
+        }
+        if (!worker.hasReported || !isOfSameWriter || isCapacityToBeRecorded(state, report.capacity)) {
             recordWorkerChange(state, report.isDraining ? undefined : report);
         }
         logCapacityChange(state, worker, report);
@@ -38,7 +44,7 @@
             recordWorkerChange(state, undefined);
         }
         // A worker that has started to drain does not accept tasks again.
-        const isDraining = report.isDraining || worker.report.isDraining;
+        const isDraining = report.isDraining || (isOfSameWriter && worker.report.isDraining);
         state.worker = {
             ...worker,
             hasReported: true,
