--- a/packages/lovagepitch-testing/src/launcher/processLauncher.ts
+++ b/packages/lovagepitch-testing/src/launcher/processLauncher.ts
@@ -36,6 +36,11 @@
         return this.keptLines;
     }
 
+    /** Id of the process; undefined when it could not be started. */
+    public get processId(): number | undefined {
+        return this.child.pid;
+    }
+
     /** Exit code, or the signal that ended the process; undefined while it runs. */
     public get exit(): number | NodeJS.Signals | undefined {
         return this.exitStatus;
@@ -123,6 +128,7 @@
      * @param program - path of the program
      * @param programArguments - command line arguments of the program
      * @param environment - environment variables in addition to those of this process
+     * @param nodeOptions - options of Node.js
      * @returns the started process
      */
     public startNode(
@@ -130,8 +136,9 @@
         program: string,
         programArguments: readonly string[],
         environment: Readonly<Record<string, string>> = {},
+        nodeOptions: readonly string[] = [],
     ): LaunchedProcess {
-        const child = spawn(process.execPath, [program, ...programArguments], {
+        const child = spawn(process.execPath, [...nodeOptions, program, ...programArguments], {
             stdio: ["ignore", "pipe", "pipe"],
             env: { ...process.env, ...environment },
         });
