fix(utils): received bytes in small parts take little more memory than their size

Seen by callers: an entry ended while 100 connections sent bodies of 19,190 bytes in 1-byte chunks; an agent ended in the same way. Cause: each part was kept as a buffer of its own until the body was complete, which costs hundreds of bytes for each byte of the body. Bodies at both HTTP interfaces, announcements at an agent's local port and frames between processes were kept like that. Ruled out: one buffer that doubles leaves as much garbage as it holds; allocating the declared length trusts the client.

--- a/packages/lovagepitch-agent/src/http/localServer.ts
+++ b/packages/lovagepitch-agent/src/http/localServer.ts
@@ -2,6 +2,7 @@
  * HTTP server for the backend server and for operators, which listens on the loopback address only.
  */
 import type { BackendServerAnnouncement } from "@lovagepitch/types/registry";
+import { ByteCollector } from "@lovagepitch/utils/byteCollector";
 import { Err, Ok, type Result } from "@lovagepitch/utils/result";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -188,19 +189,17 @@
 }
 
 async function readBody(request: IncomingMessage): Promise<Result<unknown, InvalidBodyError>> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const collector = new ByteCollector();
     try {
         for await (const chunk of request as AsyncIterable<Buffer>) {
-            bytes += chunk.length;
-            if (bytes > maximumBodyBytes) {
+            if (collector.length + chunk.length > maximumBodyBytes) {
                 return Err(
                     new InvalidBodyError(tooLargeStatus, `the body is over ${maximumBodyBytes} bytes; name fewer`),
                 );
             }
-            chunks.push(chunk);
+            collector.add(chunk);
         }
-        return Ok(JSON.parse(Buffer.concat(chunks).toString("utf8")) as unknown);
+        return Ok(JSON.parse(collector.concat().toString("utf8")) as unknown);
     }
     catch {
         return Err(
--- a/packages/lovagepitch-direct/src/links/frameBuffer.ts
+++ b/packages/lovagepitch-direct/src/links/frameBuffer.ts
@@ -2,6 +2,7 @@
  * Splits received bytes into frames. A frame is binary, with a header of four bytes, or a JSON document on a line of its
  * own, by which peers that do not know the binary format are understood.
  */
+import { ByteCollector } from "@lovagepitch/utils/byteCollector";
 import { frameFormatVersion } from "./frameFormat.js";
 
 /** Largest frame, in bytes; a configuration with several thousand routes fits. */
@@ -36,8 +37,7 @@
 
 /** Received bytes of one connection. */
 export class FrameBuffer {
-    private chunks: Buffer[] = [];
-    private length = 0;
+    private readonly collector = new ByteCollector();
     /** Number of buffered bytes below which no frame is complete. */
     private requiredLength = 1;
 
@@ -47,11 +47,10 @@
      * @param chunk - bytes in the order of their arrival
      */
     public add(chunk: Buffer): void {
-        const isLineOpen = this.length > 0 && this.requiredLength === Number.POSITIVE_INFINITY;
-        this.chunks.push(chunk);
-        this.length += chunk.length;
+        const isLineOpen = this.collector.length > 0 && this.requiredLength === Number.POSITIVE_INFINITY;
+        this.collector.add(chunk);
         if (isLineOpen && chunk.includes(lineFeed)) {
-            this.requiredLength = this.length;
+            this.requiredLength = this.collector.length;
         }
     }
 
@@ -62,14 +61,12 @@
      * @throws FrameBufferError when the bytes are not frames
      */
     public take(): ReceivedFrame | undefined {
-        if (this.length < this.requiredLength || this.length === 0) {
-            this.assertLength(this.length);
+        const { length } = this.collector;
+        if (length < this.requiredLength || length === 0) {
+            this.assertLength(length);
             return undefined;
         }
-        const bytes = this.chunks.length === 1 && this.chunks[0] !== undefined
-            ? this.chunks[0]
-            : Buffer.concat(this.chunks, this.length);
-        this.chunks = [bytes];
+        const bytes = this.collector.concat();
         return bytes[0] === openingBrace ? this.takeLine(bytes) : this.takeBinary(bytes);
     }
 
@@ -106,8 +103,10 @@
     }
 
     private keep(bytes: Buffer, start: number): void {
-        this.chunks = start < bytes.length ? [bytes.subarray(start)] : [];
-        this.length = bytes.length - start;
+        this.collector.clear();
+        if (start < bytes.length) {
+            this.collector.add(bytes.subarray(start));
+        }
         this.requiredLength = 1;
     }
 
--- a/packages/lovagepitch-entry/src/http/requestBody.ts
+++ b/packages/lovagepitch-entry/src/http/requestBody.ts
@@ -2,6 +2,7 @@
  * Reads JSON bodies up to a maximum size.
  */
 import type { Problem } from "@lovagepitch/types/problem";
+import { ByteCollector } from "@lovagepitch/utils/byteCollector";
 import { Err, Ok, type Result } from "@lovagepitch/utils/result";
 import type { IncomingMessage } from "node:http";
 import { createMalformedProblem, createTooLargeProblem } from "./requestProblems.js";
@@ -59,22 +60,22 @@
 
 function readBytes(request: IncomingMessage, maximumBytes: number): Promise<Result<Buffer, BodyFailure>> {
     return new Promise(resolve => {
-        let chunks: Buffer[] = [];
+        const collector = new ByteCollector();
         let length = 0;
         request.on("data", (chunk: Buffer) => {
             length += chunk.length;
             if (length <= maximumBytes) {
-                chunks.push(chunk);
+                collector.add(chunk);
                 return;
             }
-            chunks = [];
+            collector.clear();
             if (length > maximumBytes * discardFactor) {
                 request.pause();
                 resolve(Err(createTooLargeProblem(maximumBytes)));
             }
         });
         request.on("end", () => {
-            resolve(length > maximumBytes ? Err(createTooLargeProblem(maximumBytes)) : Ok(Buffer.concat(chunks)));
+            resolve(length > maximumBytes ? Err(createTooLargeProblem(maximumBytes)) : Ok(collector.concat()));
         });
         request.on("error", () => resolve(Err("caller-disconnected")));
         request.on("close", () => resolve(Err("caller-disconnected")));
