fix(links): a body or frame of few bytes does not become many objects

Seen: one report of 4 MiB, within its limit, that consists of empty objects or of many fields ended an agent; one binary frame of 4 MB of empty maps ended an entry. Found by reading while looking for what bounds the memory of one message; nobody had reported it. Cause: the size of a message bounds its text, not what it is parsed into: an empty map of one byte becomes an object of 56. Change: JSON texts of more than 100,000 brackets, braces and colons are not parsed, nor are packed frames of more than 100,000 arrays, maps and fields or 400,000 values. The bytes are counted first, and only in messages long enough to exceed the bound. A row of the store, and so a configuration, has at most 64 kB, a report some thirty fields.

--- a/packages/lovagepitch-direct/src/links/frameStream.ts
+++ b/packages/lovagepitch-direct/src/links/frameStream.ts
@@ -3,10 +3,12 @@
  * first frame in JSON, with the versions of the binary format that it knows; each end sends binary frames once it has
  * learned that the other one reads them.
  */
+import { hasTooManyElements } from "@lovagepitch/utils/jsonElements";
 import type { Socket } from "node:net";
 import { createBinaryFrame, FrameBuffer, FrameBufferError, type ReceivedFrame } from "./frameBuffer.js";
 import { type FrameFormat, frameFormatVersion } from "./frameFormat.js";
 import { packFrame, unpackFrame } from "./framePacker.js";
+import { hasTooManyPackedElements } from "./packedElements.js";
 
 /** Unsent bytes above which the connection is closed because the peer does not read. */
 const maximumBufferedBytes = 8 * 1024 * 1024;
@@ -136,6 +138,9 @@
     }
 
     private decode({ encoding, body }: ReceivedFrame): unknown {
+        if (encoding === "binary" ? hasTooManyPackedElements(body) : hasTooManyElements(body)) {
+            throw new RangeError("the frame has too many elements");
+        }
         if (encoding === "binary") {
             this.sendsBinary = true;
             return this.protocol.incoming.fromWire(unpackFrame(body));
