fix(entry): all connections of callers share a budget of memory and descriptors

Seen by callers: an entry ended, or took more memory than its instance has, while clients sent large bodies, headers or trailers without end, or pipelined submissions; while 400 connections were open and sent nothing or stopped short, nobody else was accepted. Cause: each limit was one of a single request, and nothing bounded the sum. The limit on headers was checked once they were complete, and the limits of the operator's configuration applied only after the first complete headers. A connection was read on however many of its requests were open, and its idle timeout ended with any byte, even that of an empty line. Change: sockets are accepted by a TCP server and handed to the HTTP server as streams that count what a connection holds. When all hold too much, those that hold most go first, and a connection whose complete request is being processed goes last; when descriptors run short, the one that has finished least and waits longest. A job is refused with 503 before the entry has it when open requests take too much. At most 4 kB of a connection are parsed in a turn, and 64 open requests stop its reading. Headers are refused as soon as their bytes exceed the limit in force. docs/design/connection-limits.md tells parts and order. Ruled out: server.maxConnections refuses the newest connection, which keeps a crowd in; the sockets' own limits cannot be seen while the HTTP parser reads from them; closing on pressure by age only closes ordinary slow clients before hoarding ones.

--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -6,10 +6,13 @@
 import { AgentCore } from "../agent/agentCore.js";
 import type { AgentInput, AgentOutput } from "../agent/agentPorts.js";
 import type { AgentIdentity } from "../agent/agentState.js";
+import type { BoundedHttpServer } from "../connections/boundedHttpServer.js";
+import { defaultResources, type ListenerKind, type ProcessResources } from "../connections/connectionLimits.js";
 import { EntryConnections } from "../links/entryConnections.js";
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { WorkerRegistration, WorkerReport } from "../model/workerStatus.js";
 import { DirectMetrics, evacuatedZonesHelp } from "./directMetrics.js";
+import { type ListenerOptions, ProcessListeners } from "./processListeners.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
 import { UnreadableFrames } from "./unreadableFrames.js";
 import type { WorkerOrders } from "./workerOrders.js";
@@ -25,6 +28,8 @@
     readonly onStopped: () => void;
     /** Time between two reports of the worker; undefined when it is not known. */
     readonly reportIntervalMilliseconds?: number | undefined;
+    /** Memory and descriptors of the process; those of a small instance when they are not known. */
+    readonly resources?: ProcessResources | undefined;
 }
 
 /** Agent of one worker. */
@@ -32,6 +37,7 @@
     private readonly loop: TickLoop<AgentInput, AgentOutput>;
     private readonly connections: EntryConnections;
     private readonly log: RateLimitedLog;
+    private readonly listeners: ProcessListeners;
     private readonly metrics = new DirectMetrics();
     private readonly unreadableFrames: UnreadableFrames;
 
@@ -41,6 +47,7 @@
     public constructor(private readonly options: DirectAgentOptions) {
         const { identity, clock } = options;
         this.log = new RateLimitedLog(identity.instance, clock, this.metrics);
+        this.listeners = new ProcessListeners(clock, this.log, this.metrics, options.resources ?? defaultResources);
         this.unreadableFrames = new UnreadableFrames(this.log, this.metrics);
         const core = new AgentCore(identity, clock, options.reportIntervalMilliseconds);
         this.loop = new TickLoop(core, clock, outputs => outputs.forEach(o => this.perform(o)));
@@ -122,6 +129,17 @@
         return this.metrics.serve(address);
     }
 
+    /**
+     * Creates an HTTP server that uses its part of the process's memory and descriptors.
+     *
+     * @param kind - kind of the listener, which decides on its part
+     * @param options - limits and callbacks
+     * @returns the server, which does not listen yet
+     */
+    public createHttpServer(kind: ListenerKind, options: ListenerOptions): BoundedHttpServer {
+        return this.listeners.create(kind, options);
+    }
+
     /**
      * Writes a log line.
      *
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -4,6 +4,8 @@
 import type { Clock } from "@lovagepitch/utils/clock";
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { TickLoop } from "@lovagepitch/utils/tickLoop";
+import type { BoundedHttpServer } from "../connections/boundedHttpServer.js";
+import { defaultResources, type ListenerKind, type ProcessResources } from "../connections/connectionLimits.js";
 import { EntryCore } from "../entry/entryCore.js";
 import type { EntryInput, EntryOutput } from "../entry/entryPorts.js";
 import type { EntryIdentity } from "../entry/entryState.js";
@@ -15,6 +17,7 @@
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
 import { createEntryPolicies, type EntryPolicySettings } from "../policies/entryPolicies.js";
 import { DirectMetrics, evacuatedZonesHelp } from "./directMetrics.js";
+import { type ListenerOptions, ProcessListeners } from "./processListeners.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
 import { StopDelays } from "./stopDelays.js";
 import { UnreadableFrames } from "./unreadableFrames.js";
@@ -30,6 +33,8 @@
     readonly port: number;
     /** Settings that choose its policies. */
     readonly policies?: EntryPolicySettings;
+    /** Memory and descriptors of the process; those of a small instance when they are not known. */
+    readonly resources?: ProcessResources | undefined;
 }
 
 /** A submitted job whose caller waits for the answer. */
@@ -45,6 +50,7 @@
     private readonly listener: AgentListener;
     private readonly datagrams: CapacityDatagrams;
     private readonly log: RateLimitedLog;
+    private readonly listeners: ProcessListeners;
     private readonly metrics = new DirectMetrics();
     private readonly stopDelays: StopDelays;
     private readonly unreadableFrames: UnreadableFrames;
@@ -59,6 +65,7 @@
     public constructor(private readonly options: DirectEntryOptions) {
         const { identity, clock, random } = options;
         this.log = new RateLimitedLog(identity.instance, clock, this.metrics);
+        this.listeners = new ProcessListeners(clock, this.log, this.metrics, options.resources ?? defaultResources);
         this.unreadableFrames = new UnreadableFrames(this.log, this.metrics);
         this.stopDelays = new StopDelays(
             clock,
@@ -265,6 +272,17 @@
         return this.metrics.serve(address);
     }
 
+    /**
+     * Creates an HTTP server that uses its part of the process's memory and descriptors.
+     *
+     * @param kind - kind of the listener, which decides on its part
+     * @param options - limits and callbacks
+     * @returns the server, which does not listen yet
+     */
+    public createHttpServer(kind: ListenerKind, options: ListenerOptions): BoundedHttpServer {
+        return this.listeners.create(kind, options);
+    }
+
     /**
      * Writes a log line.
      *
