--- a/packages/lovagepitch-utils/src/__tests__/byteCollector.feature
+++ b/packages/lovagepitch-utils/src/__tests__/byteCollector.feature
@@ -17,3 +17,8 @@
     Scenario: A small part does not keep the large block that it belongs to
         When 2 parts of 10 bytes of blocks of 65536 bytes are collected
         Then they take at most 5000 bytes of memory
+
+    Scenario: Bytes that were joined remain when the collector is used again
+        Given 9000 bytes in parts of 100 bytes were joined and forgotten
+        When other bytes are collected
+        Then the joined bytes are those that were added
--- a/packages/lovagepitch-utils/src/__tests__/byteCollector.steps.ts
+++ b/packages/lovagepitch-utils/src/__tests__/byteCollector.steps.ts
@@ -1,9 +1,10 @@
-import { Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import * as fastCheck from "fast-check";
 import assert from "node:assert/strict";
 import { ByteCollector } from "../byteCollector.js";
 
 let collector = new ByteCollector();
+let joined: Buffer = Buffer.alloc(0);
 
 Then("{int} random sequences of parts with seed {int} are joined to what was added", (count: number, seed: number) => {
     const part = fastCheck.oneof(
@@ -47,3 +48,21 @@
 Then("they take at most {int} bytes of memory", (bytes: number) => {
     assert.ok(collector.heldBytes <= bytes, `${collector.heldBytes} bytes`);
 });
+
+Given("{int} bytes in parts of {int} bytes were joined and forgotten", (bytes: number, size: number) => {
+    collector = new ByteCollector();
+    for (let start = 0; start < bytes; start += size) {
+        collector.add(Buffer.alloc(size, "a"));
+    }
+    joined = collector.concat();
+    collector.clear();
+});
+
+When("other bytes are collected", () => {
+    collector.add(Buffer.alloc(10_000, "b"));
+    collector.add(Buffer.alloc(10_000, "b"));
+});
+
+Then("the joined bytes are those that were added", () => {
+    assert.deepEqual(joined, Buffer.alloc(9000, "a"));
+});
