--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -126,7 +126,7 @@
      * @returns the bound port; rejects when the address cannot be bound
      */
     public serveMetrics(address: string): Promise<number> {
-        return this.metrics.serve(address);
+        return this.metrics.serve(address, this.listeners);
     }
 
     /**
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -269,7 +269,7 @@
      * @returns the bound port; rejects when the address cannot be bound
      */
     public serveMetrics(address: string): Promise<number> {
-        return this.metrics.serve(address);
+        return this.metrics.serve(address, this.listeners);
     }
 
     /**
--- a/packages/lovagepitch-direct/src/process/directMetrics.ts
+++ b/packages/lovagepitch-direct/src/process/directMetrics.ts
@@ -1,10 +1,15 @@
 /**
  * Metrics of one process, and the HTTP server that exposes them.
  */
-import { createServer } from "node:http";
+import type { ServerResponse } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import { listenAt, splitAddress } from "../links/listenAt.js";
+import { internalRequestLimits } from "../connections/boundedHttpServer.js";
+import { splitAddress } from "../links/listenAt.js";
 import type { QueueUse } from "../policies/queueShares.js";
+import type { ProcessListeners } from "./processListeners.js";
+
+/** Largest number of open requests at which a connection is read on; each holds the text of all metrics. */
+const maximumOpenRequests = 1;
 
 /** Upper bounds of the histogram buckets, in seconds: from the shortest tasks to the longest waits of callers. */
 const durationBucketSeconds = [0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 5, 8];
@@ -33,6 +38,7 @@
 /** Metrics of an entry or an agent. Labels only take values from fixed sets. */
 export class DirectMetrics {
     private readonly registry = new Registry();
+    private rendering: Promise<string> | undefined;
     private readonly events = new Counter({
         name: "lovagepitch_events_total",
         help: "Decisions and events by the name that their log line has, also those that the log left out",
@@ -150,15 +156,34 @@
      * Serves the metrics in the text format at every path.
      *
      * @param address - host and port to listen on
+     * @param listeners - creates the HTTP server
      * @returns the bound port; rejects when the address cannot be bound
      */
-    public serve(address: string): Promise<number> {
-        const server = createServer((_request, response) => {
-            this.registry.metrics().then(
-                text => response.writeHead(200, { "content-type": this.registry.contentType }).end(text),
-                (error: unknown) => response.writeHead(500).end(String(error)),
-            );
+    public serve(address: string, listeners: ProcessListeners): Promise<number> {
+        const server = listeners.create("operations", {
+            listener: "metrics",
+            maximumOpenRequests,
+            getRequestLimits: () => internalRequestLimits,
+            onRequest: (_request, response) => void this.respond(response),
+        });
+        return server.listen(splitAddress(address));
+    }
+
+    private async respond(response: ServerResponse): Promise<void> {
+        try {
+            const text = await this.render();
+            response.writeHead(200, { "content-type": this.registry.contentType }).end(text);
+        }
+        catch (error) {
+            response.writeHead(500).end(String(error));
+        }
+    }
+
+    /** Requests that arrive while the text is being created share it. */
+    private render(): Promise<string> {
+        this.rendering ??= this.registry.metrics().finally(() => {
+            this.rendering = undefined;
         });
-        return listenAt(server, splitAddress(address));
+        return this.rendering;
     }
 }
