fix(links): connections of agents share a bound on memory and descriptors

Seen: 50 connections that send frames without end took 245 MB of an entry whose instance has 150; 400 idle connections to the same port took all descriptors. Cause: each connection may hold a frame of 4 MiB, and any number of connections was accepted. Change: the listener has a part of the process's memory and descriptors. Connections that have not sent a frame are closed first, those with the longest incomplete frame before others; connections of agents, which have, go last.

--- a/packages/lovagepitch-direct/src/links/agentListener.ts
+++ b/packages/lovagepitch-direct/src/links/agentListener.ts
@@ -1,8 +1,12 @@
 /**
  * Listener of an entry for connections from agents.
  */
+import type { Clock } from "@lovagepitch/utils/clock";
 import { createServer, type Server, type Socket } from "node:net";
+import { type ClosingReason, ConnectionBudget } from "../connections/connectionBudget.js";
+import type { ConnectionLimits } from "../connections/connectionLimits.js";
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
+import { AgentConnection } from "./agentConnection.js";
 import { AgentFrameFormat } from "./agentFrameFormat.js";
 import { EntryFrameFormat } from "./entryFrameFormat.js";
 import { isAgentFrame } from "./frameGuards.js";
@@ -13,19 +17,29 @@
 export interface AgentListenerEvents {
     readonly onFrame: (connection: number, frame: AgentFrame) => void;
     readonly onDisconnected: (connection: number, end: StreamEnd) => void;
+    /** Called for each connection that is closed for the sake of the others, with the memory that it held, in bytes. */
+    readonly onClosed: (reason: ClosingReason, heldBytes: number) => void;
 }
 
 /** Accepts connections from agents and exchanges frames on them. */
 export class AgentListener {
     private readonly server: Server;
     private readonly streams = new Map<number, FrameStream<AgentFrame, EntryFrame>>();
+    private readonly budget: ConnectionBudget<AgentConnection>;
     private nextConnection = 1;
 
     /**
      * @param events - callbacks for received frames and closed connections
+     * @param clock - monotonic clock
+     * @param limits - limits of all connections together
      */
-    public constructor(private readonly events: AgentListenerEvents) {
+    public constructor(
+        private readonly events: AgentListenerEvents,
+        private readonly clock: Clock,
+        limits: ConnectionLimits,
+    ) {
         this.server = createServer(socket => this.accept(socket));
+        this.budget = new ConnectionBudget(limits, (reason, { heldBytes }) => events.onClosed(reason, heldBytes));
     }
 
     /**
@@ -70,13 +84,23 @@
         const connection = this.nextConnection;
         this.nextConnection += 1;
         const protocol = { incoming: new AgentFrameFormat(), outgoing: new EntryFrameFormat(), isFrame: isAgentFrame };
-        const stream = new FrameStream<AgentFrame, EntryFrame>(socket, protocol, {
-            onFrame: frame => this.events.onFrame(connection, frame),
+        const stream: FrameStream<AgentFrame, EntryFrame> = new FrameStream(socket, protocol, {
+            onFrame: frame => {
+                budgeted.recordFrame();
+                this.events.onFrame(connection, frame);
+            },
+            onBytesProcessed: () => budgeted.updateHeldBytes(),
             onEnd: end => {
+                this.budget.remove(budgeted);
                 this.streams.delete(connection);
                 this.events.onDisconnected(connection, end);
             },
         });
-        this.streams.set(connection, stream);
+        const budgeted: AgentConnection = new AgentConnection(stream, this.clock, difference => {
+            this.budget.change(budgeted, difference);
+        });
+        if (this.budget.add(budgeted)) {
+            this.streams.set(connection, stream);
+        }
     }
 }
--- a/packages/lovagepitch-direct/src/links/frameBuffer.ts
+++ b/packages/lovagepitch-direct/src/links/frameBuffer.ts
@@ -41,6 +41,11 @@
     /** Number of buffered bytes below which no frame is complete. */
     private requiredLength = 1;
 
+    /** Memory that the received bytes take, in bytes. */
+    public get heldBytes(): number {
+        return this.collector.heldBytes;
+    }
+
     /**
      * Adds received bytes.
      *
@@ -54,6 +59,11 @@
         }
     }
 
+    /** Forgets all received bytes. */
+    public clear(): void {
+        this.collector.clear();
+    }
+
     /**
      * Removes the next complete frame.
      *
--- a/packages/lovagepitch-direct/src/links/frameStream.ts
+++ b/packages/lovagepitch-direct/src/links/frameStream.ts
@@ -17,6 +17,8 @@
 export interface FrameListener<Frame> {
     /** Called with each received frame. */
     readonly onFrame: (frame: Frame) => void;
+    /** Called after received bytes were processed. */
+    readonly onBytesProcessed?: () => void;
     /** Called once when the connection has closed. */
     readonly onEnd: (end: StreamEnd) => void;
 }
@@ -68,6 +70,11 @@
         socket.on("close", () => this.end(this.error?.message ?? "closed by the peer", false));
     }
 
+    /** Memory that the bytes of an incomplete frame take, in bytes. */
+    public get heldBytes(): number {
+        return this.buffer.heldBytes;
+    }
+
     /** Bytes that were passed to the stream and not yet to the operating system. */
     public get unsentBytes(): number {
         return this.socket.writableLength;
@@ -118,6 +125,7 @@
             }
             this.refuse(error.message);
         }
+        this.listener.onBytesProcessed?.();
     }
 
     private process(received: ReceivedFrame): void {
@@ -158,6 +166,7 @@
     private end(reason: string, isUnreadable: boolean): void {
         if (!this.hasEnded) {
             this.hasEnded = true;
+            this.buffer.clear();
             this.listener.onEnd({ wasRefused: this.error?.code === "ECONNREFUSED", isUnreadable, reason });
         }
     }
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -5,11 +5,16 @@
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { TickLoop } from "@lovagepitch/utils/tickLoop";
 import type { BoundedHttpServer } from "../connections/boundedHttpServer.js";
-import { defaultResources, type ListenerKind, type ProcessResources } from "../connections/connectionLimits.js";
+import {
+    defaultResources,
+    findConnectionLimits,
+    type ListenerKind,
+    type ProcessResources,
+} from "../connections/connectionLimits.js";
 import { EntryCore } from "../entry/entryCore.js";
 import type { EntryInput, EntryOutput } from "../entry/entryPorts.js";
 import type { EntryIdentity } from "../entry/entryState.js";
-import { AgentListener } from "../links/agentListener.js";
+import { AgentListener, type AgentListenerEvents } from "../links/agentListener.js";
 import { CapacityDatagrams } from "../links/capacityDatagrams.js";
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
 import type { DispatchConfiguration, Route } from "../model/dispatchConfiguration.js";
@@ -85,13 +90,7 @@
             reason => this.log.write("warn", "request for capacity failed", { reason }),
             message => this.loop.accept({ kind: "ownership", message }),
         );
-        this.listener = new AgentListener({
-            onFrame: (connection, frame) => this.loop.accept({ kind: "frame", connection, frame }),
-            onDisconnected: (connection, end) => {
-                this.unreadableFrames.record(end);
-                this.loop.accept({ kind: "disconnected", connection });
-            },
-        });
+        this.listener = this.createAgentListener();
     }
 
     /** The configuration in force. */
@@ -294,6 +293,19 @@
         this.log.write(level, event, fields);
     }
 
+    private createAgentListener(): AgentListener {
+        const events: AgentListenerEvents = {
+            onFrame: (connection, frame) => this.loop.accept({ kind: "frame", connection, frame }),
+            onDisconnected: (connection, end) => {
+                this.unreadableFrames.record(end);
+                this.loop.accept({ kind: "disconnected", connection });
+            },
+            onClosed: (reason, heldBytes) => this.listeners.report("peers", reason, heldBytes),
+        };
+        const limits = findConnectionLimits(this.options.resources ?? defaultResources, "peers");
+        return new AgentListener(events, this.options.clock, limits);
+    }
+
     private addGauges(): void {
         this.metrics.addGauge("open_jobs", "Jobs without an answer", () => this.core.openJobs);
         this.metrics.addGauge(
