fix(entry): a refused connection is read no further, and timeouts count after a pause

Cause: a connection whose headers are refused while its earlier requests are open kept what it received until they were answered, and the end of its client was not noticed. A body that stops short for 300 s was to be refused after its own request, that is never. After a pause of the process, connections were checked for timeouts before what had arrived meanwhile was read. The first responses named the idle timeout of Node.js to clients, not the operator's. Change: a refused connection discards what it receives and closes with its client; incomplete bodies are closed; checks run after the sockets of the turn were read.

--- a/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
+++ b/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
@@ -43,7 +43,7 @@
 };
 
 /** Why a connection was closed or refused: to free resources, or because its client keeps to none of the limits. */
-export type ConnectionEnd = ClosingReason | "headers-too-large" | "no-request";
+export type ConnectionEnd = ClosingReason | "headers-too-large" | "no-request" | "incomplete-body";
 
 /** Reports connections that were closed by the server. */
 export type ReportConnectionEnd = (listener: string, end: ConnectionEnd, heldBytes: number) => void;
@@ -144,6 +144,8 @@
             return;
         }
         connection.once("close", () => this.budget.remove(connection));
+        // Node.js tells clients this time and leaves the closing of such connections to `check`.
+        this.http.keepAliveTimeout = this.options.getRequestLimits().idleTimeoutMilliseconds;
         this.options.onConnection?.(connection);
         this.http.emit("connection", connection);
     }
@@ -161,8 +163,11 @@
     private scheduleCheck(): void {
         const { headerTimeoutMilliseconds } = this.options.getRequestLimits();
         const timer = setTimeout(() => {
-            this.check();
-            this.scheduleCheck();
+            // What arrived while the process was paused is read first.
+            setImmediate(() => {
+                this.check();
+                this.scheduleCheck();
+            });
         }, headerTimeoutMilliseconds * checkIntervalPart);
         timer.unref();
     }
@@ -170,18 +175,21 @@
     /** The timeouts of Node.js apply only to connections that its HTTP server has accepted by itself. */
     private check(): void {
         const limits = this.options.getRequestLimits();
-        this.http.keepAliveTimeout = limits.idleTimeoutMilliseconds;
         const now = this.options.clock.nowMilliseconds();
         for (const connection of [...this.budget.open]) {
             if (now <= findDueTime(connection, limits) || connection.isRefused) {
                 continue;
             }
-            if (connection.isUnused) {
+            if (connection.isReceivingBody) {
+                this.options.onEnd(this.options.listener, "incomplete-body", connection.heldBytes);
+                connection.close();
+            }
+            else if (connection.isUnused) {
                 this.options.onEnd(this.options.listener, "no-request", connection.heldBytes);
                 connection.refuse(requestTimeout);
             }
             else {
-                connection.refuse("");
+                connection.destroySoon();
             }
         }
     }
--- a/packages/lovagepitch-direct/src/connections/meteredConnection.ts
+++ b/packages/lovagepitch-direct/src/connections/meteredConnection.ts
@@ -83,10 +83,7 @@
         super({ allowHalfOpen: true, decodeStrings: false, readableHighWaterMark: 1 });
         this.waitingSince = options.nowMilliseconds();
         socket.on("data", (bytes: Buffer) => this.receive(bytes));
-        socket.on("end", () => {
-            this.hasEnded = true;
-            this.deliver();
-        });
+        socket.on("end", () => this.receiveEnd());
         socket.on("error", () => this.destroy());
         socket.on("close", () => this.destroy());
     }
@@ -181,12 +178,15 @@
     }
 
     /**
-     * Reads no further, and closes the connection with a response once all earlier requests are answered.
+     * Discards what is received from now on, and closes the connection with a response once all earlier requests are answered.
      *
-     * @param response - response as it is sent; empty for none
+     * @param response - response as it is sent
      */
     public refuse(response: string): void {
         this.refusal ??= response;
+        this.received.length = 0;
+        this.receivedBytes = 0;
+        this.socket.resume();
         this.sendRefusal();
     }
 
@@ -223,11 +223,23 @@
     }
 
     private receive(bytes: Buffer): void {
+        if (this.isRefused || this.destroyed) {
+            return;
+        }
         this.received.push(bytes);
         this.receivedBytes += bytes.length;
         this.deliver();
     }
 
+    private receiveEnd(): void {
+        if (this.isRefused) {
+            this.destroy();
+            return;
+        }
+        this.hasEnded = true;
+        this.deliver();
+    }
+
     /** Passes the next slice on, unless one was passed on in this turn, and reads from the socket only when none is left. */
     private deliver(): void {
         if (this.isDelivering || this.isTurnScheduled || this.destroyed || this.isRefused) {
@@ -238,7 +250,7 @@
             this.deliverSlice();
             this.isDelivering = false;
         }
-        if (this.receivedBytes > 0 || this.isRefused) {
+        if (this.receivedBytes > 0) {
             this.socket.pause();
         }
         else {
@@ -295,9 +307,7 @@
 
     private sendRefusal(): void {
         if (this.refusal !== undefined && this.openRequests.size === 0 && this.writable) {
-            if (this.refusal !== "") {
-                this.write(this.refusal);
-            }
+            this.write(this.refusal);
             this.destroySoon();
         }
     }
@@ -317,8 +327,7 @@
         this.forgetFraming();
         const headerBytes = Math.min(this.unattributedBytes, this.options.maximumParsedHeaderBytes);
         const held = idleConnectionBytes + headerBytes * incompleteHeaderCostFactor + this.receivedBytes
-            + this.bodyBytes
-            + this.requestBytes + this.writableLength + this.socket.writableLength;
+            + this.bodyBytes + this.requestBytes + this.writableLength + this.socket.writableLength;
         const difference = held - this.held;
         this.held = held;
         if (difference !== 0) {
--- a/packages/lovagepitch-direct/src/process/processListeners.ts
+++ b/packages/lovagepitch-direct/src/process/processListeners.ts
@@ -18,6 +18,7 @@
     "all-working": "connection refused because all others are working",
     "headers-too-large": "connection closed because its headers are too large",
     "no-request": "connection closed because no request arrived in time",
+    "incomplete-body": "connection closed because a body did not arrive in time",
 };
 
 /** What differs between the HTTP servers of a process. */
