fix(entry): a job that is sent again is not told that it has not run when memory is short

Found by reading before the landing: 503 for lack of memory was sent before the entry looked for the job, also to a caller whose earlier submission runs or has run there. Change: the entry decides. A job that is open is joined, one of which tasks may have started gets 504, a new one 503 with reason memory-full and a Retry-After by the drain rate, as with other refusals. Seen: refusals.feature with the two causes added passes, callerLimits.feature as well. The rows cannot run before: there was no such input.

--- a/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
+++ b/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
@@ -186,12 +186,13 @@
      * Submits a job.
      *
      * @param job - the job
+     * @param isMemoryFull - true when open requests hold as much memory as they may
      * @returns id of the caller's request
      */
-    public submit(job: DirectJob): number {
+    public submit(job: DirectJob, isMemoryFull = false): number {
         const request = this.nextRequest;
         this.nextRequest += 1;
-        this.accept({ kind: "submitted", request, job });
+        this.accept({ kind: "submitted", request, job, isMemoryFull });
         return request;
     }
 
--- a/packages/lovagepitch-direct/src/__tests__/refusals.feature
+++ b/packages/lovagepitch-direct/src/__tests__/refusals.feature
@@ -15,6 +15,8 @@
             | lost its caller while it ran                 | no worker is left              |
             | lost its caller while it ran                 | the entry refuses new jobs     |
             | lost its caller while it ran                 | the entry has the most jobs    |
+            | lost its caller while it ran                 | the entry's memory is full     |
+            | was done                                     | the entry's memory is full     |
             | lost its caller while it ran                 | the entry ends its jobs        |
             | lost its caller after a run was stopped      | the workers have no room       |
             | was done                                     | the workers have no room       |
@@ -30,6 +32,7 @@
         Examples:
             | first                                           | cause                      |
             | was refused                                     | the entry refuses new jobs |
+            | was refused                                     | the entry's memory is full |
             | lost its caller before a task was placed        | the entry refuses new jobs |
             | lost its caller after all orders were returned  | the workers have no room   |
 
--- a/packages/lovagepitch-direct/src/__tests__/refusals.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/refusals.steps.ts
@@ -59,7 +59,9 @@
 const startsNothing: ReadonlySet<string> = new Set(["lost its caller before a task was placed", "was refused"]);
 
 /** Causes of refusals, before and after the job is sent again. */
-const causes: Readonly<Record<string, { readonly before?: () => void; readonly after?: () => void }>> = {
+const causes: Readonly<
+    Record<string, { readonly before?: () => void; readonly after?: () => void; readonly isMemoryFull?: boolean }>
+> = {
     "the workers have no room": {
         before: () => {
             entry.isFull = true;
@@ -68,6 +70,7 @@
     },
     "no worker is left": { before: () => agents.forEach(agent => entry.disconnect(agent)) },
     "the entry refuses new jobs": { before: () => entry.accept({ kind: "shut-down" }) },
+    "the entry's memory is full": { isMemoryFull: true },
     "the entry has the most jobs": {
         before: () => {
             entry.isFull = true;
@@ -101,7 +104,7 @@
     entry.advance(milliseconds);
     causes[cause]?.before?.();
     const starts = entry.listStarts(job.id).length;
-    resubmission = entry.submit(job);
+    resubmission = entry.submit(job, causes[cause]?.isMemoryFull);
     causes[cause]?.after?.();
     entry.advance(2000);
     assert.equal(entry.listStarts(job.id).length, starts, "the second submission has started tasks");
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -223,7 +223,7 @@
         const { state } = this;
         switch (input.kind) {
             case "submitted":
-                return receiveJob(state, input.request, input.job, input.earliestArrival);
+                return receiveJob(state, input.request, input.job, input.earliestArrival, input.isMemoryFull);
             case "caller-disconnected":
                 return receiveCallerDisconnected(state, input.request, input.job);
             case "cancelled":
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -18,6 +18,8 @@
         readonly job: DirectJob;
         /** Earliest instant at which it may have arrived, if its connection was accepted late; in monotonic milliseconds. */
         readonly earliestArrival?: number | undefined;
+        /** True when open requests hold as much memory as they may. */
+        readonly isMemoryFull?: boolean | undefined;
     }
     | { readonly kind: "caller-disconnected"; readonly request: number; readonly job: string }
     | { readonly kind: "cancelled"; readonly job: string; readonly route: string }
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -20,12 +20,14 @@
  * @param request - id of the caller's request
  * @param job - submitted job
  * @param earliestArrival - earliest instant at which it may have arrived if its connection was accepted late
+ * @param isMemoryFull - true when open requests hold as much memory as they may; the job is refused if it is new
  */
 export function receiveJob(
     state: EntryState,
     request: number,
     job: DirectJob,
     earliestArrival = state.now,
+    isMemoryFull = false,
 ): void {
     const submittedAt = Math.min(earliestArrival, state.readDelay.findEarliestArrival(state.now));
     const known = state.jobs.get(job.id);
@@ -86,6 +88,9 @@
     else if (state.jobs.size > maximumOpenJobs) {
         refuseJob(state, row, "queue-full");
     }
+    else if (isMemoryFull) {
+        refuseJob(state, row, "memory-full");
+    }
 }
 
 /**
--- a/packages/lovagepitch-direct/src/model/directJob.ts
+++ b/packages/lovagepitch-direct/src/model/directJob.ts
@@ -75,5 +75,7 @@
     /** Jobs of its kind crash workers, and the few workers that run them are down or can not serve it in time. */
     | "kind-confined"
     | "queue-full"
+    /** Open requests hold as much memory as they may. */
+    | "memory-full"
     | "shutting-down"
     | "no-configuration";
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -147,13 +147,19 @@
      * @param onAnswer - called once with the answer, unless the submission is abandoned first
      * @param earliestArrival - earliest instant at which it may have arrived if its connection was accepted late, in
      *   monotonic milliseconds
+     * @param isMemoryFull - true when open requests hold as much memory as they may
      * @returns the submission, which can be abandoned
      */
-    public submit(job: DirectJob, onAnswer: (answer: JobAnswer) => void, earliestArrival?: number): Submission {
+    public submit(
+        job: DirectJob,
+        onAnswer: (answer: JobAnswer) => void,
+        earliestArrival?: number,
+        isMemoryFull?: boolean,
+    ): Submission {
         const request = this.nextRequest;
         this.nextRequest += 1;
         this.answerCallbacks.set(request, onAnswer);
-        this.loop.accept({ kind: "submitted", request, job, earliestArrival });
+        this.loop.accept({ kind: "submitted", request, job, earliestArrival, isMemoryFull });
         return {
             abandon: () => {
                 if (this.answerCallbacks.delete(request)) {
