fix(platform): a report of wrong elements no longer ends its agent

The schema library keeps an object for every fault and spreads them into one call, which throws from some 126,000 on; from some 300,000 on the heap of the deploy file ends the process before. The count that precedes the parser left out the elements of lists. Ruled out: a catch, which leaves the end at the heap limit; a limit on labels alone, which the next reader would not have; the library's `abortEarly`, which goes on after faults of range and is declared for internal use. A report with many brackets within one text, which got 400, is taken. Seen: untrustedInput.feature, bundled programs with the options of the deploy file, 14 shapes in 5 sizes up to 4 MiB.

--- a/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
+++ b/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
@@ -2,6 +2,7 @@
  * Requests for capacity and messages about open jobs between entries, one UDP datagram each. A lost one is replaced by the
  * next, and no connection is kept for entries that rarely exchange any.
  */
+import { parseUntrustedJson } from "@lovagepitch/utils/untrustedJson";
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import type { CapacityRequest } from "../model/capacityRequest.js";
@@ -24,7 +25,7 @@
         private readonly onFailure: (reason: string) => void,
         private readonly onOwnership: (message: OwnershipMessage) => void = () => undefined,
     ) {
-        this.socket.on("message", data => this.receive(data.toString("utf8")));
+        this.socket.on("message", data => this.receive(data));
     }
 
     /**
@@ -60,14 +61,8 @@
         this.socket.close();
     }
 
-    private receive(text: string): void {
-        let value: unknown;
-        try {
-            value = JSON.parse(text);
-        }
-        catch {
-            value = undefined;
-        }
+    private receive(data: Buffer): void {
+        const value = parseUntrustedJson(data);
         if (isCapacityRequest(value)) {
             this.onRequest(value);
         }
--- a/packages/lovagepitch-direct/src/links/frameStream.ts
+++ b/packages/lovagepitch-direct/src/links/frameStream.ts
@@ -3,7 +3,7 @@
  * first frame in JSON, with the versions of the binary format that it knows; each end sends binary frames once it has
  * learned that the other one reads them.
  */
-import { hasTooManyElements } from "@lovagepitch/utils/jsonElements";
+import { parseUntrustedJson } from "@lovagepitch/utils/untrustedJson";
 import type { Socket } from "node:net";
 import { createBinaryFrame, FrameBuffer, FrameBufferError, type ReceivedFrame } from "./frameBuffer.js";
 import { type FrameFormat, frameFormatVersion } from "./frameFormat.js";
@@ -146,14 +146,17 @@
     }
 
     private decode({ encoding, body }: ReceivedFrame): unknown {
-        if (encoding === "binary" ? hasTooManyPackedElements(body) : hasTooManyElements(body)) {
-            throw new RangeError("the frame has too many elements");
-        }
         if (encoding === "binary") {
+            if (hasTooManyPackedElements(body)) {
+                throw new RangeError("the frame has too many elements");
+            }
             this.sendsBinary = true;
             return this.protocol.incoming.fromWire(unpackFrame(body));
         }
-        const value = JSON.parse(body.toString("utf8")) as FormatOffer;
+        const value = parseUntrustedJson(body) as FormatOffer | undefined;
+        if (value === undefined) {
+            throw new TypeError("the frame is not JSON or has too many elements");
+        }
         this.sendsBinary ||= Array.isArray(value.frameFormats) && value.frameFormats.includes(frameFormatVersion);
         return value;
     }
