fix(agent): a worker's very many labels are left out of frames, records and log lines

Cause: a valid report of 390,000 labels that are texts put all of them into the frames to each entry, the record of the worker and log lines, as nothing bounded them. Ruled out: refusing such a report; a report may have 4 MiB, and its worker would get no tasks at all.

--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -10,6 +10,7 @@
 import { defaultResources, type ListenerKind, type ProcessResources } from "../connections/connectionLimits.js";
 import { EntryConnections } from "../links/entryConnections.js";
 import type { EntryLocation } from "../model/entryLocation.js";
+import { limitLabels } from "../model/workerLabels.js";
 import type { WorkerRegistration, WorkerReport } from "../model/workerStatus.js";
 import { DirectMetrics, evacuatedZonesHelp } from "./directMetrics.js";
 import { type ListenerOptions, ProcessListeners } from "./processListeners.js";
@@ -82,7 +83,12 @@
      * @param report - received report
      */
     public receiveReport(report: WorkerReport): void {
-        this.loop.accept({ kind: "worker-reported", report });
+        const labels = limitLabels(report.labels);
+        if (labels.length < report.labels.length) {
+            const counts = { reported: report.labels.length, used: labels.length };
+            this.log.write("warn", "labels of the worker left out", { worker: report.id, ...counts });
+        }
+        this.loop.accept({ kind: "worker-reported", report: { ...report, labels } });
     }
 
     /**
--- a/packages/lovagepitch-direct/src/process/workerDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/workerDirectory.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Resources } from "../model/resources.js";
+import { limitLabels } from "../model/workerLabels.js";
 import type { WorkerRegistration } from "../model/workerStatus.js";
 import { OddRows } from "./oddRows.js";
 import type { SharedRows, VersionedRow } from "./sharedRows.js";
@@ -165,7 +166,7 @@
         ...row.startedAt === undefined ? {} : { startedAt: row.startedAt },
         service: row.service,
         capacity: { milliCores, memoryMegabytes, accelerators },
-        labels: row.labels,
+        labels: limitLabels(row.labels),
     };
 }
 
