refactor: lint against unbounded reading of values from outside; bound the texts of frames

The check found one: a text of a frame that is written as JSON was parsed without a bound, as the frame counts it as one value. The four calls that it found are loops now, and that text is parsed by parseUntrustedJson.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,6 +1,32 @@
 import tsdoc from "eslint-plugin-tsdoc";
 import tseslint from "typescript-eslint";
 
+/** Syntax that no source file uses. */
+const restrictedSyntax = [{
+    selector: ":not(BinaryExpression) > Literal[raw='null']",
+    message: "Use undefined; convert null at the library's edge.",
+}];
+
+/** Ways to read a value from outside the process without a bound on what a wrong one costs. */
+const unboundedReading = [
+    {
+        selector: "CallExpression[callee.object.name='JSON'][callee.property.name='parse']",
+        message: "Use parseUntrustedJson, which bounds the memory of the value.",
+    },
+    {
+        selector: "CallExpression[callee.property.name=/^safe(Parse|ParseAsync|Decode)$/]",
+        message: "Use validateValue, which ends at the first fault.",
+    },
+    {
+        selector: "CallExpression[callee.object.name='z'][callee.property.name=/^(array|set|map)$/]",
+        message: "Use listOf, whose validation ends at the first faulty element.",
+    },
+    {
+        selector: "CallExpression[callee.property.name=/^(push|unshift|min|max|apply)$/] > SpreadElement",
+        message: "A call takes a limited number of arguments; use concat or a loop.",
+    },
+];
+
 export default tseslint.config(
     { ignores: ["**/dist/**", "target/**", "**/node_modules/**", "admin/**", "*.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
@@ -11,10 +37,7 @@
             "tsdoc/syntax": "error",
             "curly": ["error", "all"],
             "eqeqeq": "error",
-            "no-restricted-syntax": ["error", {
-                selector: ":not(BinaryExpression) > Literal[raw='null']",
-                message: "Use undefined; convert null at the library's edge.",
-            }],
+            "no-restricted-syntax": ["error", ...restrictedSyntax],
             "no-restricted-imports": ["error", {
                 paths: ["node:child_process", "node:cluster", "node:worker_threads"],
             }],
@@ -33,6 +56,12 @@
             "max-lines-per-function": ["error", { max: 70, skipBlankLines: true, skipComments: true }],
         },
     },
+    {
+        // Programs of the users' platform and what they are built from.
+        files: ["platform/src/**", "packages/lovagepitch-direct/src/**", "packages/lovagepitch-utils/src/**"],
+        ignores: ["**/__tests__/**"],
+        rules: { "no-restricted-syntax": ["error", ...restrictedSyntax, ...unboundedReading] },
+    },
     {
         // The launcher of tests and of the demo starts processes; the product never does.
         files: ["packages/lovagepitch-testing/src/launcher/**", "packages/lovagepitch-bench/src/**"],
--- a/packages/lovagepitch-direct/src/agent/configurationSource.ts
+++ b/packages/lovagepitch-direct/src/agent/configurationSource.ts
@@ -17,9 +17,8 @@
         return undefined;
     }
     const rows = [...state.entries.values()].filter(row => row.connection === "open");
-    const neededVersion = Math.min(
-        ...rows.filter(row => row.wantsConfiguration).map(row => Math.max(row.configurationVersion, getVersion(state))),
-    );
+    const neededVersion = rows.filter(row => row.wantsConfiguration)
+        .reduce((version, row) => Math.min(version, Math.max(row.configurationVersion, getVersion(state))), Infinity);
     let source: (typeof rows)[number] | undefined;
     for (const row of rows) {
         if (
--- a/packages/lovagepitch-direct/src/links/framePacker.ts
+++ b/packages/lovagepitch-direct/src/links/framePacker.ts
@@ -5,6 +5,7 @@
  * some fields. A text that UTF-8 can represent therefore follows a character of its own; any other is written as JSON, which
  * escapes lone surrogates. This holds for the names of fields too.
  */
+import { parseUntrustedJson } from "@lovagepitch/utils/untrustedJson";
 // The part without the native addon, whose decoder treats some texts differently: one decoder wherever the code runs.
 import { Packr } from "msgpackr/pack";
 
@@ -77,7 +78,8 @@
     if (packed.startsWith(unescapedPrefix)) {
         return packed.slice(unescapedPrefix.length);
     }
-    const text: unknown = JSON.parse(packed);
+    // The bound on the values of a frame counts this text as one value.
+    const text = parseUntrustedJson(Buffer.from(packed));
     if (typeof text !== "string") {
         throw new TypeError("a frame contains a text in an unknown form; run the same version at both ends");
     }
--- a/packages/lovagepitch-direct/src/policies/crashEvidence.ts
+++ b/packages/lovagepitch-direct/src/policies/crashEvidence.ts
@@ -330,7 +330,7 @@
             }
         }
     }
-    return Math.max(0, ...counts.values()) >= crashesUntilGivenUp;
+    return [...counts.values()].some(count => count >= crashesUntilGivenUp);
 }
 
 function isLikelyCause(run: CrashedRun): boolean {
--- a/packages/lovagepitch-direct/src/policies/workerSpeeds.ts
+++ b/packages/lovagepitch-direct/src/policies/workerSpeeds.ts
@@ -92,8 +92,9 @@
                 figures.set(agent, isUsable(speed) && isApart(speed, kindFigure, ownFigureFactor) ? speed : kindFigure);
             }
         }
-        const lowest = Math.min(...figures.values());
-        const highest = Math.max(...figures.values());
+        const values = [...figures.values()];
+        const lowest = values.reduce((least, figure) => Math.min(least, figure), Infinity);
+        const highest = values.reduce((most, figure) => Math.max(most, figure), -Infinity);
         const average = [...kindFigures].reduce((sum, [kind, figure]) => {
             return sum + figure * (byKind.get(kind)?.length ?? 0);
         }, 0) / Math.max(1, figures.size);
