fix(platform): a table filled by another writer no longer ends the programs at each start

Cause: rows of any size up to the store's limit in the table of entries ended each program that started (SIGABRT at the heap limit), so that nobody was served: the values of all rows were parsed and kept until the last page was read. Ruled out: a bound on the sum of a read, since rows of garbage would then displace those of entries behind them. Change: a row keeps its text and parses it at each access; rows of entries above 4,096 bytes have no value.

--- a/packages/lovagepitch-direct/src/process/entryDirectory.ts
+++ b/packages/lovagepitch-direct/src/process/entryDirectory.ts
@@ -35,6 +35,9 @@
 /** Longest name of an availability zone, in characters; it goes to all agents. */
 const maximumZoneLength = 256;
 
+/** Largest value of an entry's row, in bytes. */
+const maximumRowBytes = 4096;
+
 /** Age above which a row counts as that of an entry that has ended, in milliseconds on the store's clock. */
 const rowLifetimeMilliseconds = 40_000;
 
@@ -83,7 +86,7 @@
     }
 
     private async readAll(): Promise<boolean> {
-        const result = await this.rows.read(entriesTable);
+        const result = await this.rows.read(entriesTable, maximumRowBytes);
         if (result.err) {
             this.reachability.recordOutcome(false, result.val.message);
             return false;
--- a/packages/lovagepitch-direct/src/process/sharedRows.ts
+++ b/packages/lovagepitch-direct/src/process/sharedRows.ts
@@ -6,7 +6,10 @@
 /** A row of a table. */
 export interface SharedRow {
     readonly key: string;
-    /** Decoded value; undefined when the row was removed or its bytes cannot be decoded. */
+    /**
+     * Decoded value; undefined when the row was removed or its bytes cannot be decoded. Rows of the store decode it at each access, so
+     * that the values of rows which nobody reads take no memory.
+     */
     readonly value: unknown;
     readonly isRemoved: boolean;
 }
@@ -41,9 +44,10 @@
      * Reads all rows of a table.
      *
      * @param table - name of the table
+     * @param maximumValueBytes - size of a value above which the row is returned without it; another writer may have filled the table
      * @returns its rows, or the reason why they could not be read
      */
-    public abstract read(table: string): Promise<Result<RowsView, StoreFailure>>;
+    public abstract read(table: string, maximumValueBytes?: number): Promise<Result<RowsView, StoreFailure>>;
 
     /**
      * Waits for changes of a table.
