feat(direct): an error while a request is processed costs that request alone

Ruled out: the same around the loops that read the store, where the next read would fail alike and the error be found later. Nothing is half changed: a job or report goes to the core as one input.

--- a/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
+++ b/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
@@ -21,6 +21,8 @@
 /** Longest time from the headers of a request to the end of its body, in milliseconds. */
 const bodyTimeoutMilliseconds = 300_000;
 
+const statusDefect = 500;
+
 const headersTooLarge =
     "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 const requestTimeout = "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -59,6 +61,8 @@
     /** Returns the limits in force. */
     readonly getRequestLimits: () => RequestLimits;
     readonly onEnd: ReportConnectionEnd;
+    /** Called with what the processing of a request has thrown. */
+    readonly onDefect: (listener: string, error: unknown) => void;
     readonly onConnection?: (connection: MeteredConnection) => void;
     readonly onRequest: (request: IncomingMessage, response: ServerResponse, connection: MeteredConnection) => void;
 }
@@ -80,7 +84,7 @@
             const connection = request.socket as unknown as MeteredConnection;
             connection.addRequest(request, response);
             if (!connection.destroyed) {
-                options.onRequest(request, response, connection);
+                this.processSafely(response, () => options.onRequest(request, response, connection));
             }
         });
         this.budget = new ConnectionBudget(options.limits, (reason, connection) => {
@@ -105,6 +109,28 @@
         return this.budget.hasRoomForRequest(connection.openRequestCount > 1);
     }
 
+    /**
+     * Processes a part of a request, such as its complete body. An error that it throws is a defect; it costs this request instead of the
+     * process with all others.
+     *
+     * @param response - response to the request, which gets status 500 after an error unless it has begun
+     * @param process - processes the part; it must not leave a state half changed that other requests use
+     */
+    public processSafely(response: ServerResponse, process: () => void): void {
+        try {
+            process();
+        }
+        catch (error) {
+            this.options.onDefect(this.options.listener, error);
+            if (response.headersSent) {
+                response.destroy();
+            }
+            else {
+                response.writeHead(statusDefect, { "content-length": 0 }).end();
+            }
+        }
+    }
+
     /** Bytes of memory that the connections hold, by an upper estimate. */
     public get heldBytes(): number {
         return this.budget.heldBytes;
--- a/packages/lovagepitch-direct/src/process/processListeners.ts
+++ b/packages/lovagepitch-direct/src/process/processListeners.ts
@@ -22,7 +22,10 @@
 };
 
 /** What differs between the HTTP servers of a process. */
-export type ListenerOptions = Omit<BoundedHttpServerOptions, "clock" | "limits" | "onEnd">;
+export type ListenerOptions = Omit<BoundedHttpServerOptions, "clock" | "limits" | "onEnd" | "onDefect">;
+
+/** Longest description of an error in a log line, in characters. */
+const maximumErrorLength = 2000;
 
 /** Creates HTTP servers, and reports the connections that they close. */
 export class ProcessListeners {
@@ -52,6 +55,7 @@
             clock: this.clock,
             limits: findConnectionLimits(this.resources, kind),
             onEnd: (...end) => this.report(...end),
+            onDefect: (listener, error) => this.reportDefect(listener, error),
         });
         const { listener } = options;
         this.metrics.addGauge(`${listener}_connections`, "Open connections", () => server.openConnections);
@@ -63,6 +67,14 @@
         return server;
     }
 
+    private reportDefect(listener: string, error: unknown): void {
+        const description = error instanceof Error ? error.stack ?? error.message : String(error);
+        this.log.write("warn", "request failed because of an error; report it with this line", {
+            listener,
+            error: description.slice(0, maximumErrorLength),
+        });
+    }
+
     /**
      * Reports a connection that was closed or refused.
      *
