fix(entry): a job is cancelled although its route was removed

The route of a DELETE was looked up in the configuration in force before the job. Ruled out: remembering the path with each job, which leaves a repeated DELETE at 404 once the job has ended.

--- a/packages/lovagepitch-direct/src/entry/configurationRelay.ts
+++ b/packages/lovagepitch-direct/src/entry/configurationRelay.ts
@@ -26,6 +26,7 @@
     if (configuration === undefined || configuration.version <= (state.configuration?.version ?? 0)) {
         return;
     }
+    state.formerRoutes.replace(state.configuration?.routes ?? [], configuration.routes);
     state.configuration = configuration;
     state.newerConfigurationSince = undefined;
     state.isPlacementDue = true;
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -48,6 +48,9 @@
 /** Longest time between ticks without jobs, in milliseconds; heartbeats are rarer, and nothing waits for a worker. */
 const idleTickIntervalMilliseconds = idleHeartbeatIntervalMilliseconds / 2;
 
+/** What a cancellation was about: an open job, none that is open, or a path that no route has ever had. */
+export type CancellationOutcome = "cancelled" | "unknown-job" | "unknown-route";
+
 /** Core of an entry: turns inputs into answers, frames and log lines, without input or output of its own. */
 export class EntryCore extends Core<EntryInput, EntryOutput> {
     private readonly state: EntryState;
@@ -125,6 +128,26 @@
         return this.state.configuration === undefined ? undefined : findRoute(this.state.configuration, host, path);
     }
 
+    /**
+     * Cancels in the next tick the job that a path names: one of the route in force or, when that has no such open job, of a former one.
+     *
+     * @param host - host name of the request in lower case, without a port
+     * @param path - path of the request, without a query: prefix of the route and id of the job
+     * @returns whether such a job is open, or a route for it was ever known
+     */
+    public cancel(host: string, path: string): CancellationOutcome {
+        const current = this.findRoute(host, path);
+        const routes = [...current === undefined ? [] : [current], ...this.state.formerRoutes.list(host, path)];
+        const jobs = routes.map(({ name, pathPrefix }) => ({ id: path.slice(pathPrefix.length), route: name }));
+        const open = jobs.find(({ id, route }) => this.describeJob(id, route) !== undefined);
+        const job = open ?? jobs[0];
+        if (job === undefined) {
+            return "unknown-route";
+        }
+        this.accept({ kind: "cancelled", job: job.id, route: job.route });
+        return open === undefined ? "unknown-job" : "cancelled";
+    }
+
     /**
      * Describes the progress of an open job.
      *
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -30,6 +30,7 @@
 import type { WorkerHealth } from "../policies/workerHealth.js";
 import { WorkerSpeeds } from "../policies/workerSpeeds.js";
 import type { EntryOutput } from "./entryPorts.js";
+import { FormerRoutes } from "./formerRoutes.js";
 import type { HeldJob } from "./heldJobs.js";
 import type { Inquiry } from "./jobInquiries.js";
 
@@ -174,6 +175,7 @@
     /** State of the link according to the latest log line about it. */
     public isLinkReportedShort = false;
     public linkReportedAt = Number.NEGATIVE_INFINITY;
+    public readonly formerRoutes = new FormerRoutes();
     /** Instant at which an agent first named a newer configuration than the one in force. */
     public newerConfigurationSince: number | undefined;
     public configurationRequestedAt = Number.NEGATIVE_INFINITY;
--- a/packages/lovagepitch-direct/src/model/dispatchConfiguration.ts
+++ b/packages/lovagepitch-direct/src/model/dispatchConfiguration.ts
@@ -33,6 +33,18 @@
     readonly callerLimits: CallerLimits;
 }
 
+/**
+ * Tells whether a request matches a route.
+ *
+ * @param route - the route
+ * @param host - host name of the request in lower case, without a port
+ * @param path - path of the request, without a query
+ * @returns true when the host is that of the route and the path begins with its prefix
+ */
+export function matchesRoute(route: Route, host: string, path: string): boolean {
+    return route.host === host && path.startsWith(route.pathPrefix);
+}
+
 /**
  * Finds the route of a request.
  *
@@ -44,8 +56,10 @@
 export function findRoute(configuration: DispatchConfiguration, host: string, path: string): Route | undefined {
     let found: Route | undefined;
     for (const route of configuration.routes) {
-        const isMatch = route.host === host && path.startsWith(route.pathPrefix);
-        if (isMatch && (found === undefined || route.pathPrefix.length > found.pathPrefix.length)) {
+        if (
+            matchesRoute(route, host, path)
+            && (found === undefined || route.pathPrefix.length > found.pathPrefix.length)
+        ) {
             found = route;
         }
     }
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -11,7 +11,7 @@
     type ListenerKind,
     type ProcessResources,
 } from "../connections/connectionLimits.js";
-import { EntryCore } from "../entry/entryCore.js";
+import { type CancellationOutcome, EntryCore } from "../entry/entryCore.js";
 import type { EntryInput, EntryOutput } from "../entry/entryPorts.js";
 import type { EntryIdentity } from "../entry/entryState.js";
 import { AgentListener, type AgentListenerEvents } from "../links/agentListener.js";
@@ -180,16 +180,16 @@
     }
 
     /**
-     * Cancels a job.
+     * Cancels the job that a path names, also when its route was removed after it was submitted.
      *
-     * @param id - id of the job
-     * @param route - name of the job's route
-     * @returns false when no job of that id and route is open at this entry
+     * @param host - host name of the request in lower case, without a port
+     * @param path - path of the request, without a query
+     * @returns whether such a job was open at this entry, or a route for it was ever known
      */
-    public cancel(id: string, route: string): boolean {
-        const isKnown = this.core.describeJob(id, route) !== undefined;
-        this.loop.accept({ kind: "cancelled", job: id, route });
-        return isKnown;
+    public cancel(host: string, path: string): CancellationOutcome {
+        const outcome = this.core.cancel(host, path);
+        this.loop.schedule();
+        return outcome;
     }
 
     /**
