fix(direct): connections share the time of a turn, so that a crowd of small chunks leaves turns to others

Each connection had 4 kB parsed in each turn of the event loop, whatever they cost, so that a turn took seconds; an ordinary request needs several. Requests that have cost little go first; one costly one has its turn in each. Slices are smaller while connections wait. A job that had to wait counts as sent when it began to wait.

--- /dev/null
+++ b/packages/lovagepitch-direct/src/__tests__/readingTurns.steps.ts
@@ -0,0 +1,105 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { ReadingTurns, type WaitingConnection } from "../connections/readingTurns.js";
+
+/** Time that a costly request has taken, in milliseconds. */
+const costlyMilliseconds = 1000;
+
+let turns = new ReadingTurns();
+let currentTurn = 0;
+/** Turns of the event loop in which each connection had its turn, in the order in which they were added. */
+let served: (number | undefined)[] = [];
+let costlyCount = 0;
+
+function addConnections(count: number, spentMilliseconds: number, turnMilliseconds: number): void {
+    for (let index = 0; index < count; index += 1) {
+        const position = served.push(undefined) - 1;
+        const connection: WaitingConnection = {
+            spentMilliseconds,
+            takeTurn: () => {
+                served[position] = currentTurn;
+                turns.recordSpent(turnMilliseconds);
+            },
+        };
+        turns.enqueue(connection);
+    }
+}
+
+async function pass(count: number): Promise<void> {
+    for (let turn = 0; turn < count; turn += 1) {
+        currentTurn += 1;
+        await nextTurn();
+    }
+}
+
+function begin(): void {
+    turns = new ReadingTurns();
+    currentTurn = 0;
+    served = [];
+}
+
+Given(
+    "{int} connections that wait, each of whose turns takes {int} ms",
+    (count: number, milliseconds: number) => {
+        if (costlyCount === 0) {
+            begin();
+        }
+        addConnections(count, 0, milliseconds);
+    },
+);
+
+Given(
+    "a connection is accepted, and {int} connections wait, each of whose turns takes {int} ms",
+    (count: number, milliseconds: number) => {
+        begin();
+        turns.recordAccepted();
+        addConnections(count, 0, milliseconds);
+    },
+);
+
+Given(
+    "{int} connections with costly requests that wait, each of whose turns takes {int} ms",
+    (count: number, milliseconds: number) => {
+        begin();
+        costlyCount = count;
+        addConnections(count, costlyMilliseconds, milliseconds);
+    },
+);
+
+When("a connection with a new request waits, too", () => addConnections(1, 0, 1));
+
+Then(
+    "connections {int} to {int} have their turn in turn {int} of the event loop",
+    async (first: number, last: number, turn: number) => {
+        await pass(turn - currentTurn);
+        assert.deepEqual(new Set(served.slice(first - 1, last)), new Set([turn]));
+    },
+);
+
+Then("that connection has its turn in the next turn of the event loop", async () => {
+    await pass(1);
+    assert.equal(served.at(-1), 1);
+    costlyCount = 0;
+});
+
+Then(
+    "each of the connections with costly requests has had its turn after {int} turns of the event loop",
+    async (count: number) => {
+        await pass(count);
+        assert.deepEqual(served.slice(0, costlyCount), [1, 2, 3]);
+        costlyCount = 0;
+    },
+);
+
+Given("a turn of the event loop in which {int} ms were spent", (milliseconds: number) => {
+    begin();
+    turns.recordSpent(milliseconds);
+});
+
+Then("received bytes have to wait", () => assert.equal(turns.isUsedUp, true));
+
+Then("they have not in the next turn of the event loop", async () => {
+    await pass(1);
+    assert.equal(turns.isUsedUp, false);
+});
--- a/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
+++ b/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
@@ -8,6 +8,7 @@
 import { type ClosingReason, ConnectionBudget } from "./connectionBudget.js";
 import type { ConnectionLimits } from "./connectionLimits.js";
 import { MeteredConnection } from "./meteredConnection.js";
+import type { ReadingTurns } from "./readingTurns.js";
 
 /** Part of the timeout for headers after which connections are checked again. */
 const checkIntervalPart = 1 / 6;
@@ -56,6 +57,8 @@
     readonly listener: string;
     readonly clock: Clock;
     readonly limits: ConnectionLimits;
+    /** Shared by all servers of the process. */
+    readonly turns: ReadingTurns;
     /** Largest number of open requests at which a connection is read on. */
     readonly maximumOpenRequests: number;
     /** Returns the limits in force. */
@@ -161,6 +164,7 @@
             maximumOpenRequests: this.options.maximumOpenRequests,
             maximumParsedHeaderBytes,
             nowMilliseconds: () => this.options.clock.nowMilliseconds(),
+            turns: this.options.turns,
             onHeldChanged: difference => {
                 this.budget.change(connection, difference);
                 this.checkHeaders(connection);
@@ -169,6 +173,7 @@
         if (!this.budget.add(connection)) {
             return;
         }
+        this.options.turns.recordAccepted();
         connection.once("close", () => this.budget.remove(connection));
         // Node.js tells clients this time and leaves the closing of such connections to `check`.
         this.http.keepAliveTimeout = this.options.getRequestLimits().idleTimeoutMilliseconds;
--- a/packages/lovagepitch-direct/src/connections/meteredConnection.ts
+++ b/packages/lovagepitch-direct/src/connections/meteredConnection.ts
@@ -1,14 +1,19 @@
 /**
  * TCP connection of an HTTP client, as a stream that an HTTP server reads. It counts the memory that the connection holds, passes
- * received bytes on in slices, one in each turn of the event loop, and reads no further while too many of its requests are open.
+ * received bytes on in slices, one in each turn of the event loop at most, and reads no further while too many of its requests are open.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import type { BudgetedConnection } from "./connectionBudget.js";
+import type { ReadingTurns, WaitingConnection } from "./readingTurns.js";
 
-/** Largest number of bytes that are parsed in one turn of the event loop. */
+/**
+ * Largest number of bytes that are parsed in one turn of the event loop, and while connections wait for their turn. What a slice costs is
+ * known only afterwards.
+ */
 const sliceBytes = 4096;
+const contendedSliceBytes = 1024;
 
 /** Memory of a connection without requests, in bytes. */
 const idleConnectionBytes = 12 * 1024;
@@ -39,6 +44,8 @@
     /** Largest size of headers or trailers that the parser reads, in bytes. */
     readonly maximumParsedHeaderBytes: number;
     readonly nowMilliseconds: () => number;
+    /** Shared by all connections of the process. */
+    readonly turns: ReadingTurns;
     /** Called with each change of the held memory, in bytes; not after the connection was closed. */
     readonly onHeldChanged: (difference: number) => void;
 }
@@ -50,8 +57,12 @@
 }
 
 /** Connection of an HTTP client. */
-export class MeteredConnection extends Duplex implements BudgetedConnection {
+export class MeteredConnection extends Duplex implements BudgetedConnection, WaitingConnection {
     public finishedRequests = 0;
+    /** {@inheritDoc WaitingConnection.spentMilliseconds} */
+    public spentMilliseconds = 0;
+    /** Time since which the bytes that are parsed next wait for their turn, in monotonic milliseconds; undefined when they don't. */
+    public deferredSince: number | undefined;
     public waitingSince: number;
     /** Monotonic time at which the headers of the latest request were complete, in milliseconds. */
     public latestRequestAt = 0;
@@ -113,6 +124,11 @@
         return this.refusal !== undefined;
     }
 
+    /** True while received bytes wait until they are parsed in a later turn of the event loop. */
+    public get isWaitingForTurn(): boolean {
+        return this.isTurnScheduled && !this.destroyed;
+    }
+
     /** Number of requests whose responses are not complete. */
     public get openRequestCount(): number {
         return this.openRequests.size;
@@ -138,6 +154,12 @@
         return this.firstByteAt;
     }
 
+    /** {@inheritDoc WaitingConnection.takeTurn} */
+    public readonly takeTurn = (): void => {
+        this.isTurnScheduled = false;
+        this.deliver();
+    };
+
     /** {@inheritDoc BudgetedConnection.close} */
     public readonly close = (): void => {
         this.destroy();
@@ -228,6 +250,13 @@
         }
         this.received.push(bytes);
         this.receivedBytes += bytes.length;
+        if (this.options.turns.isUsedUp) {
+            this.socket.pause();
+            this.deferredSince ??= this.options.nowMilliseconds();
+            this.waitForTurn();
+            this.updateHeldBytes();
+            return;
+        }
         this.deliver();
     }
 
@@ -268,12 +297,13 @@
             }
             return;
         }
-        const slice = first.length <= sliceBytes ? first : first.subarray(0, sliceBytes);
+        const maximumBytes = this.options.turns.isContended ? contendedSliceBytes : sliceBytes;
+        const slice = first.length <= maximumBytes ? first : first.subarray(0, maximumBytes);
         if (slice === first) {
             this.received.shift();
         }
         else {
-            this.received[0] = first.subarray(sliceBytes);
+            this.received[0] = first.subarray(maximumBytes);
         }
         this.receivedBytes -= slice.length;
         this.unattributedBytes += slice.length;
@@ -282,13 +312,21 @@
             this.firstByteAt ??= this.options.nowMilliseconds();
         }
         this.isParserReading = false;
+        const startedAt = this.options.nowMilliseconds();
         this.isParserReading = this.push(slice) || this.isParserReading;
+        const milliseconds = this.options.nowMilliseconds() - startedAt;
+        this.spentMilliseconds += milliseconds;
+        this.options.turns.recordSpent(milliseconds);
+        this.deferredSince = undefined;
         if (this.received.length > 0 || this.hasEnded) {
+            this.waitForTurn();
+        }
+    }
+
+    private waitForTurn(): void {
+        if (!this.isTurnScheduled) {
             this.isTurnScheduled = true;
-            setImmediate(() => {
-                this.isTurnScheduled = false;
-                this.deliver();
-            });
+            this.options.turns.enqueue(this);
         }
     }
 
@@ -300,6 +338,7 @@
         this.openRequests.delete(response);
         this.requestBytes -= finished.heldBytes;
         this.finishedRequests += 1;
+        this.spentMilliseconds = 0;
         this.waitingSince = this.options.nowMilliseconds();
         this.sendRefusal();
         this.deliver();
--- a/packages/lovagepitch-direct/src/process/processListeners.ts
+++ b/packages/lovagepitch-direct/src/process/processListeners.ts
@@ -8,6 +8,7 @@
     type ConnectionEnd,
 } from "../connections/boundedHttpServer.js";
 import { findConnectionLimits, type ListenerKind, type ProcessResources } from "../connections/connectionLimits.js";
+import { ReadingTurns } from "../connections/readingTurns.js";
 import type { DirectMetrics } from "./directMetrics.js";
 import type { RateLimitedLog } from "./rateLimitedLog.js";
 
@@ -22,13 +23,15 @@
 };
 
 /** What differs between the HTTP servers of a process. */
-export type ListenerOptions = Omit<BoundedHttpServerOptions, "clock" | "limits" | "onEnd" | "onDefect">;
+export type ListenerOptions = Omit<BoundedHttpServerOptions, "clock" | "limits" | "turns" | "onEnd" | "onDefect">;
 
 /** Longest description of an error in a log line, in characters. */
 const maximumErrorLength = 2000;
 
 /** Creates HTTP servers, and reports the connections that they close. */
 export class ProcessListeners {
+    private readonly turns = new ReadingTurns();
+
     /**
      * @param clock - monotonic clock
      * @param log - log of the process
@@ -54,6 +57,7 @@
             ...options,
             clock: this.clock,
             limits: findConnectionLimits(this.resources, kind),
+            turns: this.turns,
             onEnd: (...end) => this.report(...end),
             onDefect: (listener, error) => this.reportDefect(listener, error),
         });
