--- a/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
+++ b/packages/lovagepitch-direct/src/connections/boundedHttpServer.ts
@@ -22,7 +22,8 @@
 /** Longest time from the headers of a request to the end of its body, in milliseconds. */
 const bodyTimeoutMilliseconds = 300_000;
 
-const statusDefect = 500;
+/** Status of a response to a request whose processing has thrown an error. */
+const statusInternalServerError = 500;
 
 const headersTooLarge =
     "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -117,11 +118,11 @@
      * process with all others.
      *
      * @param response - response to the request, which gets status 500 after an error unless it has begun
-     * @param process - processes the part; it must not leave a state half changed that other requests use
+     * @param handle - processes the part; it must not leave a state half changed that other requests use
      */
-    public processSafely(response: ServerResponse, process: () => void): void {
+    public processSafely(response: ServerResponse, handle: () => void): void {
         try {
-            process();
+            handle();
         }
         catch (error) {
             this.options.onDefect(this.options.listener, error);
@@ -129,7 +130,7 @@
                 response.destroy();
             }
             else {
-                response.writeHead(statusDefect, { "content-length": 0 }).end();
+                response.writeHead(statusInternalServerError, { "content-length": 0 }).end();
             }
         }
     }
--- a/packages/lovagepitch-direct/src/connections/readingTurns.ts
+++ b/packages/lovagepitch-direct/src/connections/readingTurns.ts
@@ -1,6 +1,6 @@
 /**
- * Division of the processor's time among the connections whose bytes are parsed. Bytes in very small parts cost a hundred times the
- * time of others; without a limit, the connections of a crowd together take each turn of the event loop for seconds.
+ * Division of the processor's time among the connections whose bytes are parsed. Bytes in very small chunks cost much more than others;
+ * without a limit, many connections that send them take each turn of the event loop for seconds.
  */
 
 /**
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -136,16 +136,18 @@
      * @returns whether such a job is open, or a route for it was ever known
      */
     public cancel(host: string, path: string): CancellationOutcome {
+        const isOpen = ({ name, pathPrefix }: Route): boolean => {
+            return this.describeJob(path.slice(pathPrefix.length), name) !== undefined;
+        };
         const current = this.findRoute(host, path);
-        const routes = [...current === undefined ? [] : [current], ...this.state.formerRoutes.list(host, path)];
-        const jobs = routes.map(({ name, pathPrefix }) => ({ id: path.slice(pathPrefix.length), route: name }));
-        const open = jobs.find(({ id, route }) => this.describeJob(id, route) !== undefined);
-        const job = open ?? jobs[0];
-        if (job === undefined) {
+        const former = current !== undefined && isOpen(current) ? [] : this.state.formerRoutes.list(host, path);
+        const route = former.find(isOpen) ?? current ?? former[0];
+        if (route === undefined) {
             return "unknown-route";
         }
-        this.accept({ kind: "cancelled", job: job.id, route: job.route });
-        return open === undefined ? "unknown-job" : "cancelled";
+        const outcome = isOpen(route) ? "cancelled" : "unknown-job";
+        this.accept({ kind: "cancelled", job: path.slice(route.pathPrefix.length), route: route.name });
+        return outcome;
     }
 
     /**
