fix(direct): new requests of a burst are parsed in one turn again

By reading: after each accepted connection only 1 ms of new requests was parsed in a turn, so that a burst took more turns and ticks. That this is the cause was not shown before the change. Change: 5 and 1 ms hold for requests that have begun; new ones, of which a crowd adds one in each turn, may take 20 ms together.

--- a/packages/lovagepitch-direct/src/__tests__/readingTurns.feature
+++ b/packages/lovagepitch-direct/src/__tests__/readingTurns.feature
@@ -1,5 +1,11 @@
 Feature: Turns of the connections whose bytes are parsed
 
+    Scenario: New requests are parsed together, and the others follow in their order
+        Given 25 connections with new requests that wait, each of whose turns takes 2 ms
+        Then connections 1 to 10 have their turn in turn 1 of the event loop
+        And connections 11 to 20 have their turn in turn 2 of the event loop
+        And connections 21 to 25 have their turn in turn 3 of the event loop
+
     Scenario: A turn ends when its time is used up, and the others follow in their order
         Given 10 connections that wait, each of whose turns takes 2 ms
         Then connections 1 to 3 have their turn in turn 1 of the event loop
@@ -25,5 +31,5 @@
 
     Scenario: Received bytes wait while the time of a turn is used up
         Given a turn of the event loop in which 6 ms were spent
-        Then received bytes have to wait
-        But they have not in the next turn of the event loop
+        Then received bytes of a request that has begun have to wait
+        But those of a new request have not, and none have in the next turn of the event loop
--- a/packages/lovagepitch-direct/src/connections/meteredConnection.ts
+++ b/packages/lovagepitch-direct/src/connections/meteredConnection.ts
@@ -250,7 +250,7 @@
         }
         this.received.push(bytes);
         this.receivedBytes += bytes.length;
-        if (this.options.turns.isUsedUp) {
+        if (this.options.turns.isUsedUp(this)) {
             this.socket.pause();
             this.deferredSince ??= this.options.nowMilliseconds();
             this.waitForTurn();
--- a/packages/lovagepitch-direct/src/connections/readingTurns.ts
+++ b/packages/lovagepitch-direct/src/connections/readingTurns.ts
@@ -4,16 +4,19 @@
  */
 
 /**
- * Time in one turn of the event loop after which further connections wait for the next one, in milliseconds; the shorter one after a turn in
- * which a connection was accepted. Node.js accepts one in each turn, and more may wait.
+ * Time in one turn of the event loop after which connections wait for the next one that have begun a request, in milliseconds; the shorter
+ * one after a turn in which a connection was accepted. Node.js accepts one in each turn, and more may wait.
  */
 const turnMilliseconds = 5;
 const acceptingTurnMilliseconds = 1;
 
 /**
- * Times for the bytes of one request above which its connection lets those below go first, in milliseconds. Most requests are parsed in one
- * turn, and have taken none before.
+ * The same time for connections with a new request, in milliseconds. Most requests are parsed in one turn, and those of a burst cost less when
+ * they are processed together.
  */
+const newRequestTurnMilliseconds = 20;
+
+/** Times for the bytes of one request above which its connection lets those below go first, in milliseconds. */
 const levelMilliseconds: readonly number[] = [0, 2];
 
 /** A connection that has bytes to be parsed. */
@@ -34,9 +37,14 @@
     private hasLeftOut = false;
     private isScheduled = false;
 
-    /** True when the time of this turn of the event loop is used up, so that received bytes have to wait. */
-    public get isUsedUp(): boolean {
-        return this.spentInTurn >= this.turnLimit;
+    /**
+     * Tells whether received bytes have to wait because the time of this turn of the event loop is used up.
+     *
+     * @param connection - connection that has received them
+     * @returns true when they are to be parsed in a later turn
+     */
+    public isUsedUp({ spentMilliseconds }: WaitingConnection): boolean {
+        return this.spentInTurn >= (spentMilliseconds === 0 ? newRequestTurnMilliseconds : this.turnLimit);
     }
 
     /** True when connections wait because the time of the latest turn did not suffice for all. */
@@ -94,7 +102,7 @@
 
     private process(connections: readonly WaitingConnection[]): void {
         for (const connection of connections) {
-            if (this.isUsedUp) {
+            if (this.isUsedUp(connection)) {
                 this.hasLeftOut = true;
                 return;
             }
