--- a/packages/lovagepitch-agent/src/http/backendServerAnnouncement.ts
+++ b/packages/lovagepitch-agent/src/http/backendServerAnnouncement.ts
@@ -25,7 +25,7 @@
  * Validates an announcement.
  *
  * @param body - parsed JSON body of the request
- * @returns the announcement, or an error that names the invalid fields
+ * @returns the announcement, or an error that names the first invalid field
  */
 export function parseAnnouncement(body: unknown): Result<BackendServerAnnouncement, Error> {
     return validateValue(announcementSchema, body).mapErr(issue => new Error(describeFault(issue)));
--- a/packages/lovagepitch-platform/src/platformConnection.ts
+++ b/packages/lovagepitch-platform/src/platformConnection.ts
@@ -193,7 +193,7 @@
  *
  * @param response - response of the platform
  * @param schema - validates the content
- * @returns the validated content, or the error that lists the violations
+ * @returns the validated content, or the error that names the first violation
  */
 export function parseResponse<Content>(
     response: PlatformResponse,
