--- a/packages/lovagepitch-direct/src/links/agentListener.ts
+++ b/packages/lovagepitch-direct/src/links/agentListener.ts
@@ -11,6 +11,7 @@
 import { EntryFrameFormat } from "./entryFrameFormat.js";
 import { isAgentFrame } from "./frameGuards.js";
 import { FrameStream, type StreamEnd } from "./frameStream.js";
+import { FrameTotals } from "./frameTotals.js";
 import { listenAt } from "./listenAt.js";
 
 /** Callbacks of the listener. */
@@ -24,6 +25,8 @@
 /** Accepts connections from agents and exchanges frames on them. */
 export class AgentListener {
     private readonly server: Server;
+    /** Frames and bytes of all connections. */
+    public readonly totals = new FrameTotals();
     private readonly streams = new Map<number, FrameStream<AgentFrame, EntryFrame>>();
     private readonly budget: ConnectionBudget<AgentConnection>;
     private nextConnection = 1;
@@ -95,7 +98,7 @@
                 this.streams.delete(connection);
                 this.events.onDisconnected(connection, end);
             },
-        });
+        }, this.totals);
         const budgeted: AgentConnection = new AgentConnection(stream, this.clock, difference => {
             this.budget.change(budgeted, difference);
         });
--- a/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
+++ b/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
@@ -14,6 +14,8 @@
 /** Sends and receives requests for capacity and messages about open jobs. */
 export class CapacityDatagrams {
     private readonly socket: Socket = createSocket("udp4");
+    private sent = 0;
+    private received = 0;
 
     /**
      * @param onRequest - called with each received request
@@ -28,6 +30,16 @@
         this.socket.on("message", data => this.receive(data));
     }
 
+    /** Number of datagrams that were sent. */
+    public get sentCount(): number {
+        return this.sent;
+    }
+
+    /** Number of datagrams that have arrived. */
+    public get receivedCount(): number {
+        return this.received;
+    }
+
     /**
      * Starts receiving.
      *
@@ -48,6 +60,7 @@
      * @param request - request or message to send
      */
     public send(address: string, request: CapacityRequest | OwnershipMessage): void {
+        this.sent += 1;
         const { host, port } = splitAddress(address);
         this.socket.send(JSON.stringify(request), port, host, error => {
             if (error !== null) {
@@ -62,6 +75,7 @@
     }
 
     private receive(data: Buffer): void {
+        this.received += 1;
         const value = parseUntrustedJson(data);
         if (isCapacityRequest(value)) {
             this.onRequest(value);
--- a/packages/lovagepitch-direct/src/links/entryConnections.ts
+++ b/packages/lovagepitch-direct/src/links/entryConnections.ts
@@ -7,6 +7,7 @@
 import { EntryFrameFormat } from "./entryFrameFormat.js";
 import { isEntryFrame } from "./frameGuards.js";
 import { FrameStream, type StreamEnd } from "./frameStream.js";
+import { FrameTotals } from "./frameTotals.js";
 import { splitAddress } from "./listenAt.js";
 
 /** Callbacks of the connections. */
@@ -18,6 +19,8 @@
 
 /** Maintains at most one connection to each entry. */
 export class EntryConnections {
+    /** Frames and bytes of all connections. */
+    public readonly totals = new FrameTotals();
     private readonly streams = new Map<string, FrameStream<EntryFrame, AgentFrame>>();
 
     /**
@@ -44,7 +47,7 @@
                     this.events.onDisconnected(address, end);
                 }
             },
-        });
+        }, this.totals);
         this.streams.set(address, stream);
         socket.once("connect", () => {
             if (this.streams.get(address) === stream) {
--- a/packages/lovagepitch-direct/src/process/directAgent.ts
+++ b/packages/lovagepitch-direct/src/process/directAgent.ts
@@ -17,6 +17,7 @@
 import { RateLimitedLog } from "./rateLimitedLog.js";
 import { UnreadableFrames } from "./unreadableFrames.js";
 import type { WorkerOrders } from "./workerOrders.js";
+import { addWorkTotals } from "./workTotals.js";
 
 /** Options of an agent. */
 export interface DirectAgentOptions {
@@ -69,6 +70,7 @@
                 this.loop.accept({ kind: "disconnected", address, wasRefused: end.wasRefused });
             },
         });
+        addWorkTotals(this.metrics, { frames: this.connections.totals, countTicks: () => this.loop.ticks });
     }
 
     /** Starts the tick loop. */
@@ -125,6 +127,15 @@
         this.loop.accept({ kind: "shut-down" });
     }
 
+    /**
+     * Adds the numbers of calls to the metrics.
+     *
+     * @param calls - functions that return the number of calls since the start, by called part of the platform
+     */
+    public addCallTotals(calls: Readonly<Record<string, () => number>>): void {
+        this.metrics.addTotals("calls_total", "Calls that the process has made", "callee", calls);
+    }
+
     /**
      * Serves the metrics of the process.
      *
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -22,10 +22,12 @@
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
 import { createEntryPolicies, type EntryPolicySettings } from "../policies/entryPolicies.js";
 import { DirectMetrics, evacuatedZonesHelp } from "./directMetrics.js";
+import { addLinkGauges } from "./linkGauges.js";
 import { type ListenerOptions, ProcessListeners } from "./processListeners.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
 import { StopDelays } from "./stopDelays.js";
 import { UnreadableFrames } from "./unreadableFrames.js";
+import { addWorkTotals } from "./workTotals.js";
 
 /** Options of an entry. */
 export interface DirectEntryOptions {
@@ -91,6 +93,11 @@
             message => this.loop.accept({ kind: "ownership", message }),
         );
         this.listener = this.createAgentListener();
+        addWorkTotals(this.metrics, { frames: this.listener.totals, countTicks: () => this.loop.ticks });
+        this.metrics.addTotals("datagrams_total", "Datagrams between entries", "direction", {
+            sent: () => this.datagrams.sentCount,
+            received: () => this.datagrams.receivedCount,
+        });
     }
 
     /** The configuration in force. */
@@ -267,6 +274,15 @@
         this.datagrams.close();
     }
 
+    /**
+     * Adds the numbers of calls to the metrics.
+     *
+     * @param calls - functions that return the number of calls since the start, by called part of the platform
+     */
+    public addCallTotals(calls: Readonly<Record<string, () => number>>): void {
+        this.metrics.addTotals("calls_total", "Calls that the process has made", "callee", calls);
+    }
+
     /**
      * Serves the metrics of the process.
      *
@@ -324,25 +340,7 @@
         this.metrics.addGauge("configuration_version", "Version in force, 0 without one", () => {
             return this.core.configuration?.version ?? 0;
         });
-        this.metrics.addGauge("link_unsent_bytes", "Bytes to agents that the operating system has not taken", () => {
-            return this.listener.countUnsentBytes();
-        });
-        this.metrics.addGauge("link_in_flight_bytes", "Bytes of start orders that agents do not reflect yet", () => {
-            return this.core.link.inFlightBytes;
-        });
-        this.metrics.addGauge("link_bound_bytes", "Bound on the bytes of start orders in flight", () => {
-            return this.core.link.windowBytes;
-        });
-        this.metrics.addGauge("link_delay_seconds", "Delay of frames to agents by frames before them", () => {
-            return this.core.link.delayMilliseconds / 1000;
-        });
-        this.metrics.addGauge(
-            "link_oldest_seconds",
-            "Age of the oldest frame that its agent does not reflect yet",
-            () => {
-                return this.core.link.oldestMilliseconds / 1000;
-            },
-        );
+        addLinkGauges(this.metrics, () => this.core.link, () => this.listener.countUnsentBytes());
         this.metrics.addGauge("evacuated_zones", evacuatedZonesHelp, () => this.core.evacuations.zones.length);
         this.metrics.addGauge(
             "confined_kinds",
--- a/packages/lovagepitch-direct/src/process/directMetrics.ts
+++ b/packages/lovagepitch-direct/src/process/directMetrics.ts
@@ -123,6 +123,29 @@
         });
     }
 
+    /**
+     * Adds a counter whose totals are read when the metrics are scraped, so that counting takes no call of the library.
+     *
+     * @param name - metric name without the prefix
+     * @param help - help text of the metric
+     * @param label - label that tells the totals apart
+     * @param totals - functions that return a total since the start of the process, by value of the label
+     */
+    public addTotals(name: string, help: string, label: string, totals: Readonly<Record<string, () => number>>): void {
+        new Counter({
+            name: `lovagepitch_${name}`,
+            help,
+            labelNames: [label],
+            registers: [this.registry],
+            collect() {
+                this.reset();
+                for (const [value, read] of Object.entries(totals)) {
+                    this.inc({ [label]: value }, read());
+                }
+            },
+        });
+    }
+
     /**
      * Adds gauges of the room that each queue takes and is assured of, read when the metrics are scraped.
      *
--- a/packages/lovagepitch-utils/src/tickLoop.ts
+++ b/packages/lovagepitch-utils/src/tickLoop.ts
@@ -16,6 +16,7 @@
     /** Instant at which the next tick without an input is due; never before the timer fires. */
     private wakeAt = 0;
     private largestDelay = 0;
+    private tickCount = 0;
     private isStopped = false;
 
     /**
@@ -31,6 +32,11 @@
         private readonly observeTick: (durationMilliseconds: number) => void = () => undefined,
     ) {}
 
+    /** Number of ticks since the start. */
+    public get ticks(): number {
+        return this.tickCount;
+    }
+
     /**
      * Passes an input to the core; all inputs of one turn of the event loop are processed in one tick.
      *
@@ -71,6 +77,7 @@
     }
 
     private run(): void {
+        this.tickCount += 1;
         const startedAt = performance.now();
         const outputs = this.core.tick();
         this.observeTick(performance.now() - startedAt);
