perf(direct): a message to several entries is written once, and addresses are not looked up

Cause: while a job is open for long, its entry sends a datagram to every other entry ten times a second; each was turned into text again, and its numeric address went through the lookup of names. Change: the text of the latest message is kept, and the socket takes addresses as they are. The listener of the bound socket is added before it is bound, as binding is immediate now. Seen: the features of the direct package pass; not measured by itself.

--- a/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
+++ b/packages/lovagepitch-direct/src/links/capacityDatagrams.ts
@@ -11,9 +11,18 @@
 import { splitAddress } from "./listenAt.js";
 import { isOwnershipMessage } from "./ownershipGuards.js";
 
+const ipVersion = 4;
+
 /** Sends and receives requests for capacity and messages about open jobs. */
 export class CapacityDatagrams {
-    private readonly socket: Socket = createSocket("udp4");
+    private readonly socket: Socket = createSocket({
+        type: "udp4",
+        // All addresses are numeric; the default looks each one up.
+        // eslint-disable-next-line no-restricted-syntax -- the callback takes null
+        lookup: (hostname, _options, callback) => callback(null, hostname, ipVersion),
+    });
+    /** The latest message, which often goes to several entries, and its text. */
+    private latest: { readonly message: CapacityRequest | OwnershipMessage; readonly text: string } | undefined;
     private sent = 0;
     private received = 0;
 
@@ -48,8 +57,9 @@
      * @returns resolves when the port is bound; rejects when it cannot be bound
      */
     public async listen(host: string, port: number): Promise<void> {
+        const listening = once(this.socket, "listening");
         this.socket.bind(port, host);
-        await once(this.socket, "listening");
+        await listening;
         this.socket.on("error", error => this.onFailure(error.message));
     }
 
@@ -57,12 +67,15 @@
      * Sends a request or message.
      *
      * @param address - host and port of the other entry
-     * @param request - request or message to send
+     * @param message - request or message to send, which is not changed later
      */
-    public send(address: string, request: CapacityRequest | OwnershipMessage): void {
+    public send(address: string, message: CapacityRequest | OwnershipMessage): void {
         this.sent += 1;
         const { host, port } = splitAddress(address);
-        this.socket.send(JSON.stringify(request), port, host, error => {
+        if (this.latest?.message !== message) {
+            this.latest = { message, text: JSON.stringify(message) };
+        }
+        this.socket.send(this.latest.text, port, host, error => {
             if (error !== null) {
                 this.onFailure(error.message);
             }
