perf(agent): four partners instead of five

Cause: heartbeats and reports of free capacity go to every partner ten times a second, more than half of all frames of a loaded agent. Change: an agent connects to four entries, two of them in its zone. Up to four entries all are partners, as before. An unreachable one is replaced after 400 ms; the loss of two at a time leaves two until then, not three. With three, deployments of four entries would not be a full mesh any more.

--- a/packages/lovagepitch-direct/src/agent/knownEntries.ts
+++ b/packages/lovagepitch-direct/src/agent/knownEntries.ts
@@ -8,7 +8,7 @@
 import { hasUnconfirmedEnds } from "./runEnds.js";
 
 /** Numbers of entries that an agent connects to. */
-const partnerLimits: PartnerLimits = { ownZone: 3, total: 5 };
+const partnerLimits: PartnerLimits = { ownZone: 2, total: 4 };
 
 /** Largest number of entries that an agent connects to beside its partners. */
 const maximumTemporaryEntries = 8;
