fix(agent): heartbeats are not deferred while an entry waits for capacity

Cause: deferred heartbeats of entries that had asked for capacity before, although nothing was to wait then. That this is the cause is suspected, not shown. Change: while an entry waits, every frame causes a tick, as before. Seen: a row of inputUrgency.feature failed before and passes now; directJobs passes.

--- a/packages/lovagepitch-direct/src/__tests__/inputUrgency.feature
+++ b/packages/lovagepitch-direct/src/__tests__/inputUrgency.feature
@@ -16,6 +16,7 @@
             | a stop order                                   | urgent     |
             | a heartbeat of another process of the entry    | urgent     |
             | a heartbeat that asks for capacity             | urgent     |
+            | a second heartbeat that asks for capacity      | urgent     |
             | a heartbeat with a newer configuration         | urgent     |
             | a heartbeat with evacuated zones               | urgent     |
             | 16 heartbeats of its entry                     | urgent     |
--- a/packages/lovagepitch-direct/src/__tests__/inputUrgency.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/inputUrgency.steps.ts
@@ -72,6 +72,10 @@
     "a stop order": () => createHeartbeat({ stops: [{ job: runs[0] ?? "", task: 0, run: 1 }] }),
     "a heartbeat of another process of the entry": () => createHeartbeat({ entry: "entry-3" }),
     "a heartbeat that asks for capacity": () => createHeartbeat({ awaitsCapacity: true }),
+    "a second heartbeat that asks for capacity": () => {
+        tickAgent(createHeartbeat({ awaitsCapacity: true }));
+        return createHeartbeat({ awaitsCapacity: true });
+    },
     "a heartbeat with a newer configuration": () => {
         return createHeartbeat({ configuration: { version: 2, configuration: undefined } });
     },
--- a/packages/lovagepitch-direct/src/agent/inputUrgency.ts
+++ b/packages/lovagepitch-direct/src/agent/inputUrgency.ts
@@ -19,7 +19,7 @@
         case "start-answered":
             return input.outcome !== "accepted" || state.pendingStarts.size > 0 || isCapacityAwaited(state);
         case "frame":
-            return isUrgentFrame(state, input.address, input.frame);
+            return isUrgentFrame(state, input.address, input.frame) || isCapacityAwaited(state);
         default:
             return true;
     }
