--- a/packages/lovagepitch-direct/src/links/frameStream.ts
+++ b/packages/lovagepitch-direct/src/links/frameStream.ts
@@ -8,7 +8,7 @@
 import { createBinaryFrame, FrameBuffer, FrameBufferError, type ReceivedFrame } from "./frameBuffer.js";
 import { type FrameFormat, frameFormatVersion } from "./frameFormat.js";
 import { packFrame, unpackFrame } from "./framePacker.js";
-import type { FrameTotals } from "./frameTotals.js";
+import { FrameTotals } from "./frameTotals.js";
 import { hasTooManyPackedElements } from "./packedElements.js";
 
 /** Unsent bytes above which the connection is closed because the peer does not read. */
@@ -57,13 +57,13 @@
      * @param socket - TCP connection, which may still be opening
      * @param protocol - formats, and type guard for received frames
      * @param listener - callbacks for received frames and the end of the connection
-     * @param totals - counts the frames and bytes; undefined to count nothing
+     * @param totals - counts the frames and bytes
      */
     public constructor(
         private readonly socket: Socket,
         private readonly protocol: FrameProtocol<Incoming, Outgoing>,
         private readonly listener: FrameListener<Incoming>,
-        private readonly totals?: FrameTotals,
+        private readonly totals = new FrameTotals(),
     ) {
         socket.setNoDelay(true);
         socket.on("data", (bytes: Buffer) => this.receive(bytes));
@@ -95,7 +95,7 @@
         const bytes = this.sendsBinary
             ? createBinaryFrame(packFrame(this.protocol.outgoing.toWire(frame)))
             : Buffer.from(JSON.stringify({ ...frame, frameFormats: [frameFormatVersion] }) + "\n");
-        this.totals?.recordSent(bytes.length);
+        this.totals.recordSent(bytes.length);
         this.socket.write(bytes);
         if (this.socket.writableLength > maximumBufferedBytes) {
             this.close("the peer does not read");
@@ -116,9 +116,7 @@
         if (this.hasEnded) {
             return;
         }
-        if (this.totals !== undefined) {
-            this.totals.receivedBytes += bytes.length;
-        }
+        this.totals.recordRead(bytes.length);
         this.buffer.add(bytes);
         try {
             for (let frame = this.buffer.take(); frame !== undefined && !this.hasEnded; frame = this.buffer.take()) {
@@ -144,9 +142,7 @@
             return;
         }
         if (this.protocol.isFrame(value)) {
-            if (this.totals !== undefined) {
-                this.totals.receivedFrames += 1;
-            }
+            this.totals.recordReceived();
             this.listener.onFrame(value);
         }
         else {
