--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -234,7 +234,7 @@
         requestCapacity(state);
         forgetInvitations(state);
         reportLink(state);
-        // The frames must not be later than the announcements allow for, so what this tick has taken counts.
+        // In a tick that takes long, an announcement may have become due since it began; it has to go before the frames.
         state.readClock();
         // Before the frames, which an owner of jobs may send only while others hear of it.
         announceJobs(state);
