--- a/packages/lovagepitch-testing/src/direct/coreHost.ts
+++ b/packages/lovagepitch-testing/src/direct/coreHost.ts
@@ -2,6 +2,7 @@
  * Simulated process of an entry or agent of direct jobs.
  */
 import type { Core } from "@lovagepitch/utils/core";
+import type { BoundedProcessor } from "./boundedProcessor.js";
 
 /** The core of a simulated process and the state of that process. */
 export interface CoreHost<Input, Output> {
@@ -13,6 +14,8 @@
     isPartitioned: boolean;
     incarnation: number;
     isTickQueued: boolean;
+    /** Processor that its ticks take time of; undefined when they take none. */
+    processor?: BoundedProcessor | undefined;
 }
 
 /**
--- a/packages/lovagepitch-testing/src/direct/deploymentParts.ts
+++ b/packages/lovagepitch-testing/src/direct/deploymentParts.ts
@@ -3,9 +3,12 @@
  */
 import { AgentCore } from "@lovagepitch/direct/agent/agentCore";
 import { EntryCore } from "@lovagepitch/direct/entry/entryCore";
+import type { EntryInput, EntryOutput } from "@lovagepitch/direct/entry/entryPorts";
 import type { EntryLocation } from "@lovagepitch/direct/model/entryLocation";
-import type { Clock } from "@lovagepitch/utils/clock";
+import type { ManualClock } from "@lovagepitch/utils/clock";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
+import { BoundedProcessor } from "./boundedProcessor.js";
+import { type CoreHost, createCoreHost } from "./coreHost.js";
 import type { DirectDeploymentOptions } from "./directDeploymentOptions.js";
 import type { DirectRecord } from "./directRecord.js";
 import { FakeWorker } from "./fakeWorker.js";
@@ -22,10 +25,24 @@
      */
     public constructor(
         private readonly options: DirectDeploymentOptions,
-        private readonly clock: Clock,
+        private readonly clock: ManualClock,
         private readonly record: DirectRecord,
     ) {}
 
+    /**
+     * Creates the process of an entry.
+     *
+     * @param index - index of the entry
+     * @returns the process, with the processor that the options give it
+     */
+    public createEntryHost(index: number): CoreHost<EntryInput, EntryOutput> {
+        const host = createCoreHost(this.createEntryCore(index, 0));
+        const { entryMilliCores = [] } = this.options;
+        const milliCores = entryMilliCores[index % Math.max(1, entryMilliCores.length)];
+        host.processor = milliCores === undefined ? undefined : new BoundedProcessor(this.clock, milliCores);
+        return host;
+    }
+
     /**
      * Creates the core of an entry.
      *
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -18,6 +18,7 @@
 import { DirectRecord } from "./directRecord.js";
 import type { FakeWorker } from "./fakeWorker.js";
 import { getAt } from "./getAt.js";
+import { HostTicks } from "./hostTicks.js";
 import { LinkNetwork } from "./linkNetwork.js";
 import { WorkerFleet } from "./workerFleet.js";
 import { WorkerPort } from "./workerPort.js";
@@ -34,6 +35,9 @@
     private readonly entries: CoreHost<EntryInput, EntryOutput>[] = [];
     private readonly agents: CoreHost<AgentInput, AgentOutput>[] = [];
     private readonly workerPort: WorkerPort;
+    private readonly ticks = new HostTicks(this.clock, this.queue, (host, outputs) => {
+        this.performOutputs(host, outputs);
+    });
     public readonly linkNetwork = new LinkNetwork(this.clock, this.queue, this.entries, this.agents, (host, input) => {
         this.deliverInput(host, input);
     });
@@ -61,7 +65,7 @@
             this.deliverInput(host, input);
         });
         for (let index = 0; index < options.entries; index += 1) {
-            this.entries.push(createCoreHost(this.parts.createEntryCore(index, 0)));
+            this.entries.push(this.parts.createEntryHost(index));
         }
         const locations = this.entries.map((_, index) => this.parts.locateEntry(index));
         this.entries.forEach(host => this.deliverInput(host, { kind: "entries-found", entries: locations }));
@@ -228,6 +232,16 @@
         host.isFrozen = isFrozen;
     }
 
+    /**
+     * Changes the processor of an entry.
+     *
+     * @param entry - index of the entry
+     * @param milliCores - its speed from now on, in thousandths of a core
+     */
+    public setEntrySpeed(entry: number, milliCores: number): void {
+        this.getEntryHost(entry).processor?.setSpeed(milliCores);
+    }
+
     /**
      * Starts or ends a network partition around a process. While it lasts, attempts to open a connection get no
      * response; connections that were open when it started never carry data again.
@@ -297,33 +311,15 @@
         if (now % reportIntervalMilliseconds === 0) {
             this.agents.forEach((_, index) => this.fleet.sendReport(index));
         }
-        this.entries.forEach(host => this.scheduleTick(host));
-        this.agents.forEach(host => this.scheduleTick(host));
+        this.entries.forEach(host => this.ticks.schedule(host));
+        this.agents.forEach(host => this.ticks.schedule(host));
     }
 
     private deliverInput<Input, Output>(host: CoreHost<Input, Output>, input: Input): void {
-        if (host.isRunning) {
-            host.core.accept(input);
-            if (host.core.isUrgent(input)) {
-                this.scheduleTick(host);
-            }
-        }
-    }
-
-    private scheduleTick<Input, Output>(host: CoreHost<Input, Output>): void {
-        if (host.isTickQueued) {
-            return;
-        }
-        host.isTickQueued = true;
-        this.queue.schedule(this.clock.nowMilliseconds(), () => this.tick(host), undefined);
+        this.ticks.deliverInput(host, input);
     }
 
-    private tick<Input, Output>(host: CoreHost<Input, Output>): void {
-        host.isTickQueued = false;
-        if (!host.isRunning || host.isFrozen) {
-            return;
-        }
-        const outputs = host.core.tick();
+    private performOutputs<Input, Output>(host: CoreHost<Input, Output>, outputs: readonly Output[]): void {
         const entry = this.entries.indexOf(host as unknown as CoreHost<EntryInput, EntryOutput>);
         const agent = this.agents.indexOf(host as unknown as CoreHost<AgentInput, AgentOutput>);
         for (const output of outputs) {
--- a/packages/lovagepitch-testing/src/direct/directDeploymentOptions.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeploymentOptions.ts
@@ -14,6 +14,8 @@
     readonly zones?: number;
     /** Capacity of each worker, in thousandths of a core. */
     readonly milliCores: number;
+    /** Processor of each entry, in thousandths of a core, among which the entries take turns; ticks take no time by default. */
+    readonly entryMilliCores?: readonly number[];
     /** Kinds of workers, among which the workers take turns; one kind of normal size and speed by default. */
     readonly workerKinds?: readonly WorkerKind[];
     /** Creates the policies of an entry; those without further settings by default. */
