--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from "@lovagepitch/utils/randomSource";
 import { maximumDeferredInputs } from "../model/deferredInputs.js";
 import { type DispatchConfiguration, findRoute, type Route } from "../model/dispatchConfiguration.js";
+import { type ProcessorTime, UnmeasuredProcessorTime } from "../model/processorTime.js";
 import { receiveInputs } from "../model/receiveInputs.js";
 import { heartbeatIntervalMilliseconds, idleHeartbeatIntervalMilliseconds } from "../model/timing.js";
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
@@ -65,15 +66,17 @@
      * @param clock - monotonic clock
      * @param random - source of random bonuses in the choice of workers
      * @param policies - policies that the entry decides with
+     * @param processorTime - time for which the process has run
      */
     public constructor(
         identity: EntryIdentity,
         clock: Clock,
         random: RandomSource,
         policies: EntryPolicies = createEntryPolicies(),
+        processorTime: ProcessorTime = new UnmeasuredProcessorTime(),
     ) {
         super();
-        this.state = new EntryState(identity, clock, random, policies);
+        this.state = new EntryState(identity, clock, random, policies, processorTime);
     }
 
     /** The configuration in force. */
@@ -108,6 +111,11 @@
         return false;
     }
 
+    /** Share of the recent time for which the process had work, from 0 to 1. */
+    public get processorLoad(): number {
+        return this.state.processorLoad.share;
+    }
+
     /** Start orders in flight, their bound and their delay. */
     public get link(): LinkFigures {
         return this.state.linkBacklog.describe(this.state.now);
@@ -216,6 +224,7 @@
         const inputs = this.inputs;
         this.inputs = [];
         state.readClock();
+        state.processorLoad.update(state.now);
         detectPause(state);
         detectUnreadDatagrams(state, inputs);
         forgetEarlyCancellations(state);
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -8,6 +8,7 @@
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { RunIdentity, StartOrder } from "../model/frames.js";
+import type { ProcessorTime } from "../model/processorTime.js";
 import { type Resources, subtractResources } from "../model/resources.js";
 import type { WorkerStatus } from "../model/workerStatus.js";
 import { noEvacuations, type ZoneEvacuations } from "../model/zoneEvacuations.js";
@@ -22,6 +23,7 @@
 import type { LinkBacklog } from "../policies/linkBacklog.js";
 import { OrderedJobs } from "../policies/orderedJobs.js";
 import { PriorityRanks } from "../policies/priorityRanks.js";
+import { ProcessorLoad } from "../policies/processorLoad.js";
 import { ReadDelay } from "../policies/readDelay.js";
 import { ReportedCapacities } from "../policies/reportedCapacities.js";
 import { DrainRate } from "../policies/retryAfter.js";
@@ -155,6 +157,7 @@
     public hasHeardAgent = false;
     /** Instants of cancellations of jobs that were not open, by id of the job, while requests are read late. */
     public readonly earlyCancellations = new Map<string, number>();
+    public readonly processorLoad: ProcessorLoad;
     /** How long requests may have waited until the process has read them. */
     public readonly readDelay = new ReadDelay();
     /** Latest instant at which the next tick is due; undefined before the first one. */
@@ -221,13 +224,16 @@
      * @param clock - monotonic clock
      * @param random - source of random bonuses in the choice of workers
      * @param policies - policies that the entry decides with
+     * @param processorTime - time for which the process has run
      */
     public constructor(
         public readonly identity: EntryIdentity,
         public readonly clock: Clock,
         public readonly random: RandomSource,
         public readonly policies: EntryPolicies,
+        processorTime: ProcessorTime,
     ) {
+        this.processorLoad = new ProcessorLoad(processorTime);
         this.drainRate = new DrainRate(clock.nowMilliseconds());
     }
 
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -21,8 +21,9 @@
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
 import { createEntryPolicies, type EntryPolicySettings } from "../policies/entryPolicies.js";
-import { DirectMetrics, evacuatedZonesHelp } from "./directMetrics.js";
-import { addLinkGauges } from "./linkGauges.js";
+import { DirectMetrics } from "./directMetrics.js";
+import { addEntryGauges } from "./entryGauges.js";
+import { EventLoopTime } from "./eventLoopTime.js";
 import { type ListenerOptions, ProcessListeners } from "./processListeners.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
 import { StopDelays } from "./stopDelays.js";
@@ -84,15 +85,25 @@
                 });
             },
         );
-        this.core = new EntryCore(identity, clock, random, createEntryPolicies(options.policies));
+        this.core = new EntryCore(
+            identity,
+            clock,
+            random,
+            createEntryPolicies(options.policies),
+            new EventLoopTime(),
+        );
         this.loop = new TickLoop(this.core, clock, outputs => this.performAll(outputs));
-        this.addGauges();
         this.datagrams = new CapacityDatagrams(
             request => this.loop.accept({ kind: "capacity-requested", request }),
             reason => this.log.write("warn", "request for capacity failed", { reason }),
             message => this.loop.accept({ kind: "ownership", message, receivedAt: clock.nowMilliseconds() }),
         );
         this.listener = this.createAgentListener();
+        addEntryGauges(this.metrics, {
+            core: this.core,
+            takeLargestDelayMilliseconds: () => this.loop.takeLargestDelayMilliseconds(),
+            countUnsentBytes: () => this.listener.countUnsentBytes(),
+        });
         addWorkTotals(this.metrics, { frames: this.listener.totals, countTicks: () => this.loop.ticks });
         this.metrics.addTotals("datagrams_total", "Datagrams between entries", "direction", {
             sent: () => this.datagrams.sentCount,
@@ -331,33 +342,6 @@
         return new AgentListener(events, this.options.clock, limits);
     }
 
-    private addGauges(): void {
-        this.metrics.addGauge("open_jobs", "Jobs without an answer", () => this.core.openJobs);
-        this.metrics.addGauge(
-            "event_loop_delay_seconds",
-            "Largest delay of a timer since the metrics were read",
-            () => {
-                return this.loop.takeLargestDelayMilliseconds() / 1000;
-            },
-        );
-        this.metrics.addGauge("configuration_version", "Version in force, 0 without one", () => {
-            return this.core.configuration?.version ?? 0;
-        });
-        addLinkGauges(this.metrics, () => this.core.link, () => this.listener.countUnsentBytes());
-        this.metrics.addGauge("evacuated_zones", evacuatedZonesHelp, () => this.core.evacuations.zones.length);
-        this.metrics.addGauge(
-            "confined_kinds",
-            "Routes whose jobs run on few workers because they crash workers",
-            () => {
-                return this.core.crashFigures.confinedKinds;
-            },
-        );
-        this.metrics.addGauge("crashing_jobs", "Jobs that are known to crash the workers that run them", () => {
-            return this.core.crashFigures.crashingJobs;
-        });
-        this.metrics.addQueueGauges(() => this.core.listQueueUse());
-    }
-
     private performAll(outputs: readonly EntryOutput[]): void {
         outputs.forEach(output => this.perform(output));
         this.stopDelays.recordTick();
