--- a/packages/lovagepitch-direct/src/entry/endJob.ts
+++ b/packages/lovagepitch-direct/src/entry/endJob.ts
@@ -3,6 +3,7 @@
  */
 import type { JobAnswer } from "../model/directJob.js";
 import { formatRunKey } from "../model/frames.js";
+import { answerRequest } from "./answerRequest.js";
 import { type EntryState, formatTaskKey, type JobRow, mayHaveStarted } from "./entryState.js";
 
 /**
@@ -33,7 +34,7 @@
     stopJobRuns(state, job.id);
     const afterMilliseconds = Math.round(state.now - row.acceptedAt);
     for (const request of row.requests) {
-        state.outputs.push({ kind: "answer", request, job: job.id, answer, afterMilliseconds });
+        answerRequest(state, request, job.id, answer, afterMilliseconds);
     }
     const isExpected = answer.kind === "done" || answer.kind === "cancelled";
     state.log(isExpected ? "info" : "warn", "job answered", {
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -27,6 +27,19 @@
 import type { EntryInput, EntryOutput } from "./entryPorts.js";
 import { type EntryIdentity, EntryState, mayHaveStarted } from "./entryState.js";
 import { receiveEvacuations } from "./evacuationRelay.js";
+import { cancelForwardedJob, forwardJob, interruptForwardedJobs, withdrawForwardedRequest } from "./forwardedJobs.js";
+import {
+    closeSilentForwardingClients,
+    receiveForwardingClientClosed,
+    receiveForwardingFrame,
+    sendForwardingReplies,
+} from "./forwardingClients.js";
+import {
+    receiveForwardingLinkClosed,
+    receiveForwardingReply,
+    sendForwardingFrames,
+    updateForwardingConnections,
+} from "./forwardingConnections.js";
 import { requestReleases } from "./heldJobs.js";
 import { isUrgentInput } from "./inputUrgency.js";
 import { sendInquiries } from "./jobInquiries.js";
@@ -39,7 +52,7 @@
     interruptJobs,
     receiveCallerDisconnected,
     receiveCancellation,
-    receiveJob,
+    receiveOwnJob,
 } from "./submissions.js";
 import { awaitsDatagrams, detectUnreadDatagrams } from "./unreadDatagrams.js";
 
@@ -54,6 +67,14 @@
 /** What a cancellation was about: an open job, none that is open, or a path that no route has ever had. */
 export type CancellationOutcome = "cancelled" | "unknown-job" | "unknown-route";
 
+/** Jobs that an entry passes on. */
+export interface ForwardingFigures {
+    /** Jobs that were passed on and have not been answered. */
+    readonly openJobs: number;
+    /** Part of the new jobs that is passed on, from 0 to 1. */
+    readonly share: number;
+}
+
 /** Core of an entry: turns inputs into answers, frames and log lines, without input or output of its own. */
 export class EntryCore extends Core<EntryInput, EntryOutput> {
     private readonly state: EntryState;
@@ -116,6 +137,11 @@
         return this.state.processorLoad.share;
     }
 
+    /** Jobs that were passed on and have not been answered, and the part of the new jobs that is passed on. */
+    public get forwardingFigures(): ForwardingFigures {
+        return { openJobs: this.state.forwardedJobs.size, share: this.state.policies.jobForwarding.share };
+    }
+
     /** Start orders in flight, their bound and their delay. */
     public get link(): LinkFigures {
         return this.state.linkBacklog.describe(this.state.now);
@@ -169,6 +195,9 @@
      */
     public describeJob(id: string, route: string): "waiting" | "started" | undefined {
         const row = this.state.jobs.get(id);
+        if (this.state.forwardedJobs.get(id)?.job.route === route) {
+            return "started";
+        }
         if (row?.job.route !== route) {
             // A job that was read in the same turn of the event loop is processed in the next tick.
             const isSubmitted = this.inputs.some(input => {
@@ -221,19 +250,22 @@
     /** {@inheritDoc Core.tick} */
     public override tick(): readonly EntryOutput[] {
         const { state } = this;
-        const inputs = this.inputs;
-        this.inputs = [];
+        const inputs = this.takeInputs();
         state.readClock();
-        state.processorLoad.update(state.now);
         detectPause(state);
-        detectUnreadDatagrams(state, inputs);
+        detectUnreadDatagrams(state, inputs.others);
         forgetEarlyCancellations(state);
         state.linkBacklog.recordTick(state.now);
-        receiveInputs(inputs, input => this.receive(input), (...line) => state.log(...line));
+        const log = (...line: Parameters<EntryState["log"]>): void => state.log(...line);
+        receiveInputs(inputs.fromEntries, input => this.receive(input), log);
+        // Before the submissions that have waited together with them: a job whose former caller has gone is not joined.
+        closeSilentForwardingClients(state);
+        receiveInputs(inputs.others, input => this.receive(input), log);
         if (state.now >= this.nextLostAgentCheckAt) {
             this.nextLostAgentCheckAt = state.now + maximumTickIntervalMilliseconds;
             removeLostAgents(state);
         }
+        updateForwardingConnections(state);
         releaseKinds(state);
         detectCut(state);
         requestReleases(state);
@@ -247,6 +279,8 @@
         state.readClock();
         // Before the frames, which an owner of jobs may send only while others hear of it.
         announceJobs(state);
+        sendForwardingReplies(state);
+        sendForwardingFrames(state);
         sendFrames(state);
         state.wakeAt = this.nextWakeAtMilliseconds();
         state.endTick();
@@ -259,23 +293,40 @@
         if (awaitsDatagrams(state)) {
             return state.now;
         }
-        const isIdle = state.jobs.size === 0 && state.stoppingRuns.size === 0;
+        const isIdle = state.jobs.size === 0 && state.stoppingRuns.size === 0 && state.forwardedJobs.size === 0;
         const latest = state.now + (isIdle ? idleTickIntervalMilliseconds : maximumTickIntervalMilliseconds);
         return Math.min(latest, findNextExpiry(state) ?? latest);
     }
 
+    /** Takes the queued inputs, with those of entries that pass jobs on apart; connections are independent of each other. */
+    private takeInputs(): { readonly fromEntries: readonly EntryInput[]; readonly others: readonly EntryInput[] } {
+        const { inputs } = this;
+        this.inputs = [];
+        const isFromEntry = ({ kind }: EntryInput): boolean => kind === "forwarding-frame";
+        return inputs.some(isFromEntry)
+            ? { fromEntries: inputs.filter(isFromEntry), others: inputs.filter(input => !isFromEntry(input)) }
+            : { fromEntries: [], others: inputs };
+    }
+
     private receive(input: EntryInput): void {
         const { state } = this;
         switch (input.kind) {
             case "submitted":
-                return receiveJob(state, input.request, input.job, input.earliestArrival, input.isMemoryFull);
+                return this.receiveSubmission(input);
             case "caller-disconnected":
-                return receiveCallerDisconnected(state, input.request, input.job);
+                if (!withdrawForwardedRequest(state, input.request, input.job)) {
+                    receiveCallerDisconnected(state, input.request, input.job);
+                }
+                return;
             case "cancelled":
-                return receiveCancellation(state, input.job, input.route);
+                if (!cancelForwardedJob(state, input.job, input.route)) {
+                    receiveCancellation(state, input.job, input.route);
+                }
+                return;
             case "frame":
                 return receiveAgentFrame(state, input.connection, input.frame, input.receivedAt);
             case "disconnected":
+                receiveForwardingClientClosed(state, input.connection);
                 return receiveDisconnected(state, input.connection);
             case "configured":
                 return receiveConfiguration(state, input.configuration, input.source);
@@ -287,13 +338,27 @@
                 return receiveCapacityRequest(state, input.request);
             case "ownership":
                 return receiveOwnershipMessage(state, input.message, input.receivedAt);
+            case "forwarding-frame":
+                return receiveForwardingFrame(state, input.connection, input.frame);
+            case "forwarding-reply":
+                return receiveForwardingReply(state, input.address, input.reply, input.receivedAt);
+            case "entry-disconnected":
+                return receiveForwardingLinkClosed(state, input.address);
             case "unsent":
                 return state.linkBacklog.recordUnsent(input.bytes);
             case "shut-down":
                 state.isShuttingDown = true;
                 return;
             case "interrupt":
+                interruptForwardedJobs(state);
                 interruptJobs(state);
         }
     }
+
+    private receiveSubmission(input: Extract<EntryInput, { readonly kind: "submitted" }>): void {
+        const { request, job, earliestArrival, isMemoryFull = false } = input;
+        if (isMemoryFull || !forwardJob(this.state, request, job, earliestArrival)) {
+            receiveOwnJob(this.state, request, job, { earliestArrival, isMemoryFull });
+        }
+    }
 }
--- a/packages/lovagepitch-direct/src/entry/entryPorts.ts
+++ b/packages/lovagepitch-direct/src/entry/entryPorts.ts
@@ -5,6 +5,7 @@
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import type { EntryLocation } from "../model/entryLocation.js";
+import type { ForwardingFrame, ForwardingReply } from "../model/forwarding.js";
 import type { AgentFrame, EntryFrame } from "../model/frames.js";
 import type { OwnershipMessage } from "../model/jobOwnership.js";
 import type { LogLine } from "../model/logLine.js";
@@ -46,6 +47,18 @@
         /** When it was read, in monotonic milliseconds; by default when it is processed. */
         readonly receivedAt?: number;
     }
+    /** Another entry passes submissions on, on a connection that it has opened. */
+    | { readonly kind: "forwarding-frame"; readonly connection: number; readonly frame: ForwardingFrame }
+    /** An entry that jobs are passed on to has replied. */
+    | {
+        readonly kind: "forwarding-reply";
+        readonly address: string;
+        readonly reply: ForwardingReply;
+        /** When it was read, in monotonic milliseconds; by default when it is processed. */
+        readonly receivedAt?: number;
+    }
+    /** The connection to an entry that jobs are passed on to has ended, or could not be opened. */
+    | { readonly kind: "entry-disconnected"; readonly address: string }
     /** Refuses new jobs from now on. */
     | { readonly kind: "shut-down" }
     /** Ends all open jobs. */
@@ -66,4 +79,11 @@
     | { readonly kind: "request-capacity"; readonly address: string; readonly request: CapacityRequest }
     /** Message to another entry about open jobs. */
     | { readonly kind: "ownership"; readonly address: string; readonly message: OwnershipMessage }
+    /** Opens a connection to another entry, to pass jobs on. */
+    | { readonly kind: "open-entry"; readonly address: string }
+    | { readonly kind: "close-entry"; readonly address: string }
+    | { readonly kind: "forwarding-frame"; readonly address: string; readonly frame: ForwardingFrame }
+    | { readonly kind: "forwarding-reply"; readonly connection: number; readonly reply: ForwardingReply }
+    /** Closes a connection that another entry has opened. */
+    | { readonly kind: "close-connection"; readonly connection: number }
     | LogLine;
--- a/packages/lovagepitch-direct/src/entry/entryState.ts
+++ b/packages/lovagepitch-direct/src/entry/entryState.ts
@@ -33,6 +33,9 @@
 import { WorkerSpeeds } from "../policies/workerSpeeds.js";
 import type { EntryOutput } from "./entryPorts.js";
 import { FormerRoutes } from "./formerRoutes.js";
+import type { ForwardedJob } from "./forwardedJobs.js";
+import type { ForwardedRequest, ForwardingClient } from "./forwardingClients.js";
+import type { ForwardingLink } from "./forwardingLinks.js";
 import type { HeldJob } from "./heldJobs.js";
 import type { Inquiry } from "./jobInquiries.js";
 
@@ -145,6 +148,16 @@
     public readonly announcedJobs = new AnnouncedJobs();
     /** Open jobs of which no task is placed until other entries have released them, by id. */
     public readonly heldJobs = new Map<string, HeldJob>();
+    /** Jobs that this entry has passed on, by id. */
+    public readonly forwardedJobs = new Map<string, ForwardedJob>();
+    /** Connections to entries that jobs are passed on to, by address. */
+    public readonly forwardingLinks = new Map<string, ForwardingLink>();
+    /** When jobs may be passed on to an entry again, by address. */
+    public readonly forwardingRetryAt = new Map<string, number>();
+    /** Connections of entries that pass jobs on to this one, by id. */
+    public readonly forwardingClients = new Map<number, ForwardingClient>();
+    /** Open requests of these entries, by the negative ids that they have in this one. */
+    public readonly forwardedRequests = new Map<number, ForwardedRequest>();
     /** Jobs that other entries are asked for. */
     public readonly inquiries = new Map<string, Inquiry>();
     /** Since when entries have left inquiries unanswered, by address, unless another message of theirs has arrived. */
@@ -216,6 +229,7 @@
     public announcedRevision = 1;
     public readonly outputs: EntryOutput[] = [];
     private submissionCount = 0;
+    private forwardedRequestCount = 0;
     /** Instant that counts in the tick that runs; undefined between ticks. */
     private tickInstant: number | undefined;
 
@@ -252,6 +266,16 @@
         return this.submissionCount;
     }
 
+    /**
+     * Numbers a request that another entry has passed on.
+     *
+     * @returns a negative id, which no request of a caller has
+     */
+    public takeForwardedRequestNumber(): number {
+        this.forwardedRequestCount += 1;
+        return -this.forwardedRequestCount;
+    }
+
     /**
      * Current monotonic time, in milliseconds. Within a tick it is the one of the latest call of `readClock`, as each reading costs
      * more than most decisions that need it.
--- a/packages/lovagepitch-direct/src/entry/inputUrgency.ts
+++ b/packages/lovagepitch-direct/src/entry/inputUrgency.ts
@@ -2,6 +2,7 @@
  * Load pattern: most of what an entry of a large deployment receives only says that a peer is still there. A tick for each would cost
  * more than all ticks that decide something.
  */
+import type { ForwardingFrame } from "../model/forwarding.js";
 import type { AgentFrame } from "../model/frames.js";
 import type { OwnershipMessage } from "../model/jobOwnership.js";
 import { hasWaitingTasks } from "./entryFrames.js";
@@ -22,6 +23,10 @@
             return isUrgentFrame(state, input.connection, input.frame);
         case "ownership":
             return !isSignOfLife(state, input.message);
+        case "forwarding-frame":
+            return hasForwardingNews(state, input.connection, input.frame);
+        case "forwarding-reply":
+            return input.reply.answers.length > 0;
         default:
             return true;
     }
@@ -45,3 +50,8 @@
     return message.kind === "open-jobs" && message.jobs.length === 0
         && state.announcedJobs.isKnown(message.from.incarnation);
 }
+
+function hasForwardingNews(state: EntryState, connection: number, frame: ForwardingFrame): boolean {
+    return !state.forwardingClients.has(connection) || frame.submissions.length > 0 || frame.withdrawals.length > 0
+        || frame.cancellations.length > 0;
+}
--- a/packages/lovagepitch-direct/src/entry/jobInquiries.ts
+++ b/packages/lovagepitch-direct/src/entry/jobInquiries.ts
@@ -136,7 +136,9 @@
  */
 export function answerInquiry(state: EntryState, inquiry: JobInquiry): void {
     const absent = inquiry.jobs.flatMap(([job, submission]) => {
-        return state.jobs.has(job) || state.stoppingRuns.has(job) ? [] : [[job, submission] as const];
+        // A job that was passed on may reach its new owner after this inquiry has.
+        const mayBeOpen = state.jobs.has(job) || state.stoppingRuns.has(job) || state.forwardedJobs.has(job);
+        return mayBeOpen ? [] : [[job, submission] as const];
     });
     const open = inquiry.jobs.flatMap(([job]): readonly OpenJob[] => {
         const row = state.inquiries.has(job) ? undefined : state.jobs.get(job);
--- a/packages/lovagepitch-direct/src/entry/submissions.ts
+++ b/packages/lovagepitch-direct/src/entry/submissions.ts
@@ -4,6 +4,7 @@
 import { type DirectJob, isSameJob, type RefusalReason } from "../model/directJob.js";
 import { computeJobDeadlines, type JobDeadlines } from "../policies/jobDeadlines.js";
 import { computeRetryAfterSeconds, maximumRetryAfterSeconds } from "../policies/retryAfter.js";
+import { answerRequest } from "./answerRequest.js";
 import { endJob } from "./endJob.js";
 import { type EntryState, estimateWork, type JobRow, mayHaveStarted } from "./entryState.js";
 import { holdAnnouncedJob } from "./heldJobs.js";
@@ -13,37 +14,34 @@
 /** Largest number of open jobs of one entry; far more than a deployment's workers finish while a caller waits. */
 const maximumOpenJobs = 4000;
 
+/** What is known of a submission beside its job. */
+export interface SubmissionDetails {
+    /** Earliest instant at which it may have arrived, if that is known to be earlier than now. */
+    readonly earliestArrival?: number | undefined;
+    /** True when open requests hold as much memory as they may; the job is refused if it is new. */
+    readonly isMemoryFull?: boolean | undefined;
+    /** Instant from which the deadlines count, if the job has arrived at another entry before. */
+    readonly deadlinesFrom?: number | undefined;
+}
+
 /**
  * Accepts a job, or attaches the request to the open job of the same id if it asks for the same work.
  *
  * @param state - state of the entry
- * @param request - id of the caller's request
+ * @param request - id of the request
  * @param job - submitted job
- * @param earliestArrival - earliest instant at which it may have arrived if its connection was accepted late
- * @param isMemoryFull - true when open requests hold as much memory as they may; the job is refused if it is new
+ * @param details - what else is known of the submission
  */
-export function receiveJob(
+export function receiveOwnJob(
     state: EntryState,
     request: number,
     job: DirectJob,
-    earliestArrival = state.now,
-    isMemoryFull = false,
+    { earliestArrival = state.now, isMemoryFull = false, deadlinesFrom = state.now }: SubmissionDetails = {},
 ): void {
     const submittedAt = Math.min(earliestArrival, state.readDelay.findEarliestArrival(state.now));
     const known = state.jobs.get(job.id);
     if (known !== undefined && !isSameJob(known.job, job)) {
-        state.outputs.push({
-            kind: "answer",
-            request,
-            job: job.id,
-            answer: { kind: "id-in-use" },
-            afterMilliseconds: 0,
-        });
-        state.log("warn", "job rejected because another one of its id is open", {
-            job: job.id,
-            route: job.route,
-            openRoute: known.job.route,
-        });
+        rejectOtherJob(state, request, job, known.job.route);
         return;
     }
     if (known !== undefined) {
@@ -61,7 +59,7 @@
         submittedAt,
         requests: [request],
         acceptedAt: state.now,
-        deadlines: computeDeadlines(state, job),
+        deadlines: computeDeadlines(state, job, deadlinesFrom),
         waitingTasks: Array.from({ length: job.taskCount }, (_, task) => task),
         openRuns: 0,
         hasEndedRun: false,
@@ -93,6 +91,23 @@
     }
 }
 
+/**
+ * Rejects a job whose id is that of another open job.
+ *
+ * @param state - state of the entry
+ * @param request - id of the request
+ * @param job - submitted job
+ * @param openRoute - route of the open job
+ */
+export function rejectOtherJob(state: EntryState, request: number, job: DirectJob, openRoute: string): void {
+    answerRequest(state, request, job.id, { kind: "id-in-use" }, 0);
+    state.log("warn", "job rejected because another one of its id is open", {
+        job: job.id,
+        route: job.route,
+        openRoute,
+    });
+}
+
 /**
  * Refuses a job of which no task has started under this submission. A job of which tasks may have started under an earlier
  * one is interrupted.
@@ -195,7 +210,7 @@
     }
 }
 
-function computeDeadlines(state: EntryState, job: DirectJob): JobDeadlines {
+function computeDeadlines(state: EntryState, job: DirectJob, arrivedAt: number): JobDeadlines {
     const runTimes = state.runTimes.get(job.route);
     const { taskCount, estimatedMilliseconds } = job;
     const longest = runTimes?.estimateLongestMilliseconds(taskCount, estimatedMilliseconds) ?? estimatedMilliseconds;
@@ -203,7 +218,7 @@
     const longestKnown = [...state.runTimes.values()].reduce((milliseconds, other) => {
         return Math.max(milliseconds, other.estimateLongestKnownMilliseconds(estimatedMilliseconds));
     }, longest);
-    return computeJobDeadlines(job, state.now, longest, longestKnown);
+    return computeJobDeadlines(job, arrivedAt, longest, longestKnown);
 }
 
 /** Returns the estimated work of all waiting tasks, in core-milliseconds. */
--- a/packages/lovagepitch-direct/src/links/agentConnection.ts
+++ b/packages/lovagepitch-direct/src/links/agentConnection.ts
@@ -3,7 +3,6 @@
  */
 import type { Clock } from "@lovagepitch/utils/clock";
 import type { BudgetedConnection } from "../connections/connectionBudget.js";
-import type { AgentFrame, EntryFrame } from "../model/frames.js";
 import type { FrameStream } from "./frameStream.js";
 
 /** Memory of a connection without an incomplete frame, in bytes. */
@@ -21,7 +20,7 @@
      * @param onHeldChanged - called with each change of the held memory, in bytes
      */
     public constructor(
-        private readonly stream: FrameStream<AgentFrame, EntryFrame>,
+        private readonly stream: Pick<FrameStream<unknown, unknown>, "close" | "heldBytes">,
         private readonly clock: Clock,
         private readonly onHeldChanged: (difference: number) => void,
     ) {
--- a/packages/lovagepitch-direct/src/links/agentListener.ts
+++ b/packages/lovagepitch-direct/src/links/agentListener.ts
@@ -1,22 +1,31 @@
 /**
- * Listener of an entry for connections from agents.
+ * Listener of an entry for connections from agents, and from entries that pass jobs on.
  */
 import type { Clock } from "@lovagepitch/utils/clock";
 import { createServer, type Server, type Socket } from "node:net";
 import { type ClosingReason, ConnectionBudget } from "../connections/connectionBudget.js";
 import type { ConnectionLimits } from "../connections/connectionLimits.js";
-import type { AgentFrame, EntryFrame } from "../model/frames.js";
+import type { ForwardingFrame } from "../model/forwarding.js";
+import type { AgentFrame } from "../model/frames.js";
 import { AgentConnection } from "./agentConnection.js";
-import { AgentFrameFormat } from "./agentFrameFormat.js";
-import { EntryFrameFormat } from "./entryFrameFormat.js";
+import { isForwardingFrame } from "./forwardingGuards.js";
 import { isAgentFrame } from "./frameGuards.js";
 import { FrameStream, type StreamEnd } from "./frameStream.js";
 import { FrameTotals } from "./frameTotals.js";
 import { listenAt } from "./listenAt.js";
+import {
+    IncomingPeerFormat,
+    type IncomingPeerFrame,
+    OutgoingPeerFormat,
+    type OutgoingPeerFrame,
+} from "./peerFrameFormat.js";
+
+type PeerStream = FrameStream<IncomingPeerFrame, OutgoingPeerFrame>;
 
 /** Callbacks of the listener. */
 export interface AgentListenerEvents {
     readonly onFrame: (connection: number, frame: AgentFrame) => void;
+    readonly onForwardingFrame: (connection: number, frame: ForwardingFrame) => void;
     readonly onDisconnected: (connection: number, end: StreamEnd) => void;
     /** Called for each connection that is closed for the sake of the others, with the memory that it held, in bytes. */
     readonly onClosed: (reason: ClosingReason, heldBytes: number) => void;
@@ -27,7 +36,7 @@
     private readonly server: Server;
     /** Frames and bytes of all connections. */
     public readonly totals = new FrameTotals();
-    private readonly streams = new Map<number, FrameStream<AgentFrame, EntryFrame>>();
+    private readonly streams = new Map<number, PeerStream>();
     private readonly budget: ConnectionBudget<AgentConnection>;
     private nextConnection = 1;
 
@@ -62,10 +71,19 @@
      * @param connection - id of the connection
      * @param frame - frame to send
      */
-    public send(connection: number, frame: EntryFrame): void {
+    public send(connection: number, frame: OutgoingPeerFrame): void {
         this.streams.get(connection)?.send(frame);
     }
 
+    /**
+     * Closes a connection.
+     *
+     * @param connection - id of the connection
+     */
+    public closeOne(connection: number): void {
+        this.streams.get(connection)?.close("the other entry is silent");
+    }
+
     /** Sums the bytes of all connections that the operating system has not taken yet. */
     public countUnsentBytes(): number {
         let sum = 0;
@@ -86,11 +104,20 @@
     private accept(socket: Socket): void {
         const connection = this.nextConnection;
         this.nextConnection += 1;
-        const protocol = { incoming: new AgentFrameFormat(), outgoing: new EntryFrameFormat(), isFrame: isAgentFrame };
-        const stream: FrameStream<AgentFrame, EntryFrame> = new FrameStream(socket, protocol, {
+        const protocol = {
+            incoming: new IncomingPeerFormat(),
+            outgoing: new OutgoingPeerFormat(),
+            isFrame: isPeerFrame,
+        };
+        const stream: PeerStream = new FrameStream(socket, protocol, {
             onFrame: frame => {
                 budgeted.recordFrame();
-                this.events.onFrame(connection, frame);
+                if ("kind" in frame) {
+                    this.events.onForwardingFrame(connection, frame);
+                }
+                else {
+                    this.events.onFrame(connection, frame);
+                }
             },
             onBytesProcessed: () => budgeted.updateHeldBytes(),
             onEnd: end => {
@@ -107,3 +134,7 @@
         }
     }
 }
+
+function isPeerFrame(value: unknown): value is IncomingPeerFrame {
+    return isForwardingFrame(value) || (isAgentFrame(value) && !("kind" in value));
+}
--- a/packages/lovagepitch-direct/src/links/frameGuards.ts
+++ b/packages/lovagepitch-direct/src/links/frameGuards.ts
@@ -6,11 +6,21 @@
 import type { DispatchConfiguration } from "../model/dispatchConfiguration.js";
 import type { EntryLocation } from "../model/entryLocation.js";
 import type { AgentFrame, ConfigurationNotice, EntryFrame, RunEnd, RunIdentity, StartOrder } from "../model/frames.js";
-import type { Resources } from "../model/resources.js";
 import type { CrashedRun, WorkerCrash } from "../model/workerCrash.js";
 import type { ReportInstant, WorkerStatus } from "../model/workerStatus.js";
 import type { ZoneEvacuations } from "../model/zoneEvacuations.js";
-import { isSocketAddress } from "./listenAt.js";
+import {
+    isAddress,
+    isArrayOf,
+    isBoolean,
+    isIntegerFrom,
+    isNeeds,
+    isNumber,
+    isObject,
+    isOptional,
+    isResources,
+    isString,
+} from "./valueGuards.js";
 
 const runEnds: ReadonlySet<unknown> = new Set<RunEnd>([
     "succeeded",
@@ -22,9 +32,6 @@
     "moved",
 ]);
 
-/** Fields of a JSON object whose types are not known. */
-type Unchecked<Message> = { readonly [Name in keyof Message]?: unknown };
-
 /**
  * Tells whether a value is a frame from an agent.
  *
@@ -148,45 +155,3 @@
     return isObject<EntryLocation>(value) && isAddress(value.address)
         && isOptional(value.availabilityZone, isString);
 }
-
-function isAddress(value: unknown): boolean {
-    return isString(value) && isSocketAddress(value);
-}
-
-function isResources(value: unknown): value is Resources {
-    return isObject<Resources>(value) && isNumber(value.milliCores) && isNumber(value.memoryMegabytes)
-        && isNumber(value.accelerators);
-}
-
-/** Negative needs would count as free resources. */
-function isNeeds(value: unknown): boolean {
-    return isResources(value) && value.milliCores >= 0 && value.memoryMegabytes >= 0 && value.accelerators >= 0;
-}
-
-function isObject<Message>(value: unknown): value is Unchecked<Message> {
-    return typeof value === "object" && value !== null;
-}
-
-function isArrayOf(value: unknown, isElement: (element: unknown) => boolean): boolean {
-    return Array.isArray(value) && value.every(isElement);
-}
-
-function isOptional(value: unknown, isPresent: (present: unknown) => boolean): boolean {
-    return value === undefined || isPresent(value);
-}
-
-function isBoolean(value: unknown): value is boolean {
-    return typeof value === "boolean";
-}
-
-function isString(value: unknown): value is string {
-    return typeof value === "string";
-}
-
-function isIntegerFrom(minimum: number, value: unknown): value is number {
-    return Number.isSafeInteger(value) && Number(value) >= minimum;
-}
-
-function isNumber(value: unknown): value is number {
-    return Number.isFinite(value);
-}
--- a/packages/lovagepitch-direct/src/policies/entryPolicies.ts
+++ b/packages/lovagepitch-direct/src/policies/entryPolicies.ts
@@ -3,6 +3,7 @@
  */
 import { type Admission, CapacityAdmission, PatientAdmission } from "./admission.js";
 import { ExpectedCompletionSelection } from "./expectedCompletionSelection.js";
+import { type JobForwarding, LoadForwarding } from "./jobForwarding.js";
 import type { JobOrder } from "./jobOrder.js";
 import { LinkBacklog } from "./linkBacklog.js";
 import { PriorityOrder } from "./priorityOrder.js";
@@ -19,6 +20,8 @@
     readonly queueShares: QueueShares;
     /** Decides which waiting jobs are refused before their latest start. */
     readonly admission: Admission;
+    /** Decides which jobs are passed on to other entries. */
+    readonly jobForwarding: JobForwarding;
     /** Bounds the start orders in flight by what the entry's link carries. */
     readonly linkBacklog: LinkBacklog;
 }
@@ -46,6 +49,7 @@
         jobOrder: new PriorityOrder(),
         queueShares: new QueueShares(queueShares),
         admission: refusesEarly === true ? new CapacityAdmission() : new PatientAdmission(),
+        jobForwarding: new LoadForwarding(),
         linkBacklog: new LinkBacklog(linkMegabitsPerSecond),
     };
 }
--- a/packages/lovagepitch-direct/src/process/directEntry.ts
+++ b/packages/lovagepitch-direct/src/process/directEntry.ts
@@ -24,6 +24,7 @@
 import { DirectMetrics } from "./directMetrics.js";
 import { addEntryGauges } from "./entryGauges.js";
 import { EventLoopTime } from "./eventLoopTime.js";
+import { ForwardingPort } from "./forwardingPort.js";
 import { type ListenerOptions, ProcessListeners } from "./processListeners.js";
 import { RateLimitedLog } from "./rateLimitedLog.js";
 import { StopDelays } from "./stopDelays.js";
@@ -56,6 +57,7 @@
     private readonly core: EntryCore;
     private readonly loop: TickLoop<EntryInput, EntryOutput>;
     private readonly listener: AgentListener;
+    private readonly forwarding: ForwardingPort;
     private readonly datagrams: CapacityDatagrams;
     private readonly log: RateLimitedLog;
     private readonly listeners: ProcessListeners;
@@ -99,6 +101,12 @@
             message => this.loop.accept({ kind: "ownership", message, receivedAt: clock.nowMilliseconds() }),
         );
         this.listener = this.createAgentListener();
+        this.forwarding = new ForwardingPort(
+            clock,
+            this.listener,
+            input => this.loop.accept(input),
+            end => this.unreadableFrames.record(end),
+        );
         addEntryGauges(this.metrics, {
             core: this.core,
             takeLargestDelayMilliseconds: () => this.loop.takeLargestDelayMilliseconds(),
@@ -282,6 +290,7 @@
         this.log.write("info", "entry stops", { openRequests: this.answerCallbacks.size });
         this.loop.stop();
         this.listener.close();
+        this.forwarding.close();
         this.datagrams.close();
     }
 
@@ -332,6 +341,9 @@
                 const receivedAt = this.options.clock.nowMilliseconds();
                 this.loop.accept({ kind: "frame", connection, frame, receivedAt });
             },
+            onForwardingFrame: (connection, frame) => {
+                this.loop.accept({ kind: "forwarding-frame", connection, frame });
+            },
             onDisconnected: (connection, end) => {
                 this.unreadableFrames.record(end);
                 this.loop.accept({ kind: "disconnected", connection });
@@ -377,6 +389,9 @@
                 return;
             case "log":
                 this.log.write(output.level, output.event, output.fields);
+                return;
+            default:
+                this.forwarding.perform(output);
         }
     }
 }
--- a/packages/lovagepitch-direct/src/process/entryGauges.ts
+++ b/packages/lovagepitch-direct/src/process/entryGauges.ts
@@ -31,6 +31,12 @@
     metrics.addGauge("processor_load", "Share of the recent time for which the process had work", () => {
         return core.processorLoad;
     });
+    metrics.addGauge("forwarding_share", "Part of the new jobs that is passed on to other entries", () => {
+        return core.forwardingFigures.share;
+    });
+    metrics.addGauge("forwarded_jobs", "Jobs that were passed on to other entries and have no answer", () => {
+        return core.forwardingFigures.openJobs;
+    });
     metrics.addGauge("configuration_version", "Version in force, 0 without one", () => {
         return core.configuration?.version ?? 0;
     });
--- a/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
@@ -44,3 +44,41 @@
             | 9    |
             | 10   |
             | 58   |
+
+    Scenario Outline: Entries pass jobs on to each other among faults in random order, seed <seed>
+        When 20 connections, processes and workers fail at random while entries pass most of the jobs on, seed <seed>
+        Then each caller has the true answer to its own request, and nothing ran twice or on
+        And at least 60 jobs of these callers were done
+        And at least 10 jobs were passed on
+
+        Examples:
+            | seed |
+            | 1    |
+            | 2    |
+            | 3    |
+            | 4    |
+            | 5    |
+            | 6    |
+            | 7    |
+            | 8    |
+            | 9    |
+            | 10   |
+
+    Scenario Outline: Entries pass jobs on to each other, and connections break for callers alone, seed <seed>
+        When 20 connections fail at random, of callers also for them alone, while entries pass most of the jobs on, seed <seed>
+        Then each caller has the true answer to its own request, and nothing ran twice or on
+        And at least 60 jobs of these callers were done
+        And at least 10 jobs were passed on
+
+        Examples:
+            | seed |
+            | 1    |
+            | 2    |
+            | 3    |
+            | 4    |
+            | 5    |
+            | 6    |
+            | 7    |
+            | 8    |
+            | 9    |
+            | 10   |
--- a/packages/lovagepitch-testing/src/__tests__/direct/connectionFaults.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/connectionFaults.ts
@@ -156,3 +156,24 @@
     const end = fault(target) ?? (() => undefined);
     return { description: `${startedAt} ${fault.name}, entry ${target.entry}, agent ${target.agent}`, end };
 }
+
+/**
+ * Starts a random fault of the connections between two entries that pass jobs on to each other.
+ *
+ * @param deployment - deployment of two entries
+ * @param random - source of the fault and its target
+ * @returns the fault
+ */
+export function injectForwardingFault(deployment: DirectDeployment, random: RandomSource): StartedFault {
+    const startedAt = deployment.clock.nowMilliseconds();
+    const client = random.nextInteger(2);
+    const matches = (one: number): boolean => one === client;
+    const end = (): void => undefined;
+    if (random.nextInteger(2) === 0) {
+        deployment.entryNetwork.closeSome(matches);
+        return { description: `${startedAt} resetForwarding, entry ${client}`, end };
+    }
+    const direction = directions[random.nextInteger(directions.length)];
+    deployment.entryNetwork.silence(matches, direction);
+    return { description: `${startedAt} silenceForwarding, entry ${client}, ${direction}`, end };
+}
--- a/packages/lovagepitch-testing/src/__tests__/direct/connectionWorld.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/connectionWorld.ts
@@ -1,11 +1,13 @@
 /**
  * Deployment whose connections, processes and workers fail at random while callers send their jobs again.
  */
+import { createEntryPolicies, type EntryPolicies } from "@lovagepitch/direct/policies/entryPolicies";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import assert from "node:assert/strict";
 import { DirectDeployment } from "../../direct/directDeployment.js";
+import { FixedForwarding } from "../../direct/fixedForwarding.js";
 import { JobHistory } from "../../direct/jobHistory.js";
-import { injectConnectionFault } from "./connectionFaults.js";
+import { injectConnectionFault, injectForwardingFault } from "./connectionFaults.js";
 import { getRepeatedTaskMilliseconds, RepeatingCallers } from "./repeatingCallers.js";
 
 const entryCount = 2;
@@ -24,15 +26,23 @@
     public readonly callers: RepeatingCallers;
     private readonly random: RandomSource;
     private readonly faults: string[] = [];
+    private readonly hasForwarding: boolean;
 
     /**
      * @param seed - determines the faults, the jobs and what the callers do
      * @param breaksForCallersAlone - true if connections may break for their callers alone
+     * @param forwardingShare - part of the new jobs that entries pass on to each other; undefined if that depends on their load
      */
-    public constructor(private readonly seed: number, breaksForCallersAlone = false) {
+    public constructor(private readonly seed: number, breaksForCallersAlone = false, forwardingShare?: number) {
         this.random = new RandomSource(seed);
+        const createPolicies = (): EntryPolicies => ({
+            ...createEntryPolicies(),
+            ...forwardingShare === undefined ? {} : { jobForwarding: new FixedForwarding(forwardingShare) },
+        });
+        this.hasForwarding = forwardingShare !== undefined;
         this.deployment = new DirectDeployment({
             entries: entryCount,
+            createPolicies,
             workers: workerCount,
             milliCores: workerMilliCores,
             seed,
@@ -51,7 +61,9 @@
         const { deployment, callers, random } = this;
         const endFaults: (() => void)[] = [];
         for (let index = 0; index < count; index += 1) {
-            const { description, end } = injectConnectionFault(deployment, callers, random);
+            const { description, end } = this.hasForwarding && random.nextInteger(3) === 0
+                ? injectForwardingFault(deployment, random)
+                : injectConnectionFault(deployment, callers, random);
             this.faults.push(description);
             endFaults.push(() => {
                 this.faults.push(`${deployment.clock.nowMilliseconds()} end of ${description}`);
--- a/packages/lovagepitch-testing/src/__tests__/direct/unequalEntries.steps.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/unequalEntries.steps.ts
@@ -107,7 +107,7 @@
 });
 
 When("spare entry {int} is slow", (entry: number) => {
-    getDeployment().setEntrySpeed(entry, slowMilliCores);
+    getDeployment().getEntryHost(entry).processor?.setSpeed(slowMilliCores);
 });
 
 function listOutcomes(
--- a/packages/lovagepitch-testing/src/direct/deploymentParts.ts
+++ b/packages/lovagepitch-testing/src/direct/deploymentParts.ts
@@ -36,11 +36,10 @@
      * @returns the process, with the processor that the options give it
      */
     public createEntryHost(index: number): CoreHost<EntryInput, EntryOutput> {
-        const host = createCoreHost(this.createEntryCore(index, 0));
         const { entryMilliCores = [] } = this.options;
         const milliCores = entryMilliCores[index % Math.max(1, entryMilliCores.length)];
-        host.processor = milliCores === undefined ? undefined : new BoundedProcessor(this.clock, milliCores);
-        return host;
+        const processor = milliCores === undefined ? undefined : new BoundedProcessor(this.clock, milliCores);
+        return { ...createCoreHost(this.createEntryCore(index, 0, processor)), processor };
     }
 
     /**
@@ -48,16 +47,17 @@
      *
      * @param index - index of the entry
      * @param incarnation - number of the process
+     * @param processor - its processor; undefined when its ticks take no time
      * @returns the core
      */
-    public createEntryCore(index: number, incarnation: number): EntryCore {
+    public createEntryCore(index: number, incarnation: number, processor?: BoundedProcessor): EntryCore {
         const identity = {
             incarnation: `entry-${index}-${incarnation}`,
             instance: `entry-${index}`,
             ...this.locateEntry(index),
         };
         const random = new RandomSource(this.options.seed * 1000 + index);
-        return new EntryCore(identity, this.clock, random, this.options.createPolicies?.());
+        return new EntryCore(identity, this.clock, random, this.options.createPolicies?.(), processor);
     }
 
     /**
@@ -115,6 +115,16 @@
         return { address: String(index), availabilityZone: this.getZone(index) };
     }
 
+    /**
+     * Locates all entries.
+     *
+     * @param count - number of entries
+     * @returns their addresses and availability zones
+     */
+    public locateEntries(count: number): readonly EntryLocation[] {
+        return Array.from({ length: count }, (_, index) => this.locateEntry(index));
+    }
+
     private getZone(index: number): string {
         return `zone-${index % (this.options.zones ?? 1)}`;
     }
--- a/packages/lovagepitch-testing/src/direct/directDeployment.ts
+++ b/packages/lovagepitch-testing/src/direct/directDeployment.ts
@@ -16,6 +16,7 @@
 import { DeploymentParts } from "./deploymentParts.js";
 import type { DirectDeploymentOptions } from "./directDeploymentOptions.js";
 import { DirectRecord } from "./directRecord.js";
+import { EntryNetwork } from "./entryNetwork.js";
 import type { FakeWorker } from "./fakeWorker.js";
 import { getAt } from "./getAt.js";
 import { HostTicks } from "./hostTicks.js";
@@ -41,6 +42,9 @@
     public readonly linkNetwork = new LinkNetwork(this.clock, this.queue, this.entries, this.agents, (host, input) => {
         this.deliverInput(host, input);
     });
+    public readonly entryNetwork = new EntryNetwork(this.clock, this.queue, this.entries, (host, input) => {
+        this.deliverInput(host, input);
+    }, this.record);
     private readonly jobs = new Map<string, DirectJob>();
     private readonly lastReportedFreeMilliCores = new Map<number, number>();
     /** Worker that each agent has recorded for its next process. */
@@ -67,7 +71,7 @@
         for (let index = 0; index < options.entries; index += 1) {
             this.entries.push(this.parts.createEntryHost(index));
         }
-        const locations = this.entries.map((_, index) => this.parts.locateEntry(index));
+        const locations = this.parts.locateEntries(options.entries);
         this.entries.forEach(host => this.deliverInput(host, { kind: "entries-found", entries: locations }));
         for (let index = 0; index < options.workers; index += 1) {
             this.fleet.add();
@@ -143,6 +147,7 @@
         this.getEntryHost(entry).isRunning = false;
         this.record.recordEntryEnd(entry);
         this.linkNetwork.close(other => other === entry);
+        this.entryNetwork.closeSome((client, server) => client === entry || server === entry);
     }
 
     /**
@@ -164,10 +169,9 @@
     public restartEntry(entry: number): void {
         const host = this.getEntryHost(entry);
         host.incarnation += 1;
-        host.core = this.parts.createEntryCore(entry, host.incarnation);
+        host.core = this.parts.createEntryCore(entry, host.incarnation, host.processor);
         host.isRunning = true;
-        const locations = this.entries.map((_, index) => this.parts.locateEntry(index));
-        this.deliverInput(host, { kind: "entries-found", entries: locations });
+        this.deliverInput(host, { kind: "entries-found", entries: this.parts.locateEntries(this.entries.length) });
     }
 
     /**
@@ -232,16 +236,6 @@
         host.isFrozen = isFrozen;
     }
 
-    /**
-     * Changes the processor of an entry.
-     *
-     * @param entry - index of the entry
-     * @param milliCores - its speed from now on, in thousandths of a core
-     */
-    public setEntrySpeed(entry: number, milliCores: number): void {
-        this.getEntryHost(entry).processor?.setSpeed(milliCores);
-    }
-
     /**
      * Starts or ends a network partition around a process. While it lasts, attempts to open a connection get no
      * response; connections that were open when it started never carry data again.
@@ -254,11 +248,15 @@
         const host = kind === "entry" ? this.getEntryHost(index) : this.getAgentHost(index);
         host.isPartitioned = isPartitioned;
         this.linkNetwork.silence((entry, agent) => isPartitioned && (kind === "entry" ? entry : agent) === index);
+        if (isPartitioned && kind === "entry") {
+            this.entryNetwork.silence((client, server) => client === index || server === index);
+        }
     }
 
     /** Makes all open connections drop their data permanently without being closed. New connections work. */
     public silenceConnections(): void {
         this.linkNetwork.silence(() => true);
+        this.entryNetwork.silence(() => true);
     }
 
     /**
@@ -302,7 +300,7 @@
     }
 
     private sendEntryAddresses(agent: number): void {
-        const entries = this.entries.map((_, index) => this.parts.locateEntry(index));
+        const entries = this.parts.locateEntries(this.entries.length);
         this.deliverInput(this.getAgentHost(agent), { kind: "entries-found", entries });
     }
 
@@ -349,6 +347,9 @@
             const { address, request } = output;
             this.linkNetwork.sendRequest(entry, Number(address), request);
         }
+        else {
+            this.entryNetwork.perform(entry, output);
+        }
     }
 
     private performAgentOutput(agent: number, output: AgentOutput): void {
@@ -383,7 +384,13 @@
         }
     }
 
-    private getEntryHost(index: number): CoreHost<EntryInput, EntryOutput> {
+    /**
+     * Gets the process of an entry.
+     *
+     * @param index - index of the entry
+     * @returns the process
+     */
+    public getEntryHost(index: number): CoreHost<EntryInput, EntryOutput> {
         return getAt(this.entries, index);
     }
 
--- a/packages/lovagepitch-testing/src/direct/directRecord.ts
+++ b/packages/lovagepitch-testing/src/direct/directRecord.ts
@@ -91,6 +91,17 @@
         }
     }
 
+    /**
+     * Records that an entry passes a job on, or that the other entry has answered or declined it.
+     *
+     * @param entry - index of the entry
+     * @param job - id of the job
+     * @param receiver - index of the other entry; undefined when it has the job no more
+     */
+    public recordForwarding(entry: number, job: string, receiver: number | undefined): void {
+        this.submissions.forward(entry, job, receiver);
+    }
+
     /**
      * Records that a caller has disconnected.
      *
--- a/packages/lovagepitch-testing/src/direct/submissionRecord.ts
+++ b/packages/lovagepitch-testing/src/direct/submissionRecord.ts
@@ -19,6 +19,8 @@
     readonly acceptedAt: number;
     end: SubmissionEnd | undefined;
     endedAt: number;
+    /** Index of the entry that it was passed on to; undefined while it was not. */
+    forwardedTo: number | undefined;
 }
 
 /** All submissions, by job. */
@@ -26,7 +28,7 @@
     private readonly submissions = new Map<string, Submission[]>();
 
     /**
-     * Adds a submission. The entry attaches it to an open one of the same job.
+     * Adds a submission. The entry attaches it to an open one of the same job, also to one that another entry has passed on to it.
      *
      * @param entry - index of the entry
      * @param job - id of the job
@@ -35,7 +37,9 @@
      */
     public add(entry: number, job: string, request: number, atMilliseconds: number): void {
         const known = this.list(job);
-        const open = known.find(other => other.entry === entry && other.end === undefined);
+        const open = known.find(other => {
+            return (other.entry === entry || other.forwardedTo === entry) && other.end === undefined;
+        });
         this.submissions.set(job, [...known, {
             entry,
             job,
@@ -44,9 +48,25 @@
             acceptedAt: open?.acceptedAt ?? atMilliseconds,
             end: undefined,
             endedAt: Number.POSITIVE_INFINITY,
+            forwardedTo: undefined,
         }]);
     }
 
+    /**
+     * Records which entry has the open submissions of a job beside the one that received them.
+     *
+     * @param entry - index of the entry that received them
+     * @param job - id of the job
+     * @param receiver - index of the entry that they were passed on to; undefined for none
+     */
+    public forward(entry: number, job: string, receiver: number | undefined): void {
+        for (const submission of this.list(job)) {
+            if (submission.entry === entry && submission.end === undefined) {
+                submission.forwardedTo = receiver;
+            }
+        }
+    }
+
     /**
      * Finds a submission.
      *
