--- a/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
+++ b/packages/lovagepitch-direct/src/__tests__/connectedEntry.ts
@@ -8,6 +8,8 @@
 import type { EntryInput, EntryOutput } from "../entry/entryPorts.js";
 import type { DirectJob, JobAnswer } from "../model/directJob.js";
 import type { AgentFrame, EndedRun, EntryFrame, RunIdentity, StartOrder } from "../model/frames.js";
+import type { ProcessorTime } from "../model/processorTime.js";
+import type { EntryPolicies } from "../policies/entryPolicies.js";
 import { entryAddress } from "./agentDriver.js";
 
 /** Service of all workers and jobs. */
@@ -62,12 +64,16 @@
 
     /**
      * @param incarnation - incarnation of the entry's process
+     * @param policies - policies that it decides with
+     * @param processorTime - time for which its process has run
      */
-    public constructor(incarnation = "entry-1") {
+    public constructor(incarnation = "entry-1", policies?: EntryPolicies, processorTime?: ProcessorTime) {
         this.core = new EntryCore(
             { incarnation, instance: "front-1", availabilityZone: "zone-1", address: entryAddress },
             this.clock,
             new RandomSource(1),
+            policies,
+            processorTime,
         );
     }
 
--- a/packages/lovagepitch-testing/src/direct/fixedForwarding.ts
+++ b/packages/lovagepitch-direct/src/__tests__/fixedForwarding.ts
@@ -1,7 +1,7 @@
 /**
  * Policy that passes a fixed part of the new jobs on, whatever the load.
  */
-import { JobForwarding } from "@lovagepitch/direct/policies/jobForwarding";
+import { JobForwarding } from "../policies/jobForwarding.js";
 
 /** Passes jobs on and takes those of others at any load. */
 export class FixedForwarding extends JobForwarding {
@@ -9,12 +9,15 @@
     public override readonly needsConnections = true;
 
     /** {@inheritDoc JobForwarding.acceptsJobs} */
-    public override readonly acceptsJobs = true;
+    public override acceptsJobs = true;
+
+    /** {@inheritDoc JobForwarding.isShort} */
+    public override isShort = false;
 
     /**
      * @param share - part of the new jobs that is passed on, from 0 to 1
      */
-    public constructor(public override readonly share: number) {
+    public constructor(public override share: number) {
         super();
     }
 
--- a/packages/lovagepitch-direct/src/policies/jobForwarding.ts
+++ b/packages/lovagepitch-direct/src/policies/jobForwarding.ts
@@ -7,6 +7,9 @@
     /** True while the entry needs connections to entries that it could pass jobs on to. */
     public abstract readonly needsConnections: boolean;
 
+    /** True while the entry has less processor time than it needs. */
+    public abstract readonly isShort: boolean;
+
     /** Part of the new jobs that is passed on where another entry has time to spare, from 0 to 1. */
     public abstract readonly share: number;
 
@@ -60,6 +63,11 @@
         return this.load >= connectionLoad || this.currentShare > 0;
     }
 
+    /** {@inheritDoc JobForwarding.isShort} */
+    public override get isShort(): boolean {
+        return this.load >= targetLoad;
+    }
+
     /** {@inheritDoc JobForwarding.share} */
     public override get share(): number {
         return this.currentShare;
--- a/packages/lovagepitch-testing/src/__tests__/direct/connectionWorld.ts
+++ b/packages/lovagepitch-testing/src/__tests__/direct/connectionWorld.ts
@@ -1,11 +1,12 @@
 /**
  * Deployment whose connections, processes and workers fail at random while callers send their jobs again.
  */
+import { FixedForwarding } from "@lovagepitch/direct/__tests__/fixedForwarding";
 import { createEntryPolicies, type EntryPolicies } from "@lovagepitch/direct/policies/entryPolicies";
 import { RandomSource } from "@lovagepitch/utils/randomSource";
 import assert from "node:assert/strict";
 import { DirectDeployment } from "../../direct/directDeployment.js";
-import { FixedForwarding } from "../../direct/fixedForwarding.js";
+
 import { JobHistory } from "../../direct/jobHistory.js";
 import { injectConnectionFault, injectForwardingFault } from "./connectionFaults.js";
 import { getRepeatedTaskMilliseconds, RepeatingCallers } from "./repeatingCallers.js";
