--- a/packages/lovagepitch-direct/src/entry/forwardingClients.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardingClients.ts
@@ -217,7 +217,7 @@
             kind: "forwarding-reply",
             from: pickProcess(state),
             sentAt: state.now,
-            load: state.processorLoad.share,
+            load: state.processorLoad.smoothedShare,
             acceptsSubmissions: acceptsSubmissions(state),
             configurationVersion: state.configuration?.version ?? 0,
             answers: pendingAnswers,
--- a/packages/lovagepitch-direct/src/entry/forwardingConnections.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardingConnections.ts
@@ -6,19 +6,23 @@
 import { heartbeatIntervalMilliseconds, idleHeartbeatIntervalMilliseconds } from "../model/timing.js";
 import type { EntryState } from "./entryState.js";
 import { endForwardedJobs, receiveForwardedAnswer } from "./forwardedJobs.js";
+import type { ForwardingLink } from "./forwardingLinks.js";
 import { pickProcess } from "./ownershipOutput.js";
 
-/** Number of connections to entries chosen at random, among which the jobs are divided. */
-const linkCount = 3;
+/** Number of entries with time to spare among which the jobs are divided. */
+const usefulLinks = 3;
+
+/** Largest number of connections, of which some may be to entries without time to spare. */
+const maximumLinks = 6;
 
 /** Time without a reply after which the receiver has ended the jobs that were passed on, in milliseconds. */
 const silenceMilliseconds = 700;
 
 /** Time after which a connection to an entry without time to spare is closed, in milliseconds. */
-const uselessMilliseconds = 1000;
+const uselessMilliseconds = 500;
 
 /** Time for which an entry is not tried again, in milliseconds. */
-const retryMilliseconds = 3000;
+const retryMilliseconds = 2000;
 
 /** Time for which an entry is not tried again after its connection has failed, in milliseconds. */
 const failureRetryMilliseconds = 1000;
@@ -47,7 +51,7 @@
     if (link === undefined) {
         return;
     }
-    const isUseful = reply.acceptsSubmissions && state.policies.jobForwarding.weigh(reply.load) > 0;
+    const isUseful = isUsefulLink(state, reply);
     state.forwardingLinks.set(address, {
         ...link,
         peer: reply.from,
@@ -61,6 +65,14 @@
     reply.answers.forEach(answer => receiveForwardedAnswer(state, address, answer));
 }
 
+/** Tells whether an entry has time to spare by its latest reply. */
+function isUsefulLink(
+    state: EntryState,
+    { load, acceptsSubmissions }: Pick<ForwardingLink, "load" | "acceptsSubmissions">,
+): boolean {
+    return acceptsSubmissions && state.policies.jobForwarding.weigh(load) > 0;
+}
+
 /**
  * Handles the end of a connection.
  *
@@ -87,8 +99,13 @@
     if (state.forwardingLinks.size > 0) {
         closeLinks(state);
     }
-    if (state.policies.jobForwarding.needsConnections && state.forwardingLinks.size < linkCount) {
-        openLink(state);
+    if (state.policies.jobForwarding.needsConnections && state.forwardingLinks.size < maximumLinks) {
+        const useful = [...state.forwardingLinks.values()].filter(link => {
+            return link.peer === undefined || isUsefulLink(state, link);
+        });
+        if (useful.length < usefulLinks) {
+            openLink(state);
+        }
     }
 }
 
--- a/packages/lovagepitch-direct/src/entry/forwardingLinks.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardingLinks.ts
@@ -6,7 +6,7 @@
 import type { EntryState } from "./entryState.js";
 
 /** Time without a reply after which an entry gets no further jobs, in milliseconds. */
-const pauseMilliseconds = 500;
+const pauseMilliseconds = 300;
 
 /** A connection to an entry that jobs are passed on to. */
 export interface ForwardingLink {
