--- a/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.feature
@@ -12,6 +12,8 @@
             | entry frame      |
             | capacity request |
             | open jobs        |
+            | forwarding frame |
+            | forwarding reply |
             | release request  |
             | release notice   |
 
@@ -38,6 +40,12 @@
             | open jobs        | {"kind":"other"}                                  |
             | open jobs        | {"from":{"address":"nowhere","incarnation":"a"}}  |
             | release request  | {"ownerSubmission":"7"}                           |
+            | forwarding frame | {"submissions":[{"number":1}]}                    |
+            | forwarding frame | {"heldMilliseconds":-1}                           |
+            | forwarding frame | {"from":{"address":"nowhere","incarnation":"a"}}  |
+            | forwarding reply | {"answers":[{"number":1,"job":"a","answer":{"kind":"other"}}]} |
+            | forwarding reply | {"answers":[{"number":1,"job":"a","answer":{"kind":"refused","reason":"x","retryAfterSeconds":1}}]} |
+            | forwarding reply | {"load":"0.4"}                                    |
             | release notice   | {"mayHaveStarted":1}                              |
 
     Scenario: Numbers that are not finite, which frames can carry, are refused
--- a/packages/lovagepitch-direct/src/__tests__/malformedMessages.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/malformedMessages.steps.ts
@@ -4,10 +4,15 @@
 import fastCheck from "fast-check";
 import assert from "node:assert/strict";
 import { EntryCore } from "../entry/entryCore.js";
+import { isForwardingFrame, isForwardingReply } from "../links/forwardingGuards.js";
 import { isAgentFrame, isCapacityRequest, isEntryFrame } from "../links/frameGuards.js";
 import { isOwnershipMessage } from "../links/ownershipGuards.js";
+import type { ForwardingReply } from "../model/forwarding.js";
 import { receiveInputs } from "../model/receiveInputs.js";
+import { createEntryPolicies } from "../policies/entryPolicies.js";
 import { AgentDriver, createOrder, createRegistration, entryAddress } from "./agentDriver.js";
+import { ConnectedEntry, createJob } from "./connectedEntry.js";
+import { FixedForwarding } from "./fixedForwarding.js";
 
 type Message = Readonly<Record<string, unknown>>;
 
@@ -81,6 +86,29 @@
         requiredLabel: "a",
         agents: 2,
     },
+    "forwarding frame": {
+        kind: "forwarding",
+        from: otherEntry,
+        newestSentAt: 999_990,
+        heldMilliseconds: 5,
+        configurationVersion: 0,
+        submissions: [{ number: 7, ageMilliseconds: 4, job: createJob("a4", { requiredLabel: "a" }) }],
+        withdrawals: [{ number: 6, job: "a5", isInterrupted: false }],
+        cancellations: [{ job: "a6", route: "route-a" }],
+    },
+    "forwarding reply": {
+        kind: "forwarding-reply",
+        from: otherEntry,
+        sentAt: 1_000_000,
+        load: 0.4,
+        acceptsSubmissions: true,
+        configurationVersion: 0,
+        answers: [
+            { number: 1, job: "a7", answer: { kind: "refused", reason: "no-worker", retryAfterSeconds: 1 } },
+            { number: 2, job: "a8", answer: { kind: "interrupted", reason: "it stops" } },
+            { number: 3, job: "a9" },
+        ],
+    },
     "open jobs": { kind: "open-jobs", from: otherEntry, jobs: [["a1", 1, 1000], ["a3", 2, 1100]] },
     "release request": { kind: "release-job", from: otherEntry, ...releaseFields },
     "release notice": {
@@ -156,6 +184,19 @@
             entry.accept({ kind: "ownership", message: received });
             assertNothingDropped(entry.tick());
             return true;
+        case "forwarding frame":
+            if (!isForwardingFrame(received)) {
+                return false;
+            }
+            entry.accept({ kind: "forwarding-frame", connection: 1, frame: received });
+            assertNothingDropped(entry.tick());
+            return true;
+        case "forwarding reply":
+            if (!isForwardingReply(received)) {
+                return false;
+            }
+            receiveReply(received);
+            return true;
         default:
             if (!isCapacityRequest(received)) {
                 return false;
@@ -166,6 +207,18 @@
     }
 }
 
+/** Passes a reply to an entry that has passed a job on, whose submission the last answer of the reply declines. */
+function receiveReply(reply: ForwardingReply): void {
+    const policies = { ...createEntryPolicies(), jobForwarding: new FixedForwarding(1) };
+    const entry = new ConnectedEntry("entry-1", policies);
+    entry.accept({ kind: "entries-found", entries: [{ address: otherEntry.address, availabilityZone: "zone-2" }] });
+    entry.accept({ kind: "forwarding-reply", address: otherEntry.address, reply });
+    entry.submit(createJob("a9"));
+    entry.accept({ kind: "forwarding-reply", address: otherEntry.address, reply });
+    entry.advance(100);
+    assertNothingDropped(entry.outputs);
+}
+
 function assertNothingDropped(outputs: readonly { readonly kind: string }[]): void {
     const dropped = outputs.filter(output => JSON.stringify(output).includes("input dropped"));
     assert.deepEqual(dropped, []);
--- a/packages/lovagepitch-direct/src/links/forwardingGuards.ts
+++ b/packages/lovagepitch-direct/src/links/forwardingGuards.ts
@@ -23,8 +23,8 @@
     isString,
 } from "./valueGuards.js";
 
-/** Largest number of tasks of a job; a worker's list of runs bounds it. */
-const maximumTasks = 1_000_000;
+/** Largest number of tasks of a job; callers submit no more. */
+const maximumTasks = 1000;
 
 /** Longest id of a job, in characters. */
 const maximumIdLength = 4096;
