--- a/packages/lovagepitch-direct/src/entry/forwardingConnections.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardingConnections.ts
@@ -157,7 +157,6 @@
     }
     state.forwardingLinks.set(chosen.address, {
         address: chosen.address,
-        openedAt: state.now,
         peer: undefined,
         lastReplyAt: state.now,
         newestSentAt: undefined,
--- a/packages/lovagepitch-direct/src/entry/forwardingLinks.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardingLinks.ts
@@ -11,7 +11,6 @@
 /** A connection to an entry that jobs are passed on to. */
 export interface ForwardingLink {
     readonly address: string;
-    readonly openedAt: number;
     /** Undefined until its first reply. */
     readonly peer: EntryProcess | undefined;
     readonly lastReplyAt: number;
