--- a/packages/lovagepitch-direct/src/entry/forwardedJobs.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardedJobs.ts
@@ -155,8 +155,11 @@
     for (const request of requests) {
         answerRequest(state, request, job.id, answer, afterMilliseconds);
     }
-    const isExpected = answer.kind === "done" || answer.kind === "cancelled";
-    state.log(isExpected ? "info" : "warn", "answer of another entry", {
+    if (answer.kind === "done" || answer.kind === "cancelled") {
+        // The other entry has logged it.
+        return;
+    }
+    state.log("warn", "answer of another entry", {
         job: job.id,
         submission: forwarded.number,
         address: forwarded.address,
--- a/packages/lovagepitch-direct/src/entry/forwardingConnections.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardingConnections.ts
@@ -13,7 +13,7 @@
 const usefulLinks = 3;
 
 /** Largest number of connections, of which some may be to entries without time to spare. */
-const maximumLinks = 6;
+const maximumLinks = 5;
 
 /** Time without a reply after which the receiver has ended the jobs that were passed on, in milliseconds. */
 const silenceMilliseconds = 700;
--- a/packages/lovagepitch-direct/src/policies/jobForwarding.ts
+++ b/packages/lovagepitch-direct/src/policies/jobForwarding.ts
@@ -32,11 +32,11 @@
     public abstract weigh(otherLoad: number): number;
 }
 
-/** Load above which jobs are passed on; above it, what arrives together waits for longer than it is worked on. */
-const targetLoad = 0.6;
+/** Load above which jobs are passed on. Passing one on costs about as much as two of its starts, so a busy entry keeps what it can do. */
+const targetLoad = 0.8;
 
 /** Load from which an entry prepares to pass jobs on. */
-const connectionLoad = 0.5;
+const connectionLoad = 0.7;
 
 /** Load from which an entry takes no jobs of others. */
 const acceptanceLoad = 0.8;
@@ -45,10 +45,10 @@
 const leastDifference = 0.1;
 
 /** Change of the share in one window for each unit of load above the target. */
-const gain = 0.25;
+const gain = 0.5;
 
 /** Load from which the demand may be several times of what the process can do, as the load cannot show more than 1. */
-const saturatedLoad = 0.9;
+const saturatedLoad = 0.95;
 
 /** Change of the share in one window at a saturated process. */
 const saturatedStep = 0.25;
