--- a/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
+++ b/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
@@ -106,6 +106,15 @@
             | job "a" was open here before                 |
             | another entry has announced job "a"          |
 
+    Scenario: An entry asks for agents when workers have no room, but not while it is short of processor time itself
+        Given an entry that is short of processor time, with a full worker
+        When job "a" is submitted
+        And 60 ms pass without a reply
+        Then no other entry was asked for agents
+        When it has enough processor time
+        And 60 ms pass without a reply
+        Then other entries were asked for agents
+
     Scenario: A submission of another entry is run here, and answered there
         Given an entry that takes jobs of others, with an idle worker
         When another entry passes job "a" on, 10 ms after its last reply
--- a/packages/lovagepitch-direct/src/entry/capacityRequests.ts
+++ b/packages/lovagepitch-direct/src/entry/capacityRequests.ts
@@ -33,11 +33,15 @@
 }
 
 /**
- * Asks other entries for agents when tasks wait for capacity.
+ * Asks other entries for agents when tasks wait for capacity. An entry that is short of processor time does not ask: tasks wait there
+ * although workers have room, and each further agent takes more of its time.
  *
  * @param state - state of the entry
  */
 export function requestCapacity(state: EntryState): void {
+    if (state.policies.jobForwarding.isShort) {
+        return;
+    }
     const agents = state.capacitySearch.countAgentsToRequest(state.unplacedTasks, state.now);
     const job = agents === 0 ? undefined : findWaitingJob(state);
     if (job === undefined) {
