--- a/packages/lovagepitch-direct/src/policies/jobForwarding.ts
+++ b/packages/lovagepitch-direct/src/policies/jobForwarding.ts
@@ -32,7 +32,7 @@
     public abstract weigh(otherLoad: number): number;
 }
 
-/** Load above which jobs are passed on. Passing one on costs about as much as two of its starts, so a busy entry keeps what it can do. */
+/** Load above which jobs are passed on; each costs messages at both ends, so an entry keeps what it can do in time. */
 const targetLoad = 0.8;
 
 /** Load from which an entry prepares to pass jobs on. */
