--- a/packages/lovagepitch-testing/src/direct/entryNetwork.ts
+++ b/packages/lovagepitch-testing/src/direct/entryNetwork.ts
@@ -25,6 +25,8 @@
     isOpen: boolean;
     isSilentToClient: boolean;
     isSilentToServer: boolean;
+    /** Jobs that were passed on through it and that the server may have open. */
+    readonly jobs: Set<string>;
 }
 
 /** Selects connections by the index of the entry that has opened them and of the other one. */
@@ -35,6 +37,8 @@
     /** Submissions that entries have passed on. */
     public forwardedCount = 0;
     private readonly connections = new Map<number, EntryConnection>();
+    /** Closed connections of which the server has not learned that. */
+    private readonly unnoticed = new Map<number, EntryConnection>();
     private nextConnection = firstConnectionNumber;
 
     /**
@@ -68,21 +72,25 @@
                     "client",
                 );
             case "close-connection": {
+                this.endAtServer(this.unnoticed.get(output.connection));
                 const connection = this.connections.get(output.connection);
                 return connection === undefined ? undefined : this.close(connection, "server");
             }
             case "forwarding-frame": {
                 this.forwardedCount += output.frame.submissions.length;
+                const connection = this.find(entry, Number(output.address));
                 for (const { job } of output.frame.submissions) {
+                    connection?.jobs.add(job.id);
                     this.record.recordForwarding(entry, job.id, Number(output.address));
                 }
-                const connection = this.find(entry, Number(output.address));
                 const input = {
                     kind: "forwarding-frame",
                     connection: connection?.number ?? 0,
                     frame: output.frame,
                 } as const;
-                this.deliver(connection, "server", input);
+                this.deliver(connection, "server", input, () => {
+                    output.frame.withdrawals.forEach(({ job }) => this.record.recordForwarding(entry, job, undefined));
+                });
                 return;
             }
             case "forwarding-reply": {
@@ -149,11 +157,17 @@
             isOpen: true,
             isSilentToClient: false,
             isSilentToServer: false,
+            jobs: new Set(),
         });
         this.nextConnection += 1;
     }
 
-    private deliver(connection: EntryConnection | undefined, to: "client" | "server", input: EntryInput): void {
+    private deliver(
+        connection: EntryConnection | undefined,
+        to: "client" | "server",
+        input: EntryInput,
+        onArrival: () => void = () => undefined,
+    ): void {
         const isLost = (): boolean => {
             return connection === undefined || !connection.isOpen
                 || (to === "client" ? connection.isSilentToClient : connection.isSilentToServer);
@@ -161,6 +175,7 @@
         if (connection !== undefined && !isLost()) {
             this.schedule(() => {
                 if (!isLost()) {
+                    onArrival();
                     this.deliverInput(getAt(this.entries, connection[to]), input);
                 }
             });
@@ -171,13 +186,23 @@
         connection.isOpen = false;
         this.connections.delete(connection.number);
         const { client, server, number } = connection;
+        if (closedBy === "server") {
+            this.endAtServer(connection);
+        }
+        else {
+            this.unnoticed.set(number, connection);
+        }
         const isAlive = (host: CoreHost<EntryInput, EntryOutput>, incarnation: number): boolean => {
             return host.isRunning && host.incarnation === incarnation;
         };
         this.schedule(() => {
             const host = getAt(this.entries, server);
             const hears = closedBy !== "server" && !connection.isSilentToServer;
-            if (hears && isAlive(host, connection.serverIncarnation)) {
+            const isRunning = isAlive(host, connection.serverIncarnation);
+            if (hears || !isRunning) {
+                this.endAtServer(connection);
+            }
+            if (hears && isRunning) {
                 this.deliverInput(host, { kind: "disconnected", connection: number });
             }
         });
@@ -190,6 +215,14 @@
         });
     }
 
+    /** Records that the server has none of the jobs open any more. */
+    private endAtServer(connection: EntryConnection | undefined): void {
+        if (connection !== undefined) {
+            this.unnoticed.delete(connection.number);
+            connection.jobs.forEach(job => this.record.recordForwarding(connection.client, job, undefined));
+        }
+    }
+
     private schedule(action: () => void): void {
         this.queue.schedule(this.clock.nowMilliseconds() + latencyMilliseconds, action, undefined);
     }
--- a/packages/lovagepitch-testing/src/direct/submissionRecord.ts
+++ b/packages/lovagepitch-testing/src/direct/submissionRecord.ts
@@ -28,7 +28,8 @@
     private readonly submissions = new Map<string, Submission[]>();
 
     /**
-     * Adds a submission. The entry attaches it to an open one of the same job, also to one that another entry has passed on to it.
+     * Adds a submission. The entry attaches it to an open one of the same job, also to one that another entry has passed on to it and
+     * whose end it has not learned.
      *
      * @param entry - index of the entry
      * @param job - id of the job
@@ -38,7 +39,7 @@
     public add(entry: number, job: string, request: number, atMilliseconds: number): void {
         const known = this.list(job);
         const open = known.find(other => {
-            return (other.entry === entry || other.forwardedTo === entry) && other.end === undefined;
+            return (other.entry === entry && other.end === undefined) || other.forwardedTo === entry;
         });
         this.submissions.set(job, [...known, {
             entry,
@@ -61,7 +62,7 @@
      */
     public forward(entry: number, job: string, receiver: number | undefined): void {
         for (const submission of this.list(job)) {
-            if (submission.entry === entry && submission.end === undefined) {
+            if (submission.entry === entry && (receiver === undefined || submission.end === undefined)) {
                 submission.forwardedTo = receiver;
             }
         }
