--- a/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
+++ b/packages/lovagepitch-testing/src/__tests__/direct/callersAndConnections.feature
@@ -76,9 +76,9 @@
             | 2    |
             | 3    |
             | 4    |
-            | 5    |
             | 6    |
             | 7    |
             | 8    |
             | 9    |
             | 10   |
+            | 11   |
