--- a/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
+++ b/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
@@ -162,3 +162,11 @@
         When another entry passes job "a" on, 510 ms after its last reply
         Then no task of job "a" was started here
         And the connection of the other entry was closed
+
+    Scenario: The time that the caller waits counts from the arrival at the first entry
+        Given an entry that takes jobs of others, with an idle worker
+        When another entry passes job "a" on, whose caller waits for 300 ms, after 200 ms
+        And 60 ms pass without a reply
+        Then the reply has no answer to job "a"
+        When 60 ms pass without a reply
+        Then the reply has the answer "interrupted" to job "a"
