--- a/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
+++ b/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
@@ -39,6 +39,15 @@
         When the other entry answers job "a" as "done"
         Then both callers of job "a" were told "done"
 
+    # Otherwise the job would run here and at the other entry.
+    Scenario: A repeated request waits for the same answer although open requests hold as much memory as they may
+        Given an entry that passes all new jobs on, with an idle worker
+        When job "a" is submitted
+        And job "a" is submitted again while memory is full
+        Then no task of job "a" was started here
+        When the other entry answers job "a" as "done"
+        Then both callers of job "a" were told "done"
+
     Scenario: The answer to an earlier submission is not taken for that to a later one
         Given an entry that passes all new jobs on, with an idle worker
         When job "a" is submitted
--- a/packages/lovagepitch-direct/src/__tests__/jobForwarding.steps.ts
+++ b/packages/lovagepitch-direct/src/__tests__/jobForwarding.steps.ts
@@ -128,6 +128,10 @@
     requests.push(entry.submit(createJob(job)));
 });
 
+When("job {string} is submitted again while memory is full", (job: string) => {
+    requests.push(entry.submit(createJob(job), true));
+});
+
 When("another job {string} is submitted", (job: string) => {
     requests.push(entry.submit(createJob(job, { specification: "other work" })));
 });
--- a/packages/lovagepitch-direct/src/entry/entryCore.ts
+++ b/packages/lovagepitch-direct/src/entry/entryCore.ts
@@ -356,9 +356,10 @@
     }
 
     private receiveSubmission(input: Extract<EntryInput, { readonly kind: "submitted" }>): void {
-        const { request, job, earliestArrival, isMemoryFull = false } = input;
-        if (isMemoryFull || !forwardJob(this.state, request, job, earliestArrival)) {
-            receiveOwnJob(this.state, request, job, { earliestArrival, isMemoryFull });
+        const { request, job, earliestArrival, isMemoryFull } = input;
+        const details = { earliestArrival, isMemoryFull };
+        if (!forwardJob(this.state, request, job, details)) {
+            receiveOwnJob(this.state, request, job, details);
         }
     }
 }
--- a/packages/lovagepitch-direct/src/entry/forwardedJobs.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardedJobs.ts
@@ -7,7 +7,7 @@
 import { answerRequest } from "./answerRequest.js";
 import type { EntryState } from "./entryState.js";
 import { chooseForwardingLink, type ForwardingLink } from "./forwardingLinks.js";
-import { receiveOwnJob, rejectOtherJob } from "./submissions.js";
+import { receiveOwnJob, rejectOtherJob, type SubmissionDetails } from "./submissions.js";
 import { judgeJob } from "./workerSeparation.js";
 
 /** Largest age of a job that is passed on, in milliseconds; the caller of an older one may soon turn to another entry. */
@@ -43,17 +43,22 @@
  * @param state - state of the entry
  * @param request - id of the caller's request
  * @param job - submitted job
- * @param earliestArrival - earliest instant at which it may have arrived if its connection was accepted late
+ * @param details - what else is known of the submission
  * @returns false if the entry has to process the job itself
  */
-export function forwardJob(state: EntryState, request: number, job: DirectJob, earliestArrival = state.now): boolean {
+export function forwardJob(
+    state: EntryState,
+    request: number,
+    job: DirectJob,
+    { earliestArrival = state.now, isMemoryFull = false }: SubmissionDetails,
+): boolean {
     const known = state.forwardedJobs.get(job.id);
     if (known !== undefined) {
         attachRequest(state, known, request, job);
         return true;
     }
     const submittedAt = Math.min(earliestArrival, state.readDelay.findEarliestArrival(state.now));
-    const isChosen = mayForward(state, job, submittedAt)
+    const isChosen = !isMemoryFull && mayForward(state, job, submittedAt)
         && state.random.nextFraction() < state.policies.jobForwarding.share;
     const link = isChosen ? chooseForwardingLink(state) : undefined;
     if (link === undefined || countJobs(state, link.address) >= maximumJobsPerLink) {
