--- a/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
+++ b/packages/lovagepitch-direct/src/__tests__/jobForwarding.feature
@@ -146,6 +146,17 @@
         Then the other entry was not sent job "a"
         And a task of job "a" was started here
 
+    # Otherwise the job would run here and at the entry that it was passed on to.
+    Scenario: A job that another entry passes on is one that this entry has passed on to a third one
+        Given an entry that passes all new jobs on, with an idle worker
+        When job "a" is submitted
+        And another entry passes job "a" on, 10 ms after its last reply
+        Then no task of job "a" was started here
+        And the other entry was sent job "a" once
+        When the other entry answers job "a" as "done"
+        Then the caller of job "a" was told "done"
+        And the reply has the answer "done" to job "a"
+
     Scenario Outline: The entry that has passed a job on <fault>
         Given an entry that takes jobs of others, with an idle worker
         When another entry passes job "a" on, 10 ms after its last reply
--- a/packages/lovagepitch-direct/src/entry/forwardedJobs.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardedJobs.ts
@@ -52,9 +52,7 @@
     job: DirectJob,
     { earliestArrival = state.now, isMemoryFull = false }: SubmissionDetails,
 ): boolean {
-    const known = state.forwardedJobs.get(job.id);
-    if (known !== undefined) {
-        attachRequest(state, known, request, job);
+    if (joinForwardedJob(state, request, job)) {
         return true;
     }
     const submittedAt = Math.min(earliestArrival, state.readDelay.findEarliestArrival(state.now));
@@ -68,14 +66,27 @@
     return true;
 }
 
-function attachRequest(state: EntryState, known: ForwardedJob, request: number, job: DirectJob): void {
+/**
+ * Lets a request wait for the answer to a job that was passed on before.
+ *
+ * @param state - state of the entry
+ * @param request - id of the request, of a caller or of another entry
+ * @param job - submitted job
+ * @returns false if no such job was passed on
+ */
+export function joinForwardedJob(state: EntryState, request: number, job: DirectJob): boolean {
+    const known = state.forwardedJobs.get(job.id);
+    if (known === undefined) {
+        return false;
+    }
     if (!isSameJob(known.job, job)) {
         rejectOtherJob(state, request, job, known.job.route);
-        return;
+        return true;
     }
     const requests = [...known.requests, request];
     state.forwardedJobs.set(job.id, { ...known, requests });
     state.log("info", "job submitted again", { job: job.id, callers: requests.length });
+    return true;
 }
 
 /** Tells whether nothing is known of a job, so that another entry can decide on it as well as this one. */
--- a/packages/lovagepitch-direct/src/entry/forwardingClients.ts
+++ b/packages/lovagepitch-direct/src/entry/forwardingClients.ts
@@ -17,6 +17,7 @@
 import { answerRequest } from "./answerRequest.js";
 import { endJob } from "./endJob.js";
 import { type EntryState, mayHaveStarted } from "./entryState.js";
+import { cancelForwardedJob, joinForwardedJob, withdrawForwardedRequest } from "./forwardedJobs.js";
 import { pickProcess } from "./ownershipOutput.js";
 import { receiveCallerDisconnected, receiveCancellation, receiveOwnJob, refuseJob } from "./submissions.js";
 
@@ -74,7 +75,11 @@
     });
     frame.withdrawals.forEach(withdrawal => receiveWithdrawal(state, connection, withdrawal));
     frame.submissions.forEach(submission => receiveSubmission(state, connection, frame, submission, sentAfter));
-    frame.cancellations.forEach(({ job, route }) => receiveCancellation(state, job, route));
+    for (const { job, route } of frame.cancellations) {
+        if (!cancelForwardedJob(state, job, route)) {
+            receiveCancellation(state, job, route);
+        }
+    }
 }
 
 function receiveSubmission(
@@ -84,7 +89,7 @@
     { number, ageMilliseconds, job }: ForwardedSubmission,
     sentAfter: number,
 ): void {
-    const isKnown = state.jobs.has(job.id) || state.stoppingRuns.has(job.id)
+    const isKnown = state.jobs.has(job.id) || state.stoppingRuns.has(job.id) || state.forwardedJobs.has(job.id)
         || state.orderedJobs.has(job.id, state.now);
     if (!isKnown && !canAccept(state, connection, frame)) {
         state.forwardingClients.get(connection)?.pendingAnswers.push({ number, job: job.id, answer: undefined });
@@ -98,6 +103,10 @@
         specificationLength: job.specification.length,
     });
     const arrivedAt = sentAfter - ageMilliseconds;
+    if (joinForwardedJob(state, request, job)) {
+        // This entry has passed the job on itself, for a caller of its own.
+        return;
+    }
     receiveOwnJob(state, request, job, { earliestArrival: arrivedAt, deadlinesFrom: arrivedAt });
 }
 
@@ -128,12 +137,18 @@
         if (isInterrupted && interruptOnlyRequest(state, request, job)) {
             return;
         }
-        receiveCallerDisconnected(state, request, job);
+        leaveJob(state, request, job);
         answerRequest(state, request, job, isInterrupted ? interrupted : { kind: "cancelled" }, 0);
         return;
     }
 }
 
+function leaveJob(state: EntryState, request: number, job: string): void {
+    if (!withdrawForwardedRequest(state, request, job)) {
+        receiveCallerDisconnected(state, request, job);
+    }
+}
+
 /** Ends a job, and answers its only request; returns false if others wait for it. */
 function interruptOnlyRequest(state: EntryState, request: number, job: string): boolean {
     const row = state.jobs.get(job);
@@ -161,7 +176,7 @@
     }
     for (const [request, { job, connection: other }] of [...state.forwardedRequests]) {
         if (other === connection) {
-            receiveCallerDisconnected(state, request, job);
+            leaveJob(state, request, job);
             state.forwardedRequests.delete(request);
         }
     }
